--- /dev/null
+++ b/packages/decisions/src/calls/event_splitter.ts
@@ -0,0 +1,50 @@
+import type {StreamEvent} from './stream_event.js';
+
+const LINE_FEED = 0x0a;
+const CARRIAGE_RETURN = 0x0d;
+
+/** Bytes of one unfinished event before the answer is taken as spoiled. */
+const MAX_EVENT_BYTES = 1_048_576;
+
+/**
+ * Cuts the bytes of an event stream behind each whole event. Bytes of an unfinished event are kept
+ * back, so that a caller never sees half of one.
+ */
+export class EventSplitter {
+  private rest: Buffer = Buffer.alloc(0);
+
+  /** Bytes of an event that has not ended yet. */
+  get pendingBytes(): number {
+    return this.rest.length;
+  }
+
+  get isOversized(): boolean {
+    return this.rest.length > MAX_EVENT_BYTES;
+  }
+
+  /** The whole events that these bytes complete, in order. */
+  push(chunk: Buffer): StreamEvent[] {
+    const bytes =
+      this.rest.length === 0 ? chunk : Buffer.concat([this.rest, chunk]);
+    const events: StreamEvent[] = [];
+    let start = 0;
+    let lineStart = 0;
+    for (let i = 0; i < bytes.length; i++) {
+      if (bytes[i] !== LINE_FEED) continue;
+      const isEmpty =
+        i === lineStart ||
+        (i === lineStart + 1 && bytes[lineStart] === CARRIAGE_RETURN);
+      lineStart = i + 1;
+      if (!isEmpty) continue;
+      events.push(toEvent(bytes.subarray(start, lineStart)));
+      start = lineStart;
+    }
+    this.rest = bytes.subarray(start);
+    return events;
+  }
+}
+
+function toEvent(bytes: Buffer): StreamEvent {
+  const id = /^id:[ ]?(\d+)\r?$/m.exec(bytes.toString('latin1'))?.[1];
+  return {bytes, id: id === undefined ? undefined : Number(id)};
+}
--- /dev/null
+++ b/packages/decisions/src/calls/judge_version.ts
@@ -0,0 +1,42 @@
+import type {VersionTally} from './version_tally.js';
+
+interface Options {
+  readonly fresh: VersionTally;
+  readonly old: VersionTally;
+}
+
+/** Answers of the new version before it is judged at all. */
+const MIN_ENDED = 8;
+/** Failures of the new version before it is judged bad; a few may be the network's. */
+const MIN_BAD = 5;
+/** How many standard deviations over the old version's share are taken as a difference. */
+const DEVIATIONS = 3.5;
+/** A share of failures that is taken as possible on a sound version without any history. */
+const PRIOR_SHARE = 0.02;
+/** Weight of that share, in answers. */
+const PRIOR_WEIGHT = 20;
+
+/**
+ * Whether a new version is worse than the old one: more failures or more slow answers than chance
+ * explains at the old version's share of them.
+ */
+export function judgeVersion({fresh, old}: Options): 'bad' | 'open' {
+  if (fresh.ended < MIN_ENDED) return 'open';
+  if (isWorse(fresh.failed, fresh.ended, old.failed, old.ended)) return 'bad';
+  if (isWorse(fresh.slow, fresh.ended, old.slow, old.ended)) return 'bad';
+  return 'open';
+}
+
+function isWorse(
+  bad: number,
+  ended: number,
+  oldBad: number,
+  oldEnded: number,
+): boolean {
+  if (bad < MIN_BAD) return false;
+  const share =
+    (oldBad + PRIOR_SHARE * PRIOR_WEIGHT) / (oldEnded + PRIOR_WEIGHT);
+  const expected = share * ended;
+  const deviation = Math.sqrt(expected * Math.max(0.05, 1 - share));
+  return bad > expected + DEVIATIONS * deviation;
+}
--- /dev/null
+++ b/packages/decisions/src/calls/key_holder.ts
@@ -0,0 +1,6 @@
+/** The workspace that holds an API key. */
+export interface KeyHolder {
+  readonly workspace: string;
+  /** Takes the place of the route's priority when given; 0 is the most urgent. */
+  readonly priority?: number;
+}
--- /dev/null
+++ b/packages/decisions/src/calls/retry_budget.ts
@@ -0,0 +1,52 @@
+import type {Clock} from '@bayspool/kernel';
+import {SlidingCount} from './sliding_count.js';
+
+/** Part of the bound that the hosts use together, so that late counts stay within it. */
+const USED_PART = 0.9;
+/** Part of the fixed allowance that is shared out; the rest covers hosts that join or restart. */
+const SHARED_EXTRA_PART = 0.5;
+
+interface Options {
+  readonly clock: Clock;
+  /** Repeats allowed per first attempt, over all hosts. */
+  readonly ratio: number;
+  /** Repeats allowed besides, over all hosts. */
+  readonly extra: number;
+  readonly windowMs: number;
+  /** Hosts that share the allowance, this one included. */
+  readonly hosts: () => number;
+}
+
+/**
+ * The part of a service's retry budget that this host may spend: in proportion to the calls that it
+ * took itself, so the parts of all hosts sum to less than the bound.
+ */
+export class RetryBudget {
+  private readonly firsts: SlidingCount;
+  private readonly repeats: SlidingCount;
+
+  constructor(private readonly options: Options) {
+    this.firsts = new SlidingCount(options);
+    this.repeats = new SlidingCount(options);
+  }
+
+  /** Notes a call taken from a caller. */
+  countFirst(): void {
+    this.firsts.add();
+  }
+
+  /** Spends one repeat if there is room. */
+  trySpend(): boolean {
+    if (this.left < 1) return false;
+    this.repeats.add();
+    return true;
+  }
+
+  /** Repeats that may still be sent now. */
+  get left(): number {
+    const {ratio, extra, hosts} = this.options;
+    const own = this.firsts.total * ratio * USED_PART;
+    const share = (extra * SHARED_EXTRA_PART) / Math.max(1, hosts());
+    return own + share - this.repeats.total;
+  }
+}
--- /dev/null
+++ b/packages/gateway/src/beliefs/runner_directory.ts
@@ -0,0 +1,131 @@
+import type {RunnerEntry} from '@bayspool/decisions/calls';
+import type {Clock, Timer} from '@bayspool/kernel';
+import type {EventLog} from '../observability/event_log.js';
+import type {KeyedRecord} from '../records/keyed_record.js';
+import type {MirrorUpdate} from '../records/mirror_update.js';
+import type {TopicMirror} from '../records/topic_mirror.js';
+import type {Runner} from '../runners/runner.js';
+import type {WireReader} from './wire_reader.js';
+
+interface Options {
+  readonly clock: Clock;
+  readonly log: EventLog;
+  readonly mirror: TopicMirror;
+  readonly reader: WireReader;
+  /** The copy whose proofs tell when the store was away. */
+  readonly freshness: TopicMirror;
+  readonly createRunner: (entry: RunnerEntry) => Runner;
+}
+
+/**
+ * How long a runner whose entry vanished around an outage of the store is kept: the platform says
+ * that entries of living runners are back about two seconds after the store is.
+ */
+const LAPSE_KEPT_MS = 1_900;
+/** An entry that goes within this time after the store's return may have lapsed in the outage. */
+const LAPSE_WINDOW_MS = 1_500;
+
+/** The runners that can take calls, by service, as their entries in the store tell. */
+export class RunnerDirectory {
+  private readonly runners = new Map<string, Runner>();
+  private readonly lapses = new Map<string, Timer>();
+
+  constructor(private readonly options: Options) {
+    options.mirror.onUpdate(update => this.take(update));
+  }
+
+  get(id: string): Runner | undefined {
+    return this.runners.get(id);
+  }
+
+  all(): Runner[] {
+    return [...this.runners.values()];
+  }
+
+  /** Runners of a service that take new calls, ejected ones included. */
+  takersOf(service: string): Runner[] {
+    return this.all().filter(
+      ({entry, isReplaced}) =>
+        entry.service === service && !entry.isDraining && !isReplaced,
+    );
+  }
+
+  private take({changed, isReload}: MirrorUpdate): void {
+    for (const record of changed) {
+      if (record.value === undefined) this.remove(record, isReload);
+      else this.put(record);
+    }
+  }
+
+  private put(record: KeyedRecord): void {
+    const {reader, log, createRunner} = this.options;
+    let entry: RunnerEntry;
+    try {
+      entry = reader.readRunner(record);
+    } catch (error) {
+      const reason = String(error);
+      log.write('runner_refused', {
+        runner: record.key,
+        reason,
+        offset: record.offset,
+      });
+      return;
+    }
+    this.lapses.get(entry.id)?.cancel();
+    this.lapses.delete(entry.id);
+    const known = this.runners.get(entry.id);
+    const wasDraining = known?.entry.isDraining ?? false;
+    if (known) known.update(entry);
+    else this.runners.set(entry.id, createRunner(entry));
+    this.report(entry, known !== undefined, wasDraining, record.offset);
+  }
+
+  private report(
+    entry: RunnerEntry,
+    isKnown: boolean,
+    wasDraining: boolean,
+    offset: number,
+  ): void {
+    const {log} = this.options;
+    const {id: runner, service, version, address, place} = entry;
+    if (!isKnown)
+      log.write('runner_seen', {
+        runner,
+        service,
+        version,
+        address,
+        place,
+        offset,
+      });
+    if (entry.isDraining && !wasDraining)
+      log.write('runner_leaving', {runner, service, offset});
+  }
+
+  private remove(record: KeyedRecord, isReload: boolean): void {
+    const runner = this.runners.get(record.key);
+    if (!runner) return;
+    const {clock, log, freshness} = this.options;
+    const now = clock.now();
+    const sinceReturn = now - freshness.gapEndedAt;
+    const mayHaveLapsed =
+      isReload || freshness.isStaleAt(now) || sinceReturn < LAPSE_WINDOW_MS;
+    if (!mayHaveLapsed || runner.entry.isDraining) {
+      this.drop(runner, 'entry removed');
+      return;
+    }
+    const {id, service} = runner.entry;
+    log.write('runner_lapsed', {runner: id, service, keptMs: LAPSE_KEPT_MS});
+    const timer = clock.after(LAPSE_KEPT_MS, () => {
+      this.lapses.delete(id);
+      this.drop(runner, 'entry not back after an outage of the store');
+    });
+    this.lapses.set(id, timer);
+  }
+
+  private drop(runner: Runner, reason: string): void {
+    const {id, service} = runner.entry;
+    this.runners.delete(id);
+    runner.retire();
+    this.options.log.write('runner_gone', {runner: id, service, reason});
+  }
+}
--- /dev/null
+++ b/packages/gateway/src/calls/answer_headers.ts
@@ -0,0 +1,21 @@
+import type {IncomingMessage} from 'node:http';
+import {hopHeaders} from './hop_headers.js';
+import {nominatedHeaders} from './nominated_headers.js';
+
+/** The runner's headers that go to the caller; `length` replaces the body's length when given. */
+export function answerHeaders(
+  answer: IncomingMessage,
+  length?: number,
+): string[] {
+  const {rawHeaders} = answer;
+  const nominated = nominatedHeaders(rawHeaders);
+  const headers: string[] = [];
+  for (let i = 0; i < rawHeaders.length; i += 2) {
+    const name = rawHeaders[i].toLowerCase();
+    if (hopHeaders.has(name) || nominated.has(name)) continue;
+    if (name === 'content-length') continue;
+    headers.push(rawHeaders[i], rawHeaders[i + 1]);
+  }
+  if (length !== undefined) headers.push('content-length', String(length));
+  return headers;
+}
--- /dev/null
+++ b/packages/gateway/src/calls/attempt_kind.ts
@@ -0,0 +1,18 @@
+/** How an attempt at a runner ended. */
+const AttemptKind = {
+  /** The answer was passed on whole, or is ready to be. */
+  ANSWERED: 'answered',
+  /** Nothing was sent, or the runner says that it did not run the request. */
+  NOT_RUN: 'not-run',
+  /** The runner answered that it failed; it may have run the request. */
+  RUNNER_ERROR: 'runner-error',
+  /** The answer broke off, was spoiled or did not come; the request may have run. */
+  BROKEN: 'broken',
+  /** The model's confidence is too low; the answer was dropped. */
+  WEAK: 'weak',
+  /** The call ended first: its time limit, its caller or this host. */
+  ENDED: 'ended',
+} as const;
+type AttemptKind = (typeof AttemptKind)[keyof typeof AttemptKind];
+
+export {AttemptKind};
--- /dev/null
+++ b/packages/gateway/src/calls/call_progress.ts
@@ -0,0 +1,45 @@
+import type {Runner} from '../runners/runner.js';
+import {AttemptKind} from './attempt_kind.js';
+import type {AttemptOutcome} from './attempt_outcome.js';
+import type {IncomingCall} from './incoming_call.js';
+import type {WholeAnswer} from './whole_answer.js';
+
+interface Options {
+  readonly call: IncomingCall;
+  /** The model that is asked first, if any. */
+  readonly model?: string;
+}
+
+/** How far a call has come: what was tried, and whether it may have run. */
+export class CallProgress {
+  readonly call: IncomingCall;
+  /** The model that is asked next. */
+  model: string | undefined;
+  /** Runners that were tried. */
+  readonly tried = new Set<string>();
+  /** Attempts in all. */
+  tries = 0;
+  /** Attempts in which the request was sent to a runner. */
+  sent = 0;
+  /** Whether a runner may have run the request. */
+  mayHaveRun = false;
+  /** The last answer of a runner that failed, which can still be passed on. */
+  lastError: WholeAnswer | undefined;
+
+  constructor({call, model}: Options) {
+    this.call = call;
+    this.model = model;
+  }
+
+  note(runner: Runner, outcome: AttemptOutcome): void {
+    this.tries += 1;
+    const wasSent =
+      outcome.kind !== AttemptKind.NOT_RUN || outcome.status !== undefined;
+    if (wasSent) this.sent += 1;
+    if (outcome.kind !== AttemptKind.WEAK) this.tried.add(runner.entry.id);
+    if (outcome.kind !== AttemptKind.NOT_RUN) this.mayHaveRun = true;
+    if (outcome.kind === AttemptKind.RUNNER_ERROR)
+      this.lastError = outcome.answer;
+    if (outcome.kind === AttemptKind.BROKEN) this.lastError = undefined;
+  }
+}
--- /dev/null
+++ b/packages/gateway/src/calls/caller_answer.ts
@@ -0,0 +1,124 @@
+import type {ServerResponse} from 'node:http';
+import type {StreamEvent} from '@bayspool/decisions/calls';
+import type {Clock} from '@bayspool/kernel';
+import type {OwnAnswer} from './own_answer.js';
+import type {WholeAnswer} from './whole_answer.js';
+
+interface Options {
+  readonly clock: Clock;
+  readonly response: ServerResponse;
+  /** The last event that the caller had before this request. */
+  readonly lastEventId?: number;
+  /** Whether the connection is to be closed behind the answer; asked when the head is written. */
+  readonly closesAfter: () => boolean;
+  /** The header that tells when to come back, in seconds. */
+  readonly retryAfterName: string;
+}
+
+interface StreamHead {
+  readonly status: number;
+  readonly statusText: string;
+  readonly headers: readonly string[];
+}
+
+const MS_PER_SECOND = 1_000;
+const NO_BODY_STATUSES: ReadonlySet<number> = new Set([204, 304]);
+
+/** The one answer that a caller gets: whole, or as events of one or several runs. */
+export class CallerAnswer {
+  private readonly response: ServerResponse;
+  private last: number | undefined;
+  private count = 0;
+  private firstMs: number | undefined;
+
+  constructor(private readonly options: Options) {
+    this.response = options.response;
+    this.last = options.lastEventId;
+  }
+
+  /** Whether the caller holds a part of the answer. */
+  get hasBegun(): boolean {
+    return this.response.headersSent;
+  }
+
+  get isClosed(): boolean {
+    return this.response.writableEnded || this.response.destroyed;
+  }
+
+  /** The last whole event passed on, in this answer or before it. */
+  get lastEventId(): number | undefined {
+    return this.last;
+  }
+
+  get events(): number {
+    return this.count;
+  }
+
+  /** When the first byte was passed on, on this host's clock. */
+  get firstByteAt(): number | undefined {
+    return this.firstMs;
+  }
+
+  sendWhole(answer: WholeAnswer): void {
+    this.noteFirst();
+    this.writeHead(answer.status, answer.statusText, answer.headers);
+    if (NO_BODY_STATUSES.has(answer.status)) this.response.end();
+    else this.response.end(answer.body);
+  }
+
+  sendOwn({status, reason, retryAfterMs}: OwnAnswer): void {
+    const body = Buffer.from(`${JSON.stringify({error: reason})}\n`);
+    const headers = ['content-type', 'application/json'];
+    headers.push('content-length', String(body.length));
+    if (retryAfterMs !== undefined)
+      headers.push(
+        this.options.retryAfterName,
+        (retryAfterMs / MS_PER_SECOND).toFixed(3),
+      );
+    this.writeHead(status, undefined, headers);
+    this.response.end(body);
+  }
+
+  /** Passes an event on, behind the head if it is the first. @returns whether there is room for more */
+  sendEvent(head: StreamHead, event: StreamEvent): boolean {
+    if (!this.hasBegun) {
+      this.noteFirst();
+      this.writeHead(head.status, head.statusText, head.headers);
+    }
+    if (event.id !== undefined) this.last = event.id;
+    this.count += 1;
+    return this.response.write(event.bytes);
+  }
+
+  /** Ends a stream that is whole; `head` is used if it had no event. */
+  finishStream(head: StreamHead): void {
+    if (!this.hasBegun)
+      this.writeHead(head.status, head.statusText, head.headers);
+    this.response.end();
+  }
+
+  /** Ends an answer that cannot be completed, so that it does not look whole. */
+  cut(): void {
+    this.response.destroy();
+  }
+
+  onRoom(action: () => void): void {
+    this.response.once('drain', action);
+  }
+
+  private writeHead(
+    status: number,
+    statusText: string | undefined,
+    headers: readonly string[],
+  ): void {
+    const {response, options} = this;
+    response.sendDate = false;
+    if (options.closesAfter()) response.shouldKeepAlive = false;
+    if (statusText === undefined) response.writeHead(status, [...headers]);
+    else response.writeHead(status, statusText, [...headers]);
+  }
+
+  private noteFirst(): void {
+    this.firstMs ??= this.options.clock.now();
+  }
+}
--- /dev/null
+++ b/packages/gateway/src/calls/nominated_headers.ts
@@ -0,0 +1,10 @@
+/** Names that a Connection header lists: they belong to this connection only. */
+export function nominatedHeaders(rawHeaders: readonly string[]): Set<string> {
+  const names = new Set<string>();
+  for (let i = 0; i < rawHeaders.length; i += 2) {
+    if (rawHeaders[i].toLowerCase() !== 'connection') continue;
+    for (const name of rawHeaders[i + 1].split(','))
+      names.add(name.trim().toLowerCase());
+  }
+  return names;
+}
--- /dev/null
+++ b/packages/gateway/src/calls/read_body.ts
@@ -0,0 +1,23 @@
+import type {IncomingMessage} from 'node:http';
+
+/** Why a body was not read. */
+type BodyFailure = 'too-large' | 'broken';
+
+/** Reads a request's body whole, up to a bound. */
+export function readBody(
+  request: IncomingMessage,
+  maxBytes: number,
+): Promise<Buffer | BodyFailure> {
+  return new Promise(resolve => {
+    const chunks: Buffer[] = [];
+    let size = 0;
+    request.on('data', (chunk: Buffer) => {
+      size += chunk.length;
+      if (size > maxBytes) resolve('too-large');
+      else chunks.push(chunk);
+    });
+    request.once('end', () => resolve(Buffer.concat(chunks)));
+    request.once('close', () => resolve('broken'));
+    request.once('error', () => resolve('broken'));
+  });
+}
--- /dev/null
+++ b/packages/gateway/src/calls/read_prompt.ts
@@ -0,0 +1,27 @@
+import type {Prompt, PromptPart} from '@bayspool/decisions/calls';
+
+/**
+ * Reads a prompt's size and parts from its two headers.
+ *
+ * @param size tokens in and the most tokens out, `1460,80`
+ * @param parts ID:TOKENS with commas between them
+ */
+export function readPrompt(
+  size: string | undefined,
+  parts: string | undefined,
+): Prompt | undefined {
+  if (size === undefined) return undefined;
+  const [tokens, maxTokensOut] = size.split(',').map(Number);
+  if (!Number.isFinite(tokens)) return undefined;
+  return {
+    tokens,
+    maxTokensOut: Number.isFinite(maxTokensOut) ? maxTokensOut : 0,
+    parts: (parts ?? '').split(',').flatMap(readPart),
+  };
+}
+
+function readPart(text: string): PromptPart[] {
+  const [id, tokens] = text.trim().split(':');
+  const count = Number(tokens);
+  return id && Number.isFinite(count) ? [{id, tokens: count}] : [];
+}
--- /dev/null
+++ b/packages/gateway/src/calls/whole_answer.ts
@@ -0,0 +1,8 @@
+/** A runner's answer that was received whole. */
+export interface WholeAnswer {
+  readonly status: number;
+  readonly statusText: string;
+  /** Names and values by turns, with the body's length. */
+  readonly headers: readonly string[];
+  readonly body: Buffer;
+}
--- /dev/null
+++ b/packages/gateway/src/gateway_settings.ts
@@ -0,0 +1,26 @@
+/** What a gateway is told at its start. All durations are in ms. */
+export interface GatewaySettings {
+  readonly host: string;
+  readonly place: string;
+  readonly ip: string;
+  readonly callerPort: number;
+  readonly readinessPort: number;
+  readonly readinessPath: string;
+  readonly peerPort: number;
+  readonly metricsPort: number;
+  readonly metricsPath: string;
+  /** Time between SIGTERM and the process's end at the latest. */
+  readonly graceMs: number;
+  /** Time after which a withdrawn key must not be served. */
+  readonly keyBoundMs: number;
+  /** Time after which a new configuration must be in force. */
+  readonly configurationBoundMs: number;
+  /** Time after a session's last call for which it keeps its version. */
+  readonly sessionKeptMs: number;
+  /** Repeats allowed per first attempt and besides, over all hosts, in a window. */
+  readonly retryRatio: number;
+  readonly retryExtra: number;
+  readonly retryWindowMs: number;
+  /** Confidence below which a smaller model's answer is not used, 0 to 100. */
+  readonly confidenceThreshold: number;
+}
--- /dev/null
+++ b/packages/gateway/src/lifecycle/leaving.ts
@@ -0,0 +1,53 @@
+import {sleep} from '@bayspool/kernel';
+import type {Clock} from '@bayspool/kernel';
+import type {CallDoor} from '../calls/call_door.js';
+import type {EventLog} from '../observability/event_log.js';
+
+interface Options {
+  readonly clock: Clock;
+  readonly log: EventLog;
+  readonly door: CallDoor;
+  /** Time until the process is killed, in ms. */
+  readonly graceMs: number;
+}
+
+/** Time in which the balancer still sends new connections: two looks a second apart, and slack, in ms. */
+const BALANCER_MS = 2_300;
+/** Time kept back before the end of the grace period, in ms: the way of the last answers. */
+const END_MARGIN_MS = 700;
+const TICK_MS = 50;
+
+/** How a host leaves: not ready at once, then no new connections, then what runs is finished. */
+export class Leaving {
+  private began = false;
+
+  constructor(private readonly options: Options) {}
+
+  get hasBegun(): boolean {
+    return this.began;
+  }
+
+  /** Whether connections are closed behind their answers. */
+  get isClosing(): boolean {
+    return this.began;
+  }
+
+  /** Resolves when nothing is open any more, or the grace period is nearly over. */
+  async run(reason: string): Promise<void> {
+    const {clock, log, door, graceMs} = this.options;
+    const startedAt = clock.now();
+    this.began = true;
+    log.write('process_stopping', {reason, open: door.openCalls, graceMs});
+    const until = startedAt + graceMs - END_MARGIN_MS;
+    await sleep(clock, Math.min(BALANCER_MS, graceMs / 2));
+    door.closeIdle();
+    while (door.openCalls > 0 && clock.now() < until) {
+      await sleep(clock, TICK_MS);
+      door.closeIdle();
+    }
+    const cut = door.cutAll('host leaves');
+    await sleep(clock, TICK_MS);
+    const forMs = Math.round(clock.now() - startedAt);
+    log.write('process_stopped', {reason, cut, forMs});
+  }
+}
--- /dev/null
+++ b/packages/gateway/src/lifecycle/metrics_server.ts
@@ -0,0 +1,42 @@
+import {createServer} from 'node:http';
+import type {Server} from 'node:http';
+import type {Registry} from 'prom-client';
+
+interface Options {
+  readonly ip: string;
+  readonly port: number;
+  readonly path: string;
+  readonly registry: Registry;
+}
+
+/** Serves counters and histograms in Prometheus' text form. */
+export class MetricsServer {
+  private readonly server: Server;
+
+  constructor(private readonly options: Options) {
+    const {path, registry} = options;
+    this.server = createServer((request, response) => {
+      if (request.url !== path) {
+        response.writeHead(404, {'content-length': 0}).end();
+        return;
+      }
+      void registry.metrics().then(text => {
+        response.writeHead(200, {'content-type': registry.contentType});
+        response.end(text);
+      });
+    });
+  }
+
+  start(): Promise<void> {
+    const {ip, port} = this.options;
+    return new Promise((resolve, reject) => {
+      this.server.once('error', reject);
+      this.server.listen(port, ip, () => resolve());
+    });
+  }
+
+  stop(): void {
+    this.server.close();
+    this.server.closeAllConnections();
+  }
+}
--- /dev/null
+++ b/packages/gateway/src/lifecycle/readiness_server.ts
@@ -0,0 +1,36 @@
+import {createServer} from 'node:http';
+import type {Server} from 'node:http';
+
+interface Options {
+  readonly ip: string;
+  readonly port: number;
+  readonly path: string;
+  readonly isReady: () => boolean;
+}
+
+/** Tells the balancer whether this host takes new connections. */
+export class ReadinessServer {
+  private readonly server: Server;
+
+  constructor(private readonly options: Options) {
+    this.server = createServer((request, response) => {
+      const isKnown = request.url === options.path;
+      const status = !isKnown ? 404 : options.isReady() ? 200 : 503;
+      response.writeHead(status, {'content-length': 0});
+      response.end();
+    });
+  }
+
+  start(): Promise<void> {
+    const {ip, port} = this.options;
+    return new Promise((resolve, reject) => {
+      this.server.once('error', reject);
+      this.server.listen(port, ip, () => resolve());
+    });
+  }
+
+  stop(): void {
+    this.server.close();
+    this.server.closeAllConnections();
+  }
+}
--- /dev/null
+++ b/packages/gateway/src/observability/event_fields.ts
@@ -0,0 +1,171 @@
+/**
+ * The events of the log and their fields. Durations and ages are in ms, `…Tokens` in tokens; ids of
+ * requests stand in `request`.
+ */
+export interface EventFields {
+  process_started: {
+    host: string;
+    place: string;
+    pid: number;
+    program: string;
+    configurationKnown: boolean;
+    forMs: number;
+  };
+  process_stopping: {reason: string; open: number; graceMs: number};
+  process_stopped: {reason: string; cut: number; forMs: number};
+  settings_reloaded: {reason: string; changed: string};
+  settings_refused: {reason: string};
+  readiness_changed: {isReady: boolean; reason: string};
+  request_accepted: {
+    request: string;
+    route: string;
+    kind: string;
+    workspace?: string;
+    session?: string;
+    tokens?: number;
+    configuration: number;
+    configurationAgeMs: number;
+    deadlineMs: number;
+  };
+  request_refused: {
+    request: string;
+    status: number;
+    reason: string;
+    route?: string;
+    configuration?: number;
+    configurationAgeMs?: number;
+    retryAfterMs?: number;
+  };
+  runner_chosen: {
+    request: string;
+    attempt: number;
+    runner: string;
+    service: string;
+    version: string;
+    model?: string;
+    running: number;
+    pendingMs: number;
+    candidates: number;
+    ejected: number;
+    reason: string;
+    rolloutShare?: number;
+  };
+  attempt_ended: {
+    request: string;
+    attempt: number;
+    runner: string;
+    outcome: string;
+    reason: string;
+    status?: number;
+    confidence?: number;
+    lastEvent?: number;
+    forMs: number;
+  };
+  retry_decided: {
+    request: string;
+    attempt: number;
+    again: boolean;
+    reason: string;
+    budgetLeft: number;
+    leftMs: number;
+  };
+  request_answered: {
+    request: string;
+    status: number;
+    attempts: number;
+    runner: string;
+    events?: number;
+    firstMs?: number;
+    forMs: number;
+  };
+  request_failed: {
+    request: string;
+    status: number;
+    reason: string;
+    attempts: number;
+    hasRun: string;
+    retryAfterMs?: number;
+    forMs: number;
+  };
+  request_cut: {
+    request: string;
+    reason: string;
+    attempts: number;
+    lastEvent?: number;
+    forMs: number;
+  };
+  caller_left: {request: string; attempts: number; forMs: number};
+  configuration_in_force: {
+    version: number;
+    previous: number;
+    routes: number;
+    keys: number;
+    ageMs: number;
+    offset: number;
+  };
+  configuration_refused: {offset: number; reason: string};
+  key_withdrawn: {workspace: string; version: number};
+  freshness_lost: {ageMs: number; boundMs: number};
+  freshness_regained: {ageMs: number};
+  runner_seen: {
+    runner: string;
+    service: string;
+    version: string;
+    address: string;
+    place: string;
+    offset: number;
+  };
+  runner_leaving: {runner: string; service: string; offset: number};
+  runner_gone: {runner: string; service: string; reason: string};
+  runner_lapsed: {runner: string; service: string; keptMs: number};
+  runner_refused: {runner: string; reason: string; offset: number};
+  runner_ejected: {
+    runner: string;
+    service: string;
+    forMs: number;
+    ownFailed: number;
+    remoteFailed: number;
+    othersShare: number;
+    reason: string;
+  };
+  runner_silent: {runner: string; service: string; silentMs: number};
+  rollout_ordered: {
+    service: string;
+    version: string;
+    durationMs: number;
+    elapsedMs: number;
+    offset: number;
+  };
+  rollout_judged: {
+    service: string;
+    version: string;
+    verdict: string;
+    newEnded: number;
+    newFailed: number;
+    newSlow: number;
+    oldEnded: number;
+    oldFailed: number;
+    oldSlow: number;
+    elapsedMs: number;
+  };
+  rollout_written: {service: string; version: string; phase: string};
+  rollout_write_failed: {
+    service: string;
+    version: string;
+    phase: string;
+    reason: string;
+  };
+  rollout_phase: {service: string; version: string; phase: string};
+  rollout_stage: {service: string; version: string; share: number};
+  store_lost: {reason: string};
+  store_regained: {afterMs: number};
+  topic_reloaded: {topic: string; position: number};
+  peer_seen: {peer: string; place: string; address: string};
+  peer_gone: {peer: string};
+  peer_lost: {peer: string; reason: string};
+  peer_regained: {peer: string};
+  source_changed: {source: string; reason: string};
+  budget_spent: {request: string; service: string};
+  unexpected: {where: string; message: string};
+  lines_dropped: {count: number};
+}
--- /dev/null
+++ b/packages/gateway/src/observability/event_sink.ts
@@ -0,0 +1,4 @@
+/** Takes finished log lines; never blocks. */
+export interface EventSink {
+  write(line: string): void;
+}
--- /dev/null
+++ b/packages/gateway/src/observability/gateway_metrics.ts
@@ -0,0 +1,76 @@
+import {Counter, Gauge, Histogram, Registry} from 'prom-client';
+
+/** Upper bounds of latencies, in seconds. */
+const SECONDS = [0.005, 0.02, 0.05, 0.1, 0.2, 0.5, 1, 2, 4, 8, 16];
+
+/** Counters and histograms of the gateway; label values are a bounded set. */
+export class GatewayMetrics {
+  readonly registry = new Registry();
+  /** Requests by route, and how they ended. */
+  readonly requests = this.counter('requests_total', 'Requests by outcome', [
+    'route',
+    'outcome',
+    'reason',
+  ]);
+  readonly attempts = this.counter('attempts_total', 'Attempts at runners', [
+    'service',
+    'outcome',
+  ]);
+  readonly repeats = this.counter(
+    'repeats_total',
+    'Attempts beyond the first of a request',
+    ['service', 'reason'],
+  );
+  readonly connections = this.counter(
+    'runner_connections_total',
+    'Connections opened to runners',
+    ['service'],
+  );
+  readonly storeCalls = this.counter(
+    'store_calls_total',
+    'Calls to the store',
+    ['call', 'outcome'],
+  );
+  readonly peerCalls = this.counter(
+    'peer_calls_total',
+    'Calls to other hosts',
+    ['outcome'],
+  );
+  readonly firstSeconds = this.histogram(
+    'first_byte_seconds',
+    'Time to the first event or the whole answer',
+  );
+  readonly totalSeconds = this.histogram(
+    'request_seconds',
+    'Time to the end of the answer',
+  );
+
+  /** A gauge that is read when the metrics are fetched. */
+  observe(name: string, help: string, read: () => number): void {
+    const gauge: Gauge = new Gauge({
+      name: `bayspool_${name}`,
+      help,
+      registers: [this.registry],
+      collect: () => gauge.set(read()),
+    });
+  }
+
+  private counter(name: string, help: string, labelNames: string[]): Counter {
+    return new Counter({
+      name: `bayspool_${name}`,
+      help,
+      labelNames,
+      registers: [this.registry],
+    });
+  }
+
+  private histogram(name: string, help: string): Histogram {
+    return new Histogram({
+      name: `bayspool_${name}`,
+      help,
+      labelNames: ['route'],
+      buckets: SECONDS,
+      registers: [this.registry],
+    });
+  }
+}
--- /dev/null
+++ b/packages/gateway/src/observability/line_writer.ts
@@ -0,0 +1,85 @@
+import {write} from 'node:fs';
+import type {EventSink} from './event_sink.js';
+
+interface Options {
+  /** The file descriptor written to; standard output when absent. */
+  readonly descriptor?: number;
+  /** Bytes that may wait while the reader is slow; further lines are dropped and counted. */
+  readonly maxPendingBytes?: number;
+}
+
+const STANDARD_OUTPUT = 1;
+/** Some seconds of lines of a busy host. */
+const MAX_PENDING_BYTES = 262_144;
+/** Pause after the descriptor was not ready, in ms. */
+const RETRY_MS = 20;
+
+/**
+ * Writes lines to a descriptor without ever blocking the loop: one asynchronous write at a time, a
+ * bounded queue behind it. Node's own standard output is synchronous for pipes.
+ */
+export class LineWriter implements EventSink {
+  private pending: string[] = [];
+  private pendingBytes = 0;
+  private rest: Buffer = Buffer.alloc(0);
+  private isWriting = false;
+  private droppedLines = 0;
+
+  constructor(private readonly options: Options = {}) {}
+
+  /** Lines dropped since the start because the reader was too slow. */
+  get dropped(): number {
+    return this.droppedLines;
+  }
+
+  write(line: string): void {
+    const {maxPendingBytes = MAX_PENDING_BYTES} = this.options;
+    if (this.pendingBytes + line.length > maxPendingBytes) {
+      this.droppedLines += 1;
+      return;
+    }
+    this.pending.push(line);
+    this.pendingBytes += line.length + 1;
+    if (!this.isWriting) this.flush();
+  }
+
+  private flush(): void {
+    if (this.rest.length === 0) this.takePending();
+    if (this.rest.length === 0) return;
+    const {descriptor = STANDARD_OUTPUT} = this.options;
+    this.isWriting = true;
+    write(descriptor, this.rest, (error, count) => {
+      this.isWriting = false;
+      if (error) this.handle(error);
+      else this.advance(count);
+    });
+  }
+
+  private takePending(): void {
+    if (this.pending.length === 0) return;
+    this.rest = Buffer.from(this.pending.join('\n') + '\n');
+    this.pending = [];
+    this.pendingBytes = 0;
+  }
+
+  private advance(count: number): void {
+    this.rest = this.rest.subarray(count);
+    this.flush();
+  }
+
+  private handle(error: NodeJS.ErrnoException): void {
+    if (error.code === 'EAGAIN') {
+      this.isWriting = true;
+      setTimeout(() => {
+        this.isWriting = false;
+        this.flush();
+      }, RETRY_MS);
+      return;
+    }
+    // Nobody reads any more; lines are counted and dropped from here on.
+    this.droppedLines += this.pending.length + 1;
+    this.pending = [];
+    this.pendingBytes = 0;
+    this.rest = Buffer.alloc(0);
+  }
+}
--- /dev/null
+++ b/packages/gateway/src/peers/host_entry.ts
@@ -0,0 +1,9 @@
+/** A host of the fleet as it entered itself in the store. */
+export interface HostEntry {
+  readonly name: string;
+  readonly place: string;
+  /** IP:PORT for calls between hosts. */
+  readonly address: string;
+  /** Names one start of its process. */
+  readonly boot: string;
+}
--- /dev/null
+++ b/packages/gateway/src/peers/host_key.ts
@@ -0,0 +1,7 @@
+const PREFIX = 'host/';
+
+/** Keys of hosts in their topic. */
+export const hostKey = {
+  of: (name: string) => PREFIX + name,
+  isOne: (key: string) => key.startsWith(PREFIX),
+};
--- /dev/null
+++ b/packages/gateway/src/peers/load_digest.ts
@@ -0,0 +1,10 @@
+import type {RolloutDigest} from '../rollouts/rollout_digest.js';
+
+/** What one host, or the hosts of a place together, have at the runners and saw of them. */
+export interface LoadDigest {
+  /** Running, pending ms, ok and failed by runner. */
+  readonly runners: Readonly<
+    Record<string, readonly [number, number, number, number]>
+  >;
+  readonly rollouts: Readonly<Record<string, RolloutDigest>>;
+}
--- /dev/null
+++ b/packages/gateway/src/peers/merge_loads.ts
@@ -0,0 +1,29 @@
+import {mergeRollouts} from '../rollouts/merge_rollouts.js';
+import type {RolloutDigest} from '../rollouts/rollout_digest.js';
+import type {LoadDigest} from './load_digest.js';
+
+type Numbers = readonly [number, number, number, number];
+
+/** The sum of digests. */
+export function mergeLoads(digests: readonly LoadDigest[]): LoadDigest {
+  const runners: Record<string, Numbers> = {};
+  const rollouts: Record<string, RolloutDigest> = {};
+  for (const digest of digests) {
+    for (const [id, [running, pendingMs, ok, failed]] of Object.entries(
+      digest.runners,
+    )) {
+      const sum = runners[id] ?? [0, 0, 0, 0];
+      runners[id] = [
+        sum[0] + running,
+        sum[1] + pendingMs,
+        sum[2] + ok,
+        sum[3] + failed,
+      ];
+    }
+    for (const [service, rollout] of Object.entries(digest.rollouts)) {
+      const sum = rollouts[service];
+      rollouts[service] = sum ? mergeRollouts(sum, rollout) : rollout;
+    }
+  }
+  return {runners, rollouts};
+}
--- /dev/null
+++ b/packages/gateway/src/peers/news_loop.ts
@@ -0,0 +1,129 @@
+import {jitter, sleep} from '@bayspool/kernel';
+import type {Clock, RandomSource} from '@bayspool/kernel';
+import type {EventLog} from '../observability/event_log.js';
+import type {TopicMirror} from '../records/topic_mirror.js';
+import type {HostEntry} from './host_entry.js';
+import type {PeerClient} from './peer_client.js';
+import type {Roster} from './roster.js';
+import type {SyncDesk} from './sync_desk.js';
+
+interface Options {
+  readonly clock: Clock;
+  readonly random: RandomSource;
+  readonly log: EventLog;
+  readonly roster: Roster;
+  readonly client: PeerClient;
+  readonly desk: SyncDesk;
+  /** The copy whose proofs tell how current this host is. */
+  readonly freshness: TopicMirror;
+  /** Called after each exchange with another host. */
+  readonly onNews: () => void;
+}
+
+/** How long a host of the same place may wait for news, in ms; also how often loads are told. */
+const WAIT_MS = 400;
+/** Pause between two exchanges with other places, in ms, for up to {@link PLACES_A_ROUND}. */
+const EXCHANGE_MS = 400;
+/** Places that are asked in one pause; with more of them the pause grows in proportion. */
+const PLACES_A_ROUND = 6;
+/**
+ * Age of what another host tells at which this host reads the store itself, in ms: over the age in
+ * normal running (a read that waits a second, two ways between hosts).
+ */
+const OLD_MS = 1_900;
+/** Pause after an exchange failed, in ms. */
+const RETRY_MS = 60;
+
+/**
+ * Decides who reads the store. The first sound host of a place reads it for the place; the others
+ * ask that host. A host whose source is silent or old goes on to the next, and reads for itself.
+ */
+export class NewsLoop {
+  private stopped = false;
+  private source = '';
+
+  constructor(private readonly options: Options) {}
+
+  /** Whether this host is to read the store now. */
+  get readsStore(): boolean {
+    return this.isReader || this.isOld;
+  }
+
+  get isReader(): boolean {
+    const {roster} = this.options;
+    return roster.readersOf(roster.self.place)[0]?.name === roster.self.name;
+  }
+
+  start(): void {
+    void this.followPlace();
+    void this.exchangePlaces();
+  }
+
+  stop(): void {
+    this.stopped = true;
+  }
+
+  private get isOld(): boolean {
+    const {clock, freshness} = this.options;
+    return clock.now() - freshness.provenAt > OLD_MS;
+  }
+
+  private async followPlace(): Promise<void> {
+    const {clock, roster} = this.options;
+    while (!this.stopped) {
+      const [first] = roster.readersOf(roster.self.place);
+      this.noteSource(first);
+      if (!first || first.name === roster.self.name) {
+        await sleep(clock, WAIT_MS / 2);
+        continue;
+      }
+      const isDone = await this.ask(first, WAIT_MS);
+      if (!isDone) await this.pause(RETRY_MS);
+    }
+  }
+
+  private async exchangePlaces(): Promise<void> {
+    const {roster} = this.options;
+    while (!this.stopped) {
+      const places = roster.otherPlaces();
+      const rounds = Math.max(1, places.length / PLACES_A_ROUND);
+      await this.pause(EXCHANGE_MS * rounds);
+      if (this.stopped || !this.readsStore) continue;
+      await Promise.all(places.map(place => this.askPlace(place)));
+    }
+  }
+
+  private async askPlace(place: string): Promise<void> {
+    const [first] = this.options.roster.readersOf(place);
+    if (first) await this.ask(first, 0);
+  }
+
+  private async ask(peer: HostEntry, waitMs: number): Promise<boolean> {
+    const {clock, client, desk, roster, onNews} = this.options;
+    const sentAt = clock.now();
+    try {
+      const answer = await client.sync(peer, desk.request(waitMs));
+      desk.adopt(answer, sentAt);
+      roster.noteAnswer(peer.name);
+      onNews();
+      return true;
+    } catch (error) {
+      roster.noteFailure(peer.name, String(error));
+      return false;
+    }
+  }
+
+  private async pause(forMs: number): Promise<void> {
+    const {clock, random} = this.options;
+    await sleep(clock, jitter(random, forMs));
+  }
+
+  private noteSource(first: HostEntry | undefined): void {
+    const {roster, log} = this.options;
+    const source =
+      !first || first.name === roster.self.name ? 'store' : first.name;
+    if (source === this.source) return;
+    this.source = source;
+    log.write('source_changed', {source, reason: 'order of sound hosts'});
+  }
+}
--- /dev/null
+++ b/packages/gateway/src/peers/peer_server.ts
@@ -0,0 +1,70 @@
+import {createServer} from 'node:http';
+import type {IncomingMessage, Server, ServerResponse} from 'node:http';
+import {JSONRPCServer} from 'json-rpc-2.0';
+import type {EventLog} from '../observability/event_log.js';
+import type {SyncDesk} from './sync_desk.js';
+import type {SyncRequest} from './sync_request.js';
+
+interface Options {
+  readonly ip: string;
+  readonly port: number;
+  readonly desk: SyncDesk;
+  readonly log: EventLog;
+}
+
+/** Resting connections of peers are kept for longer than any pause between their calls, in ms. */
+const KEEP_ALIVE_MS = 30_000;
+/** Bodies of peers are digests of some kB; more is refused, in bytes. */
+const MAX_BODY_BYTES = 4_194_304;
+
+/** Takes the calls of other hosts: JSON-RPC 2.0 in the body of a POST. */
+export class PeerServer {
+  private readonly rpc = new JSONRPCServer();
+  private readonly server: Server;
+
+  constructor(private readonly options: Options) {
+    this.rpc.addMethod('sync', params =>
+      options.desk.answer(params as SyncRequest),
+    );
+    this.server = createServer((request, response) => {
+      this.take(request, response).catch(error => {
+        options.log.write('unexpected', {
+          where: 'call of a peer',
+          message: String(error),
+        });
+        response.destroy();
+      });
+    });
+    this.server.keepAliveTimeout = KEEP_ALIVE_MS;
+  }
+
+  start(): Promise<void> {
+    const {ip, port} = this.options;
+    return new Promise((resolve, reject) => {
+      this.server.once('error', reject);
+      this.server.listen(port, ip, () => resolve());
+    });
+  }
+
+  stop(): void {
+    this.server.close();
+    this.server.closeAllConnections();
+  }
+
+  private async take(
+    request: IncomingMessage,
+    response: ServerResponse,
+  ): Promise<void> {
+    const chunks: Buffer[] = [];
+    let size = 0;
+    for await (const chunk of request as AsyncIterable<Buffer>) {
+      size += chunk.length;
+      if (size > MAX_BODY_BYTES) return void request.destroy();
+      chunks.push(chunk);
+    }
+    const answer = await this.rpc.receiveJSON(Buffer.concat(chunks).toString());
+    const body = JSON.stringify(answer ?? {});
+    response.writeHead(200, {'content-type': 'application/json'});
+    response.end(body);
+  }
+}
--- /dev/null
+++ b/packages/gateway/src/peers/roster.ts
@@ -0,0 +1,101 @@
+import {rankByHash} from '@bayspool/decisions/calls';
+import type {Clock} from '@bayspool/kernel';
+import type {EventLog} from '../observability/event_log.js';
+import type {TopicMirror} from '../records/topic_mirror.js';
+import type {HostEntry} from './host_entry.js';
+import {hostKey} from './host_key.js';
+
+interface Options {
+  readonly clock: Clock;
+  readonly log: EventLog;
+  readonly mirror: TopicMirror;
+  readonly self: HostEntry;
+}
+
+/** How long a host that did not answer is passed over, in ms. */
+const SUSPECT_MS = 2_000;
+/** A host that nobody reached for so long is not counted, in ms. */
+const GONE_MS = 15_000;
+
+/** The hosts of the fleet, and which of them answer this host. */
+export class Roster {
+  private readonly entries = new Map<string, HostEntry>();
+  private readonly suspectedUntil = new Map<string, number>();
+  private readonly lostSince = new Map<string, number>();
+
+  constructor(private readonly options: Options) {
+    options.mirror.onUpdate(({changed}) => {
+      for (const {key, value} of changed)
+        if (hostKey.isOne(key)) this.take(key, value);
+    });
+  }
+
+  get self(): HostEntry {
+    return this.options.self;
+  }
+
+  /** Hosts that are taken to live, this one included. */
+  living(): HostEntry[] {
+    const {self, clock} = this.options;
+    const now = clock.now();
+    const others = [...this.entries.values()].filter(
+      ({name}) => now - (this.lostSince.get(name) ?? now) < GONE_MS,
+    );
+    return [self, ...others];
+  }
+
+  get(name: string): HostEntry | undefined {
+    return this.entries.get(name);
+  }
+
+  /** Hosts of a place in the order in which they read the store for it; those in doubt are left out. */
+  readersOf(place: string): HostEntry[] {
+    const now = this.options.clock.now();
+    const sound = this.living().filter(
+      host =>
+        host.place === place &&
+        now >= (this.suspectedUntil.get(host.name) ?? 0),
+    );
+    const names = sound.map(({name}) => name);
+    const byName = new Map(sound.map(host => [host.name, host]));
+    return rankByHash(`reader|${place}`, names).map(name => byName.get(name)!);
+  }
+
+  /** Places other than this host's that have hosts. */
+  otherPlaces(): string[] {
+    const {place} = this.options.self;
+    const places = new Set(this.living().map(host => host.place));
+    places.delete(place);
+    return [...places].sort();
+  }
+
+  noteAnswer(name: string): void {
+    this.suspectedUntil.delete(name);
+    if (this.lostSince.delete(name))
+      this.options.log.write('peer_regained', {peer: name});
+  }
+
+  noteFailure(name: string, reason: string): void {
+    const now = this.options.clock.now();
+    this.suspectedUntil.set(name, now + SUSPECT_MS);
+    if (this.lostSince.has(name)) return;
+    this.lostSince.set(name, now);
+    this.options.log.write('peer_lost', {peer: name, reason});
+  }
+
+  private take(key: string, value: string | undefined): void {
+    const {log, self} = this.options;
+    const name = key.slice(hostKey.of('').length);
+    if (name === self.name) return;
+    if (value === undefined) {
+      if (this.entries.delete(name)) log.write('peer_gone', {peer: name});
+      return;
+    }
+    const entry = JSON.parse(value) as HostEntry;
+    this.entries.set(name, entry);
+    this.suspectedUntil.delete(name);
+    this.lostSince.delete(name);
+    const {place, address} = entry;
+    log.write('peer_seen', {peer: name, place, address});
+  }
+}
--- /dev/null
+++ b/packages/gateway/src/peers/sync_answer.ts
@@ -0,0 +1,18 @@
+import type {KeyedRecord} from '../records/keyed_record.js';
+import type {Topic} from '../records/topic.js';
+import type {LoadDigest} from './load_digest.js';
+
+/** What a host knows of a topic that the asking one does not. */
+interface TopicNews {
+  readonly records: readonly KeyedRecord[];
+  readonly next: number;
+  /** How long ago its copy was known to be whole, in ms; absent if never. */
+  readonly ageMs?: number;
+}
+
+/** News for a host that asked. */
+export interface SyncAnswer {
+  readonly topics: Partial<Record<Topic, TopicNews>>;
+  /** Sums by place, the asking host's own part left out. */
+  readonly places: Readonly<Record<string, LoadDigest>>;
+}
--- /dev/null
+++ b/packages/gateway/src/peers/sync_desk.ts
@@ -0,0 +1,121 @@
+import type {Clock} from '@bayspool/kernel';
+import type {Topic} from '../records/topic.js';
+import type {TopicMirror} from '../records/topic_mirror.js';
+import type {HostEntry} from './host_entry.js';
+import type {LoadBoard} from './load_board.js';
+import type {SyncAnswer} from './sync_answer.js';
+import type {SyncRequest} from './sync_request.js';
+
+interface Options {
+  readonly clock: Clock;
+  readonly mirrors: readonly TopicMirror[];
+  readonly board: LoadBoard;
+  readonly self: HostEntry;
+}
+
+/** Time in which news is gathered before those who wait are answered, in ms. */
+const GATHER_MS = 15;
+
+/** Answers hosts that ask for news, and takes in what others answer. */
+export class SyncDesk {
+  private readonly waiting = new Set<() => void>();
+  private isGathering = false;
+
+  constructor(private readonly options: Options) {
+    for (const mirror of options.mirrors) mirror.onUpdate(() => this.wake());
+  }
+
+  async answer(request: SyncRequest): Promise<SyncAnswer> {
+    const {board, self} = this.options;
+    if (request.from.place === self.place)
+      board.noteHost(request.from.name, request.digest);
+    if (request.waitMs > 0 && !this.hasNews(request))
+      await this.waitForNews(request.waitMs);
+    return {
+      topics: this.topicsFor(request),
+      places: board.placesFor(request.from.name, request.from.place),
+    };
+  }
+
+  /** The request that this host sends. */
+  request(waitMs: number): SyncRequest {
+    const {mirrors, board, self} = this.options;
+    const loaded = mirrors.filter(mirror => mirror.isLoaded);
+    return {
+      from: self,
+      positions: Object.fromEntries(
+        loaded.map(({topic, next}) => [topic, next]),
+      ),
+      digest: board.own(),
+      waitMs,
+    };
+  }
+
+  /** Takes in an answer to a request sent at `sentAt`: ages count from then, so never too young. */
+  adopt(answer: SyncAnswer, sentAt: number): void {
+    const {mirrors, board, self} = this.options;
+    for (const mirror of mirrors) this.adoptTopic(mirror, answer, sentAt);
+    for (const [place, digest] of Object.entries(answer.places))
+      if (place !== self.place) board.notePlace(place, digest);
+      else board.noteHost('', digest);
+  }
+
+  private adoptTopic(
+    mirror: TopicMirror,
+    answer: SyncAnswer,
+    sentAt: number,
+  ): void {
+    const news = answer.topics[mirror.topic];
+    if (!news || news.ageMs === undefined) return;
+    const asOf = sentAt - news.ageMs;
+    const {records, next} = news;
+    if (!mirror.isLoaded) mirror.load({records, next, isWhole: true}, asOf);
+    else if (next >= mirror.next)
+      mirror.extend({records, next, isWhole: true}, asOf);
+  }
+
+  private topicsFor(request: SyncRequest): SyncAnswer['topics'] {
+    const {mirrors, clock} = this.options;
+    const loaded = mirrors.filter(mirror => mirror.isLoaded);
+    return Object.fromEntries(
+      loaded.map(mirror => [
+        mirror.topic,
+        {
+          records: mirror.since(request.positions[mirror.topic] ?? 0),
+          next: mirror.next,
+          ageMs: Math.max(0, Math.round(clock.now() - mirror.provenAt)),
+        },
+      ]),
+    );
+  }
+
+  private hasNews({positions}: SyncRequest): boolean {
+    return this.options.mirrors.some(
+      mirror =>
+        mirror.isLoaded &&
+        mirror.next > (positions[mirror.topic as Topic] ?? 0),
+    );
+  }
+
+  private waitForNews(waitMs: number): Promise<void> {
+    return new Promise(resolve => {
+      const timer = this.options.clock.after(waitMs, finish);
+      const {waiting} = this;
+      waiting.add(finish);
+      function finish(): void {
+        timer.cancel();
+        waiting.delete(finish);
+        resolve();
+      }
+    });
+  }
+
+  private wake(): void {
+    if (this.isGathering || this.waiting.size === 0) return;
+    this.isGathering = true;
+    this.options.clock.after(GATHER_MS, () => {
+      this.isGathering = false;
+      for (const finish of [...this.waiting]) finish();
+    });
+  }
+}
--- /dev/null
+++ b/packages/gateway/src/peers/sync_request.ts
@@ -0,0 +1,13 @@
+import type {Topic} from '../records/topic.js';
+import type {HostEntry} from './host_entry.js';
+import type {LoadDigest} from './load_digest.js';
+
+/** What a host says when it asks another for news. */
+export interface SyncRequest {
+  readonly from: HostEntry;
+  /** Next position of each topic's copy; absent topics are not loaded yet. */
+  readonly positions: Partial<Record<Topic, number>>;
+  readonly digest: LoadDigest;
+  /** How long the other may wait for news, in ms. */
+  readonly waitMs: number;
+}
--- /dev/null
+++ b/packages/gateway/src/records/topic_mirror.ts
@@ -0,0 +1,113 @@
+import type {KeyedRecord} from './keyed_record.js';
+import type {MirrorUpdate} from './mirror_update.js';
+import type {Topic} from './topic.js';
+import type {TopicPage} from './topic_page.js';
+
+type Listener = (update: MirrorUpdate) => void;
+
+/**
+ * Time without proof after which the store counts as having been away, in ms: over the time between
+ * two proofs in normal running (a waiting read of a second, passed on by a relay).
+ */
+const GAP_MS = 2_500;
+
+/** A host's copy of the newest record of each key of a topic, and how old that knowledge is. */
+export class TopicMirror {
+  private readonly records = new Map<string, KeyedRecord>();
+  private readonly listeners: Listener[] = [];
+  private position = 0;
+  private loaded = false;
+  private proof = -Infinity;
+  private gapEnd = -Infinity;
+
+  constructor(readonly topic: Topic) {}
+
+  /** The next position to read from. */
+  get next(): number {
+    return this.position;
+  }
+
+  get isLoaded(): boolean {
+    return this.loaded;
+  }
+
+  /** Time on this host's clock up to which the copy is known to be whole. */
+  get provenAt(): number {
+    return this.proof;
+  }
+
+  /** When knowledge became current again after the last outage of the store; -Infinity if never. */
+  get gapEndedAt(): number {
+    return this.gapEnd;
+  }
+
+  /** Whether the copy has gone without proof for so long that the store counts as away. */
+  isStaleAt(now: number): boolean {
+    return now - this.proof > GAP_MS;
+  }
+
+  onUpdate(listener: Listener): void {
+    this.listeners.push(listener);
+  }
+
+  get(key: string): KeyedRecord | undefined {
+    return this.records.get(key);
+  }
+
+  /** The records that are not removed. */
+  live(): KeyedRecord[] {
+    return [...this.records.values()].filter(
+      record => record.value !== undefined,
+    );
+  }
+
+  /** Records at or behind a position, removals included, for another host's copy. */
+  since(position: number): KeyedRecord[] {
+    return [...this.records.values()].filter(
+      record => record.offset >= position,
+    );
+  }
+
+  /** Replaces the copy by newest records; `asOf` is when the first page was asked for. */
+  load(page: TopicPage, asOf: number): void {
+    const kept = new Set(page.records.map(record => record.key));
+    const missing = [...this.records.values()]
+      .filter(record => record.value !== undefined)
+      .filter(record => !kept.has(record.key) && record.offset < page.next);
+    const removals = missing.map(({key}) => ({key, offset: page.next - 1}));
+    this.loaded = true;
+    this.take([...removals, ...page.records], page.next, true);
+    this.prove(asOf);
+  }
+
+  /** Adds records read behind the position; `asOf` is when the call was sent. */
+  extend(page: TopicPage, asOf: number): void {
+    this.take(page.records, page.next, false);
+    if (page.isWhole) this.prove(asOf);
+  }
+
+  /** Notes that the copy was whole at `asOf`. */
+  prove(asOf: number): void {
+    if (!this.loaded || asOf <= this.proof) return;
+    if (Number.isFinite(this.proof) && asOf - this.proof > GAP_MS)
+      this.gapEnd = asOf;
+    this.proof = asOf;
+  }
+
+  private take(
+    records: readonly KeyedRecord[],
+    next: number,
+    isReload: boolean,
+  ): void {
+    const changed = records.filter(record => this.isNews(record));
+    for (const record of changed) this.records.set(record.key, record);
+    this.position = Math.max(this.position, next);
+    if (changed.length === 0 && !isReload) return;
+    for (const listener of this.listeners) listener({changed, isReload});
+  }
+
+  private isNews(record: KeyedRecord): boolean {
+    const known = this.records.get(record.key);
+    return known === undefined || known.offset < record.offset;
+  }
+}
--- /dev/null
+++ b/packages/gateway/src/rollouts/merge_rollouts.ts
@@ -0,0 +1,28 @@
+import type {RolloutDigest} from './rollout_digest.js';
+
+type Cells = RolloutDigest['fresh'];
+
+/** The sum of two digests of one service; the newer order wins. */
+export function mergeRollouts(
+  a: RolloutDigest,
+  b: RolloutDigest,
+): RolloutDigest {
+  if (a.offset !== b.offset) return a.offset > b.offset ? a : b;
+  return {
+    offset: a.offset,
+    elapsedMs: Math.max(a.elapsedMs, b.elapsedMs),
+    isBad: a.isBad || b.isBad,
+    oldRunning: a.oldRunning + b.oldRunning,
+    fresh: mergeCells(a.fresh, b.fresh),
+    old: mergeCells(a.old, b.old),
+  };
+}
+
+function mergeCells(a: Cells, b: Cells): Cells {
+  const sum: Record<string, readonly [number, number, number]> = {...a};
+  for (const [name, [ended, failed, slow]] of Object.entries(b)) {
+    const before = sum[name] ?? [0, 0, 0];
+    sum[name] = [before[0] + ended, before[1] + failed, before[2] + slow];
+  }
+  return sum;
+}
--- /dev/null
+++ b/packages/gateway/src/rollouts/rollout.ts
@@ -0,0 +1,139 @@
+import {
+  judgeVersion,
+  RolloutPhase,
+  rolloutShare,
+} from '@bayspool/decisions/calls';
+import type {RolloutOrder, VersionTally} from '@bayspool/decisions/calls';
+import type {Clock} from '@bayspool/kernel';
+import type {EventLog} from '../observability/event_log.js';
+import {mergeRollouts} from './merge_rollouts.js';
+import type {RolloutDigest} from './rollout_digest.js';
+import {RolloutEvidence} from './rollout_evidence.js';
+
+interface Options {
+  readonly clock: Clock;
+  readonly log: EventLog;
+  readonly order: RolloutOrder;
+  /** Time since the order when this host learned of it, in ms. */
+  readonly elapsedMs: number;
+}
+
+/** One roll-out as this host knows it. */
+export class Rollout {
+  readonly evidence = new RolloutEvidence();
+  phase: RolloutPhase = RolloutPhase.ACTIVE;
+  /** What the other hosts told, summed. */
+  remote: RolloutDigest | undefined;
+  private startedAt: number;
+  private bad = false;
+
+  constructor(private readonly options: Options) {
+    this.startedAt = options.clock.now() - options.elapsedMs;
+  }
+
+  get order(): RolloutOrder {
+    return this.options.order;
+  }
+
+  get elapsedMs(): number {
+    return this.options.clock.now() - this.startedAt;
+  }
+
+  get isBad(): boolean {
+    return this.bad;
+  }
+
+  /** The share of sessions that the new version gets now, 0 to 1. */
+  get share(): number {
+    if (this.phase === RolloutPhase.REVERTED || this.bad) return 0;
+    if (this.phase === RolloutPhase.COMPLETE) return 1;
+    const {elapsedMs} = this;
+    return rolloutShare({elapsedMs, durationMs: this.order.durationMs});
+  }
+
+  /** Whether sessions may move to the new version. */
+  get isPastHalf(): boolean {
+    return this.elapsedMs > this.order.durationMs / 2;
+  }
+
+  /** Takes over how long ago the order was made, if others know of a longer time. */
+  noteElapsed(elapsedMs: number): void {
+    const startedAt = this.options.clock.now() - elapsedMs;
+    this.startedAt = Math.min(this.startedAt, startedAt);
+  }
+
+  noteBad(): void {
+    this.bad = true;
+  }
+
+  /** What this host itself saw, for the others. */
+  digest(oldRunning: number): RolloutDigest {
+    return {
+      offset: this.order.offset,
+      elapsedMs: Math.round(this.elapsedMs),
+      isBad: this.bad,
+      oldRunning,
+      fresh: toCells(this.evidence.fresh),
+      old: toCells(this.evidence.old),
+    };
+  }
+
+  /** Judges the new version by the evidence of all hosts, on all routes and on each one. */
+  judge(): void {
+    if (this.bad || this.phase !== RolloutPhase.ACTIVE) return;
+    const own = this.digest(0);
+    const all = this.remote ? mergeRollouts(own, this.remote) : own;
+    if (all.isBad) return this.convict('told by another host', all);
+    const names = Object.keys(all.fresh);
+    for (const chosen of [names, ...names.map(name => [name])]) {
+      const fresh = sumOf(all.fresh, chosen);
+      const old = sumOf(all.old, chosen);
+      if (judgeVersion({fresh, old}) === 'bad')
+        return this.convict(chosen.join(' '), all, fresh, old);
+    }
+  }
+
+  private convict(
+    where: string,
+    all: RolloutDigest,
+    fresh = sumOf(all.fresh, Object.keys(all.fresh)),
+    old = sumOf(all.old, Object.keys(all.old)),
+  ): void {
+    this.bad = true;
+    const {service, version} = this.order;
+    this.options.log.write('rollout_judged', {
+      service,
+      version,
+      verdict: `bad: ${where}`,
+      newEnded: fresh.ended,
+      newFailed: fresh.failed,
+      newSlow: fresh.slow,
+      oldEnded: old.ended,
+      oldFailed: old.failed,
+      oldSlow: old.slow,
+      elapsedMs: Math.round(this.elapsedMs),
+    });
+  }
+}
+
+function toCells(
+  cells: RolloutEvidence['fresh'],
+): Record<string, readonly [number, number, number]> {
+  return Object.fromEntries(
+    [...cells].map(([name, {ended, failed, slow}]) => [
+      name,
+      [ended, failed, slow] as const,
+    ]),
+  );
+}
+
+function sumOf(cells: RolloutDigest['fresh'], names: string[]): VersionTally {
+  const sum = {ended: 0, failed: 0, slow: 0};
+  for (const name of names) {
+    const [ended, failed, slow] = cells[name] ?? [0, 0, 0];
+    sum.ended += ended;
+    sum.failed += failed;
+    sum.slow += slow;
+  }
+  return sum;
+}
--- /dev/null
+++ b/packages/gateway/src/rollouts/rollout_book.ts
@@ -0,0 +1,148 @@
+import {hashText, RolloutPhase} from '@bayspool/decisions/calls';
+import type {
+  RolloutOrder,
+  RolloutState,
+  SessionVersions,
+} from '@bayspool/decisions/calls';
+import type {Clock} from '@bayspool/kernel';
+import type {WireReader} from '../beliefs/wire_reader.js';
+import type {EventLog} from '../observability/event_log.js';
+import type {KeyedRecord} from '../records/keyed_record.js';
+import type {TopicMirror} from '../records/topic_mirror.js';
+import type {RolloutDigest} from './rollout_digest.js';
+import {Rollout} from './rollout.js';
+
+interface Options {
+  readonly clock: Clock;
+  readonly log: EventLog;
+  readonly orders: TopicMirror;
+  readonly states: TopicMirror;
+  readonly reader: WireReader;
+  readonly sessions: SessionVersions;
+  /** Whether this host heard of the store a short time ago, itself or through others. */
+  readonly isInTouch: () => boolean;
+  /** How long this host must have run to know the sessions that go on, in ms. */
+  readonly sessionMemoryMs: number;
+  /** Time since an order as hosts noted it in the store, in ms; 0 if not noted. */
+  readonly notedElapsedMs: (order: RolloutOrder) => number;
+}
+
+/** What version a call should have. */
+interface VersionWish {
+  /** Only this version. */
+  readonly only?: string;
+  /** Any version but this one. */
+  readonly not?: string;
+}
+
+/** The roll-outs that are ordered, and which version each call gets. */
+export class RolloutBook {
+  private readonly rollouts = new Map<string, Rollout>();
+  private readonly openedAt: number;
+
+  constructor(private readonly options: Options) {
+    this.openedAt = options.clock.now();
+    options.orders.onUpdate(({changed}) => changed.forEach(r => this.order(r)));
+    options.states.onUpdate(({changed}) => changed.forEach(r => this.state(r)));
+  }
+
+  /** The newest roll-out of a service. */
+  get(service: string): Rollout | undefined {
+    return this.rollouts.get(service);
+  }
+
+  all(): Rollout[] {
+    return [...this.rollouts.values()];
+  }
+
+  get hasActive(): boolean {
+    return this.all().some(({phase}) => phase === RolloutPhase.ACTIVE);
+  }
+
+  /**
+   * Which version a call of a service gets: a pure function of session, roll-out and time since the
+   * order, so that all hosts agree; sessions that run keep theirs.
+   */
+  wishFor(service: string, key: string, session?: string): VersionWish {
+    const rollout = this.rollouts.get(service);
+    if (!rollout) return {};
+    const {version} = rollout.order;
+    const {share} = rollout;
+    if (share === 0) return {not: version};
+    if (share === 1) return {only: version};
+    if (this.isFresh(rollout, key, session)) return {only: version};
+    return {not: version};
+  }
+
+  /** Takes over what other hosts told, summed over them. */
+  noteRemote(digests: Readonly<Record<string, RolloutDigest>>): void {
+    for (const [service, digest] of Object.entries(digests)) {
+      const rollout = this.rollouts.get(service);
+      if (!rollout || rollout.order.offset !== digest.offset) continue;
+      rollout.remote = digest;
+      rollout.noteElapsed(digest.elapsedMs);
+    }
+  }
+
+  private isFresh(rollout: Rollout, key: string, session?: string): boolean {
+    const {clock, sessions, sessionMemoryMs, isInTouch} = this.options;
+    const {version, offset} = rollout.order;
+    const pinned = session === undefined ? undefined : sessions.get(session);
+    if (pinned === version) return true;
+    if (!isInTouch()) return false;
+    if (!rollout.isPastHalf && session !== undefined) {
+      const isOld = clock.now() - this.openedAt < sessionMemoryMs;
+      if (pinned !== undefined || isOld) return false;
+    }
+    return hashText(`${offset}|${session ?? key}`) < rollout.share;
+  }
+
+  private order(record: KeyedRecord): void {
+    const {reader, log, notedElapsedMs} = this.options;
+    const order = this.read(() => reader.readOrder(record));
+    if (!order) return;
+    const known = this.rollouts.get(order.service);
+    if (known && known.order.offset >= order.offset) return;
+    const elapsedMs = notedElapsedMs(order);
+    const rollout = new Rollout({...this.options, order, elapsedMs});
+    this.rollouts.set(order.service, rollout);
+    const {service, version, durationMs, offset} = order;
+    log.write('rollout_ordered', {
+      service,
+      version,
+      durationMs,
+      elapsedMs,
+      offset,
+    });
+    for (const state of this.options.states.live()) this.state(state);
+  }
+
+  private state(record: KeyedRecord): void {
+    const state = this.read(() => this.options.reader.readState(record));
+    if (!state) return;
+    const rollout = this.rollouts.get(state.service);
+    if (!rollout || !isAbout(state, rollout)) return;
+    if (rollout.phase !== RolloutPhase.ACTIVE) return;
+    if (state.phase === RolloutPhase.ACTIVE) return;
+    rollout.phase = state.phase;
+    const {service, version, phase} = state;
+    this.options.log.write('rollout_phase', {service, version, phase});
+  }
+
+  private read<T>(action: () => T): T | undefined {
+    try {
+      return action();
+    } catch (error) {
+      this.options.log.write('unexpected', {
+        where: 'record of a roll-out',
+        message: String(error),
+      });
+      return undefined;
+    }
+  }
+}
+
+/** States of an earlier roll-out to the same version are told apart by the version alone. */
+function isAbout(state: RolloutState, rollout: Rollout): boolean {
+  return state.version === rollout.order.version;
+}
--- /dev/null
+++ b/packages/gateway/src/rollouts/rollout_digest.ts
@@ -0,0 +1,16 @@
+/** Counts by cell: ended, failed, slow. */
+type Cells = Record<string, readonly [number, number, number]>;
+
+/** What hosts tell each other of a roll-out. */
+export interface RolloutDigest {
+  /** Which order is meant. */
+  readonly offset: number;
+  /** Time since the order, in ms. */
+  readonly elapsedMs: number;
+  /** Whether some host judged the new version bad. */
+  readonly isBad: boolean;
+  /** Requests that still run on the old version. */
+  readonly oldRunning: number;
+  readonly fresh: Cells;
+  readonly old: Cells;
+}
--- /dev/null
+++ b/packages/gateway/src/rollouts/rollout_writer.ts
@@ -0,0 +1,134 @@
+import {rankByHash, RolloutPhase} from '@bayspool/decisions/calls';
+import type {Clock, Timer} from '@bayspool/kernel';
+import type {WireReader} from '../beliefs/wire_reader.js';
+import type {EventLog} from '../observability/event_log.js';
+import type {RecordStore} from '../records/record_store.js';
+import {Topic} from '../records/topic.js';
+import type {TopicMirror} from '../records/topic_mirror.js';
+import type {RolloutBook} from './rollout_book.js';
+import type {Rollout} from './rollout.js';
+
+interface Options {
+  readonly clock: Clock;
+  readonly log: EventLog;
+  readonly book: RolloutBook;
+  readonly states: TopicMirror;
+  readonly store: RecordStore;
+  readonly reader: WireReader;
+  readonly host: string;
+  /** Hosts that are taken to live, this one included. */
+  readonly hosts: () => readonly string[];
+  /** Requests of this host that run on other versions than the roll-out's. */
+  readonly oldRunning: (rollout: Rollout) => number;
+  /** Notes in the store when a roll-out began. */
+  readonly noteStart: (rollout: Rollout) => Promise<void>;
+}
+
+/** Pause between two looks at what is to be written, in ms. */
+const TICK_MS = 200;
+/** How long each next host waits for the one before it to write, in ms. */
+const TURN_MS = 900;
+/** Part of the duration after which a good version is complete once the old one has nothing left. */
+const EARLIEST_COMPLETE_PART = 0.74;
+/** Part of the duration at which it is complete whatever still runs on the old one. */
+const LATEST_COMPLETE_PART = 0.88;
+/** Pause after a failed write, in ms. */
+const RETRY_MS = 500;
+
+/** Judges roll-outs, and tells the store their phases: one host writes, the others stand by. */
+export class RolloutWriter {
+  private timer: Timer | undefined;
+  private readonly dueSince = new Map<Rollout, number>();
+  private readonly announced = new Set<Rollout>();
+  private isWriting = false;
+
+  constructor(private readonly options: Options) {}
+
+  start(): void {
+    this.timer = this.options.clock.after(TICK_MS, () => {
+      for (const rollout of this.options.book.all()) this.look(rollout);
+      this.start();
+    });
+  }
+
+  stop(): void {
+    this.timer?.cancel();
+  }
+
+  private look(rollout: Rollout): void {
+    rollout.judge();
+    if (rollout.phase !== RolloutPhase.ACTIVE) return;
+    if (this.turnOf(rollout) === 0 && !this.announced.has(rollout))
+      void this.announce(rollout);
+    const phase = this.duePhase(rollout);
+    if (!phase) {
+      this.dueSince.delete(rollout);
+      return;
+    }
+    const now = this.options.clock.now();
+    const since = this.dueSince.get(rollout) ?? now;
+    this.dueSince.set(rollout, since);
+    if (now - since < this.turnOf(rollout) * TURN_MS) return;
+    void this.write(rollout, phase);
+  }
+
+  private duePhase(rollout: Rollout): RolloutPhase | undefined {
+    if (rollout.isBad) return RolloutPhase.REVERTED;
+    const part = rollout.elapsedMs / rollout.order.durationMs;
+    if (part < EARLIEST_COMPLETE_PART) return undefined;
+    const running =
+      this.options.oldRunning(rollout) + (rollout.remote?.oldRunning ?? 0);
+    if (running > 0 && part < LATEST_COMPLETE_PART) return undefined;
+    return RolloutPhase.COMPLETE;
+  }
+
+  private turnOf(rollout: Rollout): number {
+    const {hosts, host} = this.options;
+    const {service, offset} = rollout.order;
+    return rankByHash(`${service}|${offset}`, hosts()).indexOf(host);
+  }
+
+  private async announce(rollout: Rollout): Promise<void> {
+    this.announced.add(rollout);
+    const {states, reader} = this.options;
+    const {service, version} = rollout.order;
+    const {key} = reader.writeState({
+      service,
+      version,
+      phase: RolloutPhase.ACTIVE,
+    });
+    if (states.get(key)) return;
+    await this.options.noteStart(rollout);
+    await this.write(rollout, RolloutPhase.ACTIVE);
+  }
+
+  private async write(rollout: Rollout, phase: RolloutPhase): Promise<void> {
+    if (this.isWriting) return;
+    this.isWriting = true;
+    const {log, store, reader} = this.options;
+    const {service, version} = rollout.order;
+    try {
+      const isOpen = await this.refreshState(rollout);
+      if (!isOpen) return;
+      const {key, value} = reader.writeState({service, version, phase});
+      const expectedEnd = this.options.states.next;
+      await store.append({topic: Topic.STATUS, key, value, expectedEnd});
+      log.write('rollout_written', {service, version, phase});
+      if (phase !== RolloutPhase.ACTIVE) rollout.phase = phase;
+    } catch (error) {
+      const reason = String(error);
+      log.write('rollout_write_failed', {service, version, phase, reason});
+      this.dueSince.set(rollout, this.options.clock.now() + RETRY_MS);
+    } finally {
+      this.isWriting = false;
+    }
+  }
+
+  /** Reads the states anew, so that a phase once final is never replaced. */
+  private async refreshState(rollout: Rollout): Promise<boolean> {
+    const {clock, store, states} = this.options;
+    const asOf = clock.now();
+    states.load(await store.readNewest(Topic.STATUS), asOf);
+    return rollout.phase === RolloutPhase.ACTIVE;
+  }
+}
--- /dev/null
+++ b/packages/gateway/src/rollouts/tally_cell.ts
@@ -0,0 +1,6 @@
+/** Counts of one version's attempts on one route with one model. */
+export interface TallyCell {
+  ended: number;
+  failed: number;
+  slow: number;
+}
--- /dev/null
+++ b/packages/gateway/src/runners/connection_pool.ts
@@ -0,0 +1,120 @@
+import {connect} from 'node:net';
+import type {Socket} from 'node:net';
+import type {Clock} from '@bayspool/kernel';
+import {ConnectFailure} from './connect_failure.js';
+import {PooledConnection} from './pooled_connection.js';
+
+interface Options {
+  readonly clock: Clock;
+  /** IP:PORT. */
+  readonly address: string;
+  /** Connections that this host may hold to the runner. */
+  readonly maxConnections: () => number;
+  readonly onOpened?: () => void;
+}
+
+/**
+ * Time for a connection to come up, in ms: some ten times the slowest way between two places, and
+ * under the second after which a lost opening packet is sent again.
+ */
+const CONNECT_TIMEOUT_MS = 400;
+/** Delay after which the system probes a silent connection, in ms. */
+const PROBE_DELAY_MS = 2_000;
+
+/** This host's connections to one runner. */
+export class ConnectionPool {
+  private readonly idle: PooledConnection[] = [];
+  private open = 0;
+  private isClosed = false;
+
+  constructor(private readonly options: Options) {}
+
+  /** Whether a request can have a connection now. */
+  get hasRoom(): boolean {
+    return this.idle.length > 0 || this.open < this.options.maxConnections();
+  }
+
+  /** A connection that is up and carries nothing; fails with {@link ConnectFailure}. */
+  async acquire(): Promise<PooledConnection> {
+    for (;;) {
+      const resting = this.idle.pop();
+      if (!resting) break;
+      if (resting.isUsable) {
+        resting.take();
+        return resting;
+      }
+      resting.discard();
+    }
+    return this.openOne();
+  }
+
+  /** Closes resting connections; the others close when they come to rest. */
+  close(): void {
+    this.isClosed = true;
+    for (const connection of this.idle.splice(0)) connection.discard();
+  }
+
+  /** Closes resting connections that are past their time. */
+  sweep(): void {
+    for (const connection of [...this.idle])
+      if (!connection.isUsable) connection.discard();
+  }
+
+  private async openOne(): Promise<PooledConnection> {
+    const {clock, address, maxConnections, onOpened} = this.options;
+    if (this.open >= maxConnections()) throw new ConnectFailure('saturated');
+    this.open += 1;
+    let socket: Socket;
+    try {
+      socket = await openSocket(clock, address);
+    } catch (error) {
+      this.open -= 1;
+      throw error;
+    }
+    onOpened?.();
+    const connection = new PooledConnection({
+      clock,
+      socket,
+      onIdle: idle => this.putBack(idle),
+      onClose: closed => this.forget(closed),
+    });
+    return connection;
+  }
+
+  private putBack(connection: PooledConnection): void {
+    if (this.isClosed) connection.discard();
+    else this.idle.push(connection);
+  }
+
+  private forget(connection: PooledConnection): void {
+    this.open -= 1;
+    const index = this.idle.indexOf(connection);
+    if (index >= 0) this.idle.splice(index, 1);
+  }
+}
+
+function openSocket(clock: Clock, address: string): Promise<Socket> {
+  const colon = address.lastIndexOf(':');
+  const host = address.slice(0, colon);
+  const port = Number(address.slice(colon + 1));
+  return new Promise((resolve, reject) => {
+    const socket = connect({host, port, noDelay: true});
+    const timer = clock.after(CONNECT_TIMEOUT_MS, () => fail('timeout'));
+    socket.once('connect', () => {
+      timer.cancel();
+      socket.off('error', onError);
+      socket.setKeepAlive(true, PROBE_DELAY_MS);
+      resolve(socket);
+    });
+    socket.once('error', onError);
+    function onError(error: NodeJS.ErrnoException): void {
+      fail(error.code ?? 'error');
+    }
+    function fail(reason: string): void {
+      timer.cancel();
+      socket.on('error', () => undefined);
+      socket.destroy();
+      reject(new ConnectFailure(reason));
+    }
+  });
+}
--- /dev/null
+++ b/packages/gateway/src/runners/exchange_failure.ts
@@ -0,0 +1,7 @@
+/** A request was sent to a runner and no usable head of an answer came back. */
+export class ExchangeFailure extends Error {
+  constructor(readonly reason: string) {
+    super(`no answer from the runner: ${reason}`);
+    this.name = 'ExchangeFailure';
+  }
+}
--- /dev/null
+++ b/packages/gateway/src/runners/pooled_connection.ts
@@ -0,0 +1,61 @@
+import type {Clock} from '@bayspool/kernel';
+import type {Socket} from 'node:net';
+
+interface Options {
+  readonly clock: Clock;
+  readonly socket: Socket;
+  readonly onIdle: (connection: PooledConnection) => void;
+  readonly onClose: (connection: PooledConnection) => void;
+}
+
+/** How long a connection may rest when the runner did not say, in ms. */
+const DEFAULT_REST_MS = 4_000;
+/** Taken off the announced time, so that no request crosses the runner's close, in ms. */
+const REST_MARGIN_MS = 700;
+
+/** A connection to a runner that carries one request at a time. */
+export class PooledConnection {
+  readonly socket: Socket;
+  private restMs = DEFAULT_REST_MS;
+  private usableUntil = Infinity;
+  private readonly dropOnData = () => this.discard();
+
+  constructor(private readonly options: Options) {
+    const {socket, onClose} = options;
+    this.socket = socket;
+    socket.on('free', () => this.rest());
+    socket.once('close', () => onClose(this));
+    // Errors surface at the request that uses the socket; a resting one just closes.
+    socket.on('error', () => undefined);
+  }
+
+  get isUsable(): boolean {
+    return (
+      !this.socket.destroyed &&
+      this.socket.writable &&
+      this.options.clock.now() < this.usableUntil
+    );
+  }
+
+  /** Takes the connection for a request. */
+  take(): void {
+    this.socket.off('data', this.dropOnData);
+    this.usableUntil = Infinity;
+  }
+
+  /** @param seconds what the runner says of how long it keeps a resting connection */
+  noteKeepAlive(seconds: number): void {
+    this.restMs = Math.max(0, seconds * 1_000 - REST_MARGIN_MS);
+  }
+
+  discard(): void {
+    this.socket.destroy();
+  }
+
+  private rest(): void {
+    this.usableUntil = this.options.clock.now() + this.restMs;
+    // Bytes that no request asked for belong to no answer: the connection is spoiled.
+    this.socket.on('data', this.dropOnData);
+    this.options.onIdle(this);
+  }
+}
--- /dev/null
+++ b/packages/gateway/src/runners/runner.ts
@@ -0,0 +1,119 @@
+import {RunnerHealth} from '@bayspool/decisions/calls';
+import type {RunnerEntry} from '@bayspool/decisions/calls';
+import type {Clock} from '@bayspool/kernel';
+import type {ConnectionPool} from './connection_pool.js';
+import type {RunnerLoad} from './runner_load.js';
+
+interface Options {
+  readonly clock: Clock;
+  readonly entry: RunnerEntry;
+  readonly pool: ConnectionPool;
+}
+
+/** Bounds of one measurement of slowness, so that a single answer does not decide. */
+const MIN_SLOWNESS = 0.5;
+const MAX_SLOWNESS = 4;
+/** Weight of one measurement of slowness. */
+const SLOWNESS_RATE = 0.08;
+const NO_LOAD: RunnerLoad = {running: 0, pendingMs: 0, ok: 0, failed: 0};
+
+/** One start of a runner as this host knows it: its entry, connections, load and outcomes. */
+export class Runner {
+  readonly health: RunnerHealth;
+  readonly pool: ConnectionPool;
+  /** Load and outcomes that other hosts told. */
+  remote: RunnerLoad = NO_LOAD;
+  private current: RunnerEntry;
+  private running = 0;
+  private pendingMs = 0;
+  private replaced = false;
+  private lastHeard: number;
+  private slownessMean = 1;
+
+  constructor(private readonly options: Options) {
+    this.current = options.entry;
+    this.pool = options.pool;
+    this.health = new RunnerHealth({clock: options.clock});
+    this.lastHeard = options.clock.now();
+  }
+
+  get entry(): RunnerEntry {
+    return this.current;
+  }
+
+  /** Whether another runner answered at its address. */
+  get isReplaced(): boolean {
+    return this.replaced;
+  }
+
+  /** When this host last got bytes from it, or had nothing to wait for. */
+  get lastHeardAt(): number {
+    return this.running === 0 ? this.options.clock.now() : this.lastHeard;
+  }
+
+  /** What this host itself has there. */
+  get ownLoad(): RunnerLoad {
+    return {
+      running: this.running,
+      pendingMs: this.pendingMs,
+      ok: this.health.okWeight,
+      failed: this.health.failedWeight,
+    };
+  }
+
+  get totalRunning(): number {
+    return this.running + this.remote.running;
+  }
+
+  get totalPendingMs(): number {
+    return this.pendingMs + this.remote.pendingMs;
+  }
+
+  /** How many times longer it takes than expected; 1 until measured. */
+  get slowness(): number {
+    return this.slownessMean;
+  }
+
+  /** Notes how long a first event or whole answer took against what was expected, in ms. */
+  learnSlowness(tookMs: number, expectedMs: number): void {
+    const ratio = Math.min(
+      MAX_SLOWNESS,
+      Math.max(MIN_SLOWNESS, tookMs / Math.max(1, expectedMs)),
+    );
+    this.slownessMean += SLOWNESS_RATE * (ratio - this.slownessMean);
+  }
+
+  update(entry: RunnerEntry): void {
+    this.current = entry;
+  }
+
+  noteHeard(): void {
+    this.lastHeard = this.options.clock.now();
+  }
+
+  /** Notes a request on its way; the work counts until {@link noteFirst}. */
+  noteSent(workMs: number): void {
+    if (this.running === 0) this.noteHeard();
+    this.running += 1;
+    this.pendingMs += workMs;
+  }
+
+  noteFirst(workMs: number): void {
+    this.pendingMs = Math.max(0, this.pendingMs - workMs);
+  }
+
+  noteEnded(): void {
+    this.running = Math.max(0, this.running - 1);
+  }
+
+  /** Notes that its address belongs to another runner now. */
+  noteReplaced(): void {
+    this.replaced = true;
+    this.retire();
+  }
+
+  /** Closes resting connections; those in use end with their answers. */
+  retire(): void {
+    this.pool.close();
+  }
+}
--- /dev/null
+++ b/packages/gateway/src/runners/runner_chooser.ts
@@ -0,0 +1,123 @@
+import {rankByHash} from '@bayspool/decisions/calls';
+import type {Prompt} from '@bayspool/decisions/calls';
+import type {RandomSource} from '@bayspool/kernel';
+import type {PrefixBook} from './prefix_book.js';
+import type {ReadingRates} from './reading_rates.js';
+import type {Runner} from './runner.js';
+import type {RunnerChoice} from './runner_choice.js';
+import type {RunnerQuery} from './runner_query.js';
+
+interface Options {
+  /** The place of this host. */
+  readonly place: string;
+  readonly random: RandomSource;
+  readonly rates: ReadingRates;
+  readonly prefixes: PrefixBook;
+}
+
+interface Bid {
+  readonly runner: Runner;
+  readonly costMs: number;
+  readonly workMs: number;
+  readonly unreadTokens: number;
+}
+
+/** What another running request adds to the time of a call, in ms: its part of the engine's steps. */
+const RUNNING_COST_MS = 4;
+/** The same for plain services below their slots; above, each one waits for a whole answer. */
+const SERVICE_RUNNING_COST_MS = 5;
+const SERVICE_QUEUED_COST_MS = 40;
+/** A runner in another place: the way there and back, and the price of bytes between places. */
+const CROSSING_COST_MS = 6;
+/** Spread of random costs, in ms, so that hosts do not all take the same runner. */
+const SPREAD_MS = 3;
+
+/** Chooses the runner with the least expected time to the first event, kept prefixes counted. */
+export class RunnerChooser {
+  constructor(private readonly options: Options) {}
+
+  choose(query: RunnerQuery): RunnerChoice | undefined {
+    const {candidates, tried} = query;
+    const sound = candidates.filter(runner => !runner.health.isEjected);
+    const ejected = candidates.length - sound.length;
+    const pools: Array<[string, readonly Runner[]]> = [
+      ['least expected time', sound.filter(r => isOpen(r, tried))],
+      ['tried before', sound.filter(r => r.pool.hasRoom)],
+      ['all ejected', candidates.filter(r => isOpen(r, tried))],
+      ['all ejected and tried', candidates],
+    ];
+    const found = pools.find(([, runners]) => runners.length > 0);
+    if (!found) return undefined;
+    const [reason, runners] = found;
+    const best = this.bestOf(runners, query);
+    const {runner, workMs, unreadTokens} = best;
+    return {runner, workMs, unreadTokens, ejected, reason};
+  }
+
+  private bestOf(runners: readonly Runner[], query: RunnerQuery): Bid {
+    const home = homeOf(runners, query);
+    return runners
+      .map(runner => this.bid(runner, query, home))
+      .reduce((best, bid) => (bid.costMs < best.costMs ? bid : best));
+  }
+
+  private bid(
+    runner: Runner,
+    query: RunnerQuery,
+    home: string | undefined,
+  ): Bid {
+    const {place, random} = this.options;
+    const crossing = runner.entry.place === place ? 0 : CROSSING_COST_MS;
+    const spread = random.next() * SPREAD_MS;
+    const {prompt, model} = query;
+    if (!prompt || model === undefined) {
+      const costMs = (queueCost(runner) + crossing) * runner.slowness + spread;
+      return {runner, costMs, workMs: 0, unreadTokens: 0};
+    }
+    const unreadTokens = this.unread(runner, model, prompt, home);
+    const workMs = unreadTokens * this.options.rates.of(model);
+    const waitMs =
+      runner.totalPendingMs + runner.totalRunning * RUNNING_COST_MS;
+    const costMs = (waitMs + workMs) * runner.slowness + crossing + spread;
+    return {runner, costMs, workMs, unreadTokens};
+  }
+
+  private unread(
+    runner: Runner,
+    model: string,
+    prompt: Prompt,
+    home: string | undefined,
+  ): number {
+    const {id} = runner.entry;
+    const kept = this.options.prefixes.keptTokens(id, model, prompt);
+    const shared = id === home ? sharedTokens(prompt) : 0;
+    return Math.max(1, prompt.tokens - Math.max(kept, shared));
+  }
+}
+
+function isOpen(runner: Runner, tried: ReadonlySet<string>): boolean {
+  return !tried.has(runner.entry.id) && runner.pool.hasRoom;
+}
+
+function queueCost(runner: Runner): number {
+  const over = Math.max(0, runner.totalRunning - runner.entry.slots + 1);
+  return (
+    runner.totalRunning * SERVICE_RUNNING_COST_MS +
+    over * SERVICE_QUEUED_COST_MS
+  );
+}
+
+/** The runner that all hosts expect to keep the shared parts of the prompt. */
+function homeOf(
+  runners: readonly Runner[],
+  {prompt, model}: RunnerQuery,
+): string | undefined {
+  const deepest = prompt?.parts[prompt.parts.length - 2];
+  if (!deepest) return undefined;
+  const ids = runners.map(runner => runner.entry.id);
+  return rankByHash(`${model}|${deepest.id}`, ids)[0];
+}
+
+function sharedTokens(prompt: Prompt): number {
+  return prompt.parts.slice(0, -1).reduce((sum, part) => sum + part.tokens, 0);
+}
--- /dev/null
+++ b/packages/gateway/src/runners/runner_query.ts
@@ -0,0 +1,12 @@
+import type {Prompt} from '@bayspool/decisions/calls';
+import type {Runner} from './runner.js';
+
+/** What a runner is sought for. */
+export interface RunnerQuery {
+  /** Those that may take the call. */
+  readonly candidates: readonly Runner[];
+  /** Runners tried before, which are taken only when nothing else is left. */
+  readonly tried: ReadonlySet<string>;
+  readonly model?: string;
+  readonly prompt?: Prompt;
+}
--- /dev/null
+++ b/packages/gateway/src/runners/send_request.ts
@@ -0,0 +1,56 @@
+import {request as startRequest} from 'node:http';
+import type {ClientRequest, IncomingMessage} from 'node:http';
+import {AssignedAgent} from './assigned_agent.js';
+import {ExchangeFailure} from './exchange_failure.js';
+import type {PooledConnection} from './pooled_connection.js';
+import type {RunnerRequest} from './runner_request.js';
+
+interface Options {
+  readonly connection: PooledConnection;
+  readonly request: RunnerRequest;
+  /** Closes the connection and ends the wait. */
+  readonly signal: AbortSignal;
+}
+
+const agent = new AssignedAgent();
+
+/** Sends a request on a connection; resolves with the head of the answer. */
+export function sendRequest(options: Options): Promise<IncomingMessage> {
+  const {connection, request, signal} = options;
+  return new Promise((resolve, reject) => {
+    const outgoing = startOn(connection, request);
+    const abort = () => outgoing.destroy();
+    if (signal.aborted) abort();
+    signal.addEventListener('abort', abort, {once: true});
+    outgoing.once('response', answer => {
+      answer.once('close', () => signal.removeEventListener('abort', abort));
+      resolve(answer);
+    });
+    outgoing.on('error', (error: NodeJS.ErrnoException) => {
+      signal.removeEventListener('abort', abort);
+      connection.discard();
+      reject(new ExchangeFailure(error.code ?? error.message));
+    });
+    outgoing.once('close', () => {
+      // Without this a connection that closes in silence would leave the call waiting.
+      reject(new ExchangeFailure('closed'));
+    });
+    outgoing.end(request.body);
+  });
+}
+
+function startOn(
+  connection: PooledConnection,
+  request: RunnerRequest,
+): ClientRequest {
+  const options = {
+    agent,
+    assignedSocket: connection.socket,
+    method: request.method,
+    path: request.path,
+    headers: request.headers as string[],
+    setHost: false,
+    setDefaultHeaders: false,
+  };
+  return startRequest(options);
+}
