--- a/packages/gateway/src/calls/attempt.ts
+++ b/packages/gateway/src/calls/attempt.ts
@@ -173,7 +173,11 @@
       headers: answerHeaders(answer),
     };
     return new Promise(resolve => {
+      let isSettled = false;
       const fail = (reason: string) => {
+        // Node closes an answer behind its end too; the connection is sound then.
+        if (isSettled) return;
+        isSettled = true;
         connection.discard();
         resolve({kind: this.failureKind(), reason, status, confidence});
       };
@@ -196,7 +200,8 @@
       answer.once('end', () => {
         if (!answer.complete || splitter.pendingBytes > 0)
           return fail('stream broke off');
-        caller.finishStream(head);
+        isSettled = true;
+        if (!caller.isClosed) caller.finishStream(head);
         resolve({
           kind: AttemptKind.ANSWERED,
           reason: 'whole',
@@ -225,7 +230,10 @@
     return new Promise(resolve => {
       const chunks: Buffer[] = [];
       let size = 0;
+      let isSettled = false;
       const fail = (reason: string) => {
+        if (isSettled) return;
+        isSettled = true;
         connection.discard();
         resolve({kind: this.failureKind(), reason, status});
       };
@@ -238,6 +246,7 @@
       answer.once('end', () => {
         if (!answer.complete) return fail('answer broke off');
         this.firstByteAt = this.progressAt;
+        isSettled = true;
         const body = Buffer.concat(chunks);
         resolve({
           kind:
