Cascade yields under load; answers without a length stay without one

Change: the confidence threshold falls with the work that waits at the best engine; reading rates are learned from engines with little else to read; silent runners are passed over.

--- a/packages/decisions/src/calls/cascade_rule.ts
+++ b/packages/decisions/src/calls/cascade_rule.ts
@@ -1,10 +1,24 @@
 import type {CallRoute} from './call_route.js';
 
 interface Options {
-  /** Confidence below which an answer of a smaller model is not used, 0 to 100. */
+  /** Confidence below which an answer of a smaller model is not used, 0 to 100, in calm times. */
   readonly threshold: number;
 }
 
+interface SmallAnswer {
+  readonly route: CallRoute;
+  readonly model: string;
+  /** The model's opinion of its answer, 0 to 100; absent counts as good. */
+  readonly confidence?: number;
+  /** Work that waits at the best engine for the largest model over the service's latency target. */
+  readonly pressure: number;
+}
+
+/** Pressure up to which the threshold holds in full; from there it falls to 0 at {@link NO_PRESSURE}. */
+const FULL_PRESSURE = 0.12;
+/** Pressure from which no answer is dropped: a larger model would only make all answers late. */
+const NO_PRESSURE = 0.5;
+
 /** Weight of one answer in the learned share of small answers that are used. */
 const LEARNING_RATE = 0.03;
 /** Share of used small answers under which starting small does not pay: its reading is wasted. */
@@ -35,20 +49,24 @@
     return route.models[route.models.length - 1];
   }
 
-  /** Whether an answer with this confidence is good enough; absent counts as good. */
-  isGoodEnough(
-    route: CallRoute,
-    model: string,
-    confidence: number | undefined,
-  ): boolean {
+  /**
+   * Whether an answer is used. Under pressure more of them are: the largest model takes ten times the
+   * smallest one's reading time, and engines that fall behind make every answer late.
+   */
+  isGoodEnough({route, model, confidence, pressure}: SmallAnswer): boolean {
     if (model === this.strongestModel(route)) return true;
-    const isGood =
-      confidence === undefined || confidence >= this.options.threshold;
+    if (confidence === undefined) return true;
+    const isGood = confidence >= this.options.threshold;
     const before = this.passShares.get(route.name) ?? 1;
     this.passShares.set(
       route.name,
       before + LEARNING_RATE * ((isGood ? 1 : 0) - before),
     );
-    return isGood;
+    return isGood || confidence >= this.thresholdAt(pressure);
+  }
+
+  private thresholdAt(pressure: number): number {
+    const part = (NO_PRESSURE - pressure) / (NO_PRESSURE - FULL_PRESSURE);
+    return this.options.threshold * Math.min(1, Math.max(0, part));
   }
 }
--- a/packages/gateway/src/calls/attempt.ts
+++ b/packages/gateway/src/calls/attempt.ts
@@ -34,6 +34,8 @@
 const MISDIRECTED = 421;
 const SERVER_ERROR = 500;
 const OK = 200;
+const NO_CONTENT = 204;
+const NOT_MODIFIED = 304;
 const REDIRECT = 300;
 /** A whole answer that is larger is taken as spoiled; callers' bodies are bounded alike, in bytes. */
 const MAX_ANSWER_BYTES = 16_777_216;
@@ -49,6 +51,7 @@
   private isFirstNoted = false;
   private eventCount = 0;
   private firstByteAt: number | undefined;
+  private endedQuiet = false;
 
   constructor(private readonly options: Options) {
     this.startedAt = options.clock.now();
@@ -60,6 +63,11 @@
     return this.firstByteAt;
   }
 
+  /** Whether the runner had fallen silent when the attempt ended. */
+  get wasQuiet(): boolean {
+    return this.endedQuiet;
+  }
+
   async run(): Promise<AttemptOutcome> {
     const {choice, signal} = this.options;
     const {runner, workMs} = choice;
@@ -75,6 +83,7 @@
     } finally {
       this.watch?.cancel();
       this.noteFirst();
+      this.endedQuiet = runner.isQuiet;
       runner.noteEnded();
       signal.removeEventListener('abort', follow);
     }
@@ -167,8 +176,10 @@
     const {caller} = this.options;
     const status = answer.statusCode ?? 0;
     const splitter = new EventSplitter();
+    const isUnframed = !isFramed(answer);
     const head = {
       status,
+      isUnframed,
       statusText: answer.statusMessage ?? '',
       headers: answerHeaders(answer),
     };
@@ -198,8 +209,10 @@
         }
       });
       answer.once('end', () => {
-        if (!answer.complete || splitter.pendingBytes > 0)
+        if (!isWhole(answer, connection) || splitter.pendingBytes > 0)
           return fail('stream broke off');
+        if (isUnframed && !caller.acceptsUnframed)
+          return fail('end of the stream is not certain');
         isSettled = true;
         if (!caller.isClosed) caller.finishStream(head);
         resolve({
@@ -244,10 +257,11 @@
         chunks.push(chunk);
       });
       answer.once('end', () => {
-        if (!answer.complete) return fail('answer broke off');
+        if (!isWhole(answer, connection)) return fail('answer broke off');
         this.firstByteAt = this.progressAt;
         isSettled = true;
         const body = Buffer.concat(chunks);
+        const isUnframed = !isFramed(answer);
         resolve({
           kind:
             status >= SERVER_ERROR
@@ -258,8 +272,12 @@
           answer: {
             status,
             statusText: answer.statusMessage ?? '',
-            headers: answerHeaders(answer, body.length),
+            headers: answerHeaders(
+              answer,
+              isUnframed ? undefined : body.length,
+            ),
             body,
+            isUnframed,
           },
         });
       });
@@ -321,3 +339,24 @@
     choice.runner.noteFirst(choice.workMs);
   }
 }
+
+/**
+ * Whether an answer came to its end. Node takes one without a length as complete when its connection
+ * is reset, because the parser is told of an end in either case.
+ */
+function isWhole(
+  answer: IncomingMessage,
+  connection: PooledConnection,
+): boolean {
+  return answer.complete && !connection.hasFailed;
+}
+
+/** Whether an answer tells its end by a length or chunks, rather than by its connection's end. */
+function isFramed({headers, statusCode}: IncomingMessage): boolean {
+  return (
+    headers['content-length'] !== undefined ||
+    headers['transfer-encoding'] !== undefined ||
+    statusCode === NO_CONTENT ||
+    statusCode === NOT_MODIFIED
+  );
+}
--- a/packages/gateway/src/calls/call_forwarder.ts
+++ b/packages/gateway/src/calls/call_forwarder.ts
@@ -38,6 +38,8 @@
   readonly prefixes: PrefixBook;
   readonly rates: ReadingRates;
   readonly cascade: CascadeRule;
+  /** The shortest latency target of a service's routes, in ms. */
+  readonly targetOf: (service: string) => number;
   /** The retry budget of a service. */
   readonly budgetOf: (service: string) => RetryBudget;
 }
@@ -48,9 +50,21 @@
 const MIN_LEFT_MS = 30;
 /** Attempts that were not run do not count as such; this bounds them. */
 const MAX_TRIES = 6;
+/** Share of other work beside its own with which a prompt's time still tells the engine's rate. */
+const MAX_OTHER_WORK = 0.3;
 /** Fixed part of the time to a first event or answer, in ms, beside reading and waiting. */
 const BASE_FIRST_MS = 30;
 
+/** How long an attempt took to its first byte, in ms, and what was expected. */
+interface Timing {
+  readonly firstMs?: number;
+  readonly expectedMs: number;
+  /** Whether the runner had little else to read. */
+  readonly isUnloaded: boolean;
+  /** Whether the runner had fallen silent. */
+  readonly wasQuiet: boolean;
+}
+
 /** Brings a call to a runner, and to further ones where that is allowed and helps. */
 export class CallForwarder {
   constructor(private readonly options: Options) {}
@@ -80,9 +94,12 @@
     }
   }
 
-  private choose(progress: CallProgress): RunnerChoice | undefined {
+  private choose(
+    progress: CallProgress,
+    model = progress.model,
+  ): RunnerChoice | undefined {
     const {directory, rollouts, chooser} = this.options;
-    const {call, model, tried} = progress;
+    const {call, tried} = progress;
     const takers = directory.takersOf(call.service);
     const wish = rollouts.wishFor(call.service, call.id, call.session);
     const wished = takers.filter(({entry: {version}}) =>
@@ -102,8 +119,8 @@
     const {clock, names, cascade} = this.options;
     const {call, model} = progress;
     const startedAt = clock.now();
-    const expectedMs =
-      BASE_FIRST_MS + choice.workMs + choice.runner.totalPendingMs;
+    const expectedMs = BASE_FIRST_MS + choice.workMs + choice.waitMs;
+    const isUnloaded = choice.waitMs < choice.workMs * MAX_OTHER_WORK;
     this.noteChoice(progress, choice);
     const eventsBefore = caller.events;
     const attempt = new Attempt({
@@ -117,14 +134,21 @@
       isGoodEnough: confidence =>
         model === undefined ||
         call.route.models.length === 0 ||
-        cascade.isGoodEnough(call.route, model, confidence) ||
-        !this.canEscalate(progress),
+        !this.canEscalate(progress) ||
+        cascade.isGoodEnough({
+          route: call.route,
+          model,
+          confidence,
+          pressure: this.pressure(progress),
+        }),
       hasOtherRunner: () => this.canMove(progress, choice.runner),
     });
     const outcome = await attempt.run();
     const firstMs =
       attempt.firstAt === undefined ? undefined : attempt.firstAt - startedAt;
-    this.learn(progress, choice, outcome, firstMs, expectedMs);
+    const {wasQuiet} = attempt;
+    const timing = {firstMs, expectedMs, isUnloaded, wasQuiet};
+    this.learn(progress, choice, outcome, timing);
     this.options.log.write('attempt_ended', {
       request: call.id,
       attempt: progress.tries + 1,
@@ -167,8 +191,7 @@
     progress: CallProgress,
     choice: RunnerChoice,
     outcome: AttemptOutcome,
-    firstMs: number | undefined,
-    expectedMs: number,
+    {firstMs, expectedMs, isUnloaded, wasQuiet}: Timing,
   ): void {
     const {metrics, rates, sessions} = this.options;
     const {call, model} = progress;
@@ -179,10 +202,17 @@
       sessions.set(call.session, runner.entry.version);
     if (firstMs !== undefined && call.prompt) {
       runner.learnSlowness(firstMs, expectedMs);
-      if (model !== undefined) rates.learn(model, choice.unreadTokens, firstMs);
+      if (model !== undefined && isUnloaded)
+        rates.learn(model, choice.unreadTokens, firstMs);
+    } else if (firstMs !== undefined) {
+      runner.learnSlowness(firstMs, call.route.latencyTargetMs / 2);
     }
     const hasFailed = isFailure(outcome.kind);
-    if (outcome.kind === AttemptKind.ENDED) return;
+    if (outcome.kind === AttemptKind.ENDED) {
+      // A runner that sent nothing until the time limit is as good as gone.
+      if (wasQuiet) this.countFailure(runner, 'silent to the end', 1);
+      return;
+    }
     if (outcome.kind === AttemptKind.NOT_RUN) {
       if (outcome.status === undefined && outcome.reason !== 'saturated')
         this.countFailure(runner, outcome.reason, 2);
@@ -284,6 +314,19 @@
     return isRepeatable(call.route.kind);
   }
 
+  /**
+   * Work that waits at the best engine for the largest model over the shortest latency target of the
+   * service: engines are shared by all its routes.
+   */
+  private pressure(progress: CallProgress): number {
+    const {cascade, targetOf} = this.options;
+    const {call} = progress;
+    const model = cascade.strongestModel(call.route);
+    const choice = this.choose(progress, model);
+    if (!choice) return 1;
+    return choice.waitMs / targetOf(call.service);
+  }
+
   /** Whether an answer of a small model may be dropped for one of the largest. */
   private canEscalate(progress: CallProgress): boolean {
     const {clock, budgetOf} = this.options;
--- a/packages/gateway/src/calls/caller_answer.ts
+++ b/packages/gateway/src/calls/caller_answer.ts
@@ -19,6 +19,8 @@
   readonly status: number;
   readonly statusText: string;
   readonly headers: readonly string[];
+  /** Whether its end is told by the connection's end alone. */
+  readonly isUnframed: boolean;
 }
 
 const MS_PER_SECOND = 1_000;
@@ -30,6 +32,7 @@
   private last: number | undefined;
   private count = 0;
   private firstMs: number | undefined;
+  private unframed = false;
 
   constructor(private readonly options: Options) {
     this.response = options.response;
@@ -61,6 +64,7 @@
 
   sendWhole(answer: WholeAnswer): void {
     this.noteFirst();
+    if (answer.isUnframed) this.leaveUnframed();
     this.writeHead(answer.status, answer.statusText, answer.headers);
     if (NO_BODY_STATUSES.has(answer.status)) this.response.end();
     else this.response.end(answer.body);
@@ -83,6 +87,7 @@
   sendEvent(head: StreamHead, event: StreamEvent): boolean {
     if (!this.hasBegun) {
       this.noteFirst();
+      if (head.isUnframed) this.leaveUnframed();
       this.writeHead(head.status, head.statusText, head.headers);
     }
     if (event.id !== undefined) this.last = event.id;
@@ -92,11 +97,21 @@
 
   /** Ends a stream that is whole; `head` is used if it had no event. */
   finishStream(head: StreamHead): void {
-    if (!this.hasBegun)
+    if (!this.hasBegun) {
+      if (head.isUnframed) this.leaveUnframed();
       this.writeHead(head.status, head.statusText, head.headers);
+    }
     this.response.end();
   }
 
+  /**
+   * Whether an answer that ended with its runner's connection may be ended as whole: only where the
+   * caller also sees nothing but the connection's end, because it may have been cut off.
+   */
+  get acceptsUnframed(): boolean {
+    return !this.hasBegun || this.unframed;
+  }
+
   /** Ends an answer that cannot be completed, so that it does not look whole. */
   cut(): void {
     this.response.destroy();
@@ -106,6 +121,12 @@
     this.response.once('drain', action);
   }
 
+  private leaveUnframed(): void {
+    this.unframed = true;
+    this.response.useChunkedEncodingByDefault = false;
+    this.response.shouldKeepAlive = false;
+  }
+
   private writeHead(
     status: number,
     statusText: string | undefined,
--- a/packages/gateway/src/calls/whole_answer.ts
+++ b/packages/gateway/src/calls/whole_answer.ts
@@ -5,4 +5,6 @@
   /** Names and values by turns, with the body's length. */
   readonly headers: readonly string[];
   readonly body: Buffer;
+  /** Whether its end was told by the connection's end alone; the caller is told of it likewise. */
+  readonly isUnframed: boolean;
 }
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -63,6 +63,8 @@
 const CONNECTION_PART = 0.9;
 /** Connections a host may open to a runner whatever its share is. */
 const MIN_CONNECTIONS = 3;
+/** Latency target of services that no route names, in ms. */
+const MAX_TARGET_MS = 10_000;
 /** Pause between two rounds of closing rested connections, in ms. */
 const SWEEP_MS = 1_000;
 /** Pause after this host could not be entered in the store, in ms. */
@@ -229,6 +231,7 @@
         }),
         cascade: new CascadeRule({threshold: settings.confidenceThreshold}),
         budgetOf: service => this.budgetOf(service),
+        targetOf: service => this.targetOf(service),
       }),
       ip: settings.ip,
       port: settings.callerPort,
@@ -346,6 +349,14 @@
     return budget;
   }
 
+  private targetOf(service: string): number {
+    const routes = this.belief.current?.routes ?? [];
+    const targets = routes
+      .filter(({targets}) => targets.some(target => target.service === service))
+      .map(({latencyTargetMs}) => latencyTargetMs);
+    return Math.min(MAX_TARGET_MS, ...targets);
+  }
+
   private ownDigest(): LoadDigest {
     const runners: Record<string, [number, number, number, number]> = {};
     for (const {entry, ownLoad} of this.directory.all()) {
--- a/packages/gateway/src/runners/connection_pool.ts
+++ b/packages/gateway/src/runners/connection_pool.ts
@@ -14,10 +14,10 @@
 }
 
 /**
- * Time for a connection to come up, in ms: some ten times the slowest way between two places, and
- * under the second after which a lost opening packet is sent again.
+ * Time for a connection to come up, in ms: some ten times the slowest way between two places and
+ * back, and far under the second after which a lost opening packet is sent again.
  */
-const CONNECT_TIMEOUT_MS = 400;
+const CONNECT_TIMEOUT_MS = 150;
 /** Delay after which the system probes a silent connection, in ms. */
 const PROBE_DELAY_MS = 2_000;
 
--- a/packages/gateway/src/runners/pooled_connection.ts
+++ b/packages/gateway/src/runners/pooled_connection.ts
@@ -18,6 +18,7 @@
   readonly socket: Socket;
   private restMs = DEFAULT_REST_MS;
   private usableUntil = Infinity;
+  private failed = false;
   private readonly dropOnData = () => this.discard();
 
   constructor(private readonly options: Options) {
@@ -26,7 +27,9 @@
     socket.on('free', () => this.rest());
     socket.once('close', () => onClose(this));
     // Errors surface at the request that uses the socket; a resting one just closes.
-    socket.on('error', () => undefined);
+    socket.on('error', () => {
+      this.failed = true;
+    });
   }
 
   get isUsable(): boolean {
@@ -37,6 +40,11 @@
     );
   }
 
+  /** Whether it was reset or failed otherwise, rather than closed in good order. */
+  get hasFailed(): boolean {
+    return this.failed;
+  }
+
   /** Takes the connection for a request. */
   take(): void {
     this.socket.off('data', this.dropOnData);
--- a/packages/gateway/src/runners/reading_rates.ts
+++ b/packages/gateway/src/runners/reading_rates.ts
@@ -4,6 +4,8 @@
 const MAX_MS = 1;
 /** Weight of one measurement. */
 const LEARNING_RATE = 0.05;
+/** The same for a shorter time than believed: waiting only ever makes times longer. */
+const FASTER_RATE = 0.3;
 /** Prompts shorter than this say more about the engine's steps than about reading, in tokens. */
 const MIN_TOKENS = 300;
 
@@ -16,7 +18,7 @@
     return this.byModel.get(model) ?? FIRST_GUESS_MS;
   }
 
-  /** Notes that `tokens` were read in `forMs`, waiting included. */
+  /** Notes that `tokens` were read in `forMs` by an engine that had nothing else to read. */
   learn(model: string, tokens: number, forMs: number): void {
     if (tokens < MIN_TOKENS) return;
     const measured = Math.min(MAX_MS, Math.max(MIN_MS, forMs / tokens));
@@ -24,7 +26,11 @@
     const next =
       before === undefined
         ? measured
-        : before + LEARNING_RATE * (measured - before);
+        : before + rateOf(measured, before) * (measured - before);
     this.byModel.set(model, next);
   }
 }
+
+function rateOf(measured: number, before: number): number {
+  return measured < before ? FASTER_RATE : LEARNING_RATE;
+}
--- a/packages/gateway/src/runners/runner.ts
+++ b/packages/gateway/src/runners/runner.ts
@@ -13,6 +13,11 @@
 /** Bounds of one measurement of slowness, so that a single answer does not decide. */
 const MIN_SLOWNESS = 0.5;
 const MAX_SLOWNESS = 4;
+/** Weight of one measurement of the usual time to a first byte. */
+const USUAL_RATE = 0.1;
+/** Silence that says nothing yet, in ms, and how many times the usual and the pending time is added. */
+const MIN_QUIET_MS = 150;
+const QUIET_TIMES = 2.5;
 /** Weight of one measurement of slowness. */
 const SLOWNESS_RATE = 0.08;
 const NO_LOAD: RunnerLoad = {running: 0, pendingMs: 0, ok: 0, failed: 0};
@@ -29,6 +34,7 @@
   private replaced = false;
   private lastHeard: number;
   private slownessMean = 1;
+  private usualMs = 0;
 
   constructor(private readonly options: Options) {
     this.current = options.entry;
@@ -51,6 +57,12 @@
     return this.running === 0 ? this.options.clock.now() : this.lastHeard;
   }
 
+  /** Whether it has work of this host and has sent nothing for much longer than it usually takes. */
+  get isQuiet(): boolean {
+    const quietMs = this.options.clock.now() - this.lastHeardAt;
+    return quietMs > MIN_QUIET_MS + this.usualMs * QUIET_TIMES + this.pendingMs * QUIET_TIMES;
+  }
+
   /** What this host itself has there. */
   get ownLoad(): RunnerLoad {
     return {
@@ -76,6 +88,7 @@
 
   /** Notes how long a first event or whole answer took against what was expected, in ms. */
   learnSlowness(tookMs: number, expectedMs: number): void {
+    this.usualMs += USUAL_RATE * (tookMs - this.usualMs);
     const ratio = Math.min(
       MAX_SLOWNESS,
       Math.max(MIN_SLOWNESS, tookMs / Math.max(1, expectedMs)),
--- a/packages/gateway/src/runners/runner_choice.ts
+++ b/packages/gateway/src/runners/runner_choice.ts
@@ -7,6 +7,8 @@
   readonly workMs: number;
   /** Tokens that it has to read. */
   readonly unreadTokens: number;
+  /** Work that the runner had before, in ms. */
+  readonly waitMs: number;
   readonly ejected: number;
   readonly reason: string;
 }
--- a/packages/gateway/src/runners/runner_chooser.ts
+++ b/packages/gateway/src/runners/runner_chooser.ts
@@ -19,6 +19,7 @@
   readonly runner: Runner;
   readonly costMs: number;
   readonly workMs: number;
+  readonly waitMs: number;
   readonly unreadTokens: number;
 }
 
@@ -38,7 +39,9 @@
 
   choose(query: RunnerQuery): RunnerChoice | undefined {
     const {candidates, tried} = query;
-    const sound = candidates.filter(runner => !runner.health.isEjected);
+    const sound = candidates.filter(
+      runner => !runner.health.isEjected && !runner.isQuiet,
+    );
     const ejected = candidates.length - sound.length;
     const pools: Array<[string, readonly Runner[]]> = [
       ['least expected time', sound.filter(r => isOpen(r, tried))],
@@ -50,8 +53,8 @@
     if (!found) return undefined;
     const [reason, runners] = found;
     const best = this.bestOf(runners, query);
-    const {runner, workMs, unreadTokens} = best;
-    return {runner, workMs, unreadTokens, ejected, reason};
+    const {runner, workMs, waitMs, unreadTokens} = best;
+    return {runner, workMs, waitMs, unreadTokens, ejected, reason};
   }
 
   private bestOf(runners: readonly Runner[], query: RunnerQuery): Bid {
@@ -72,14 +75,14 @@
     const {prompt, model} = query;
     if (!prompt || model === undefined) {
       const costMs = (queueCost(runner) + crossing) * runner.slowness + spread;
-      return {runner, costMs, workMs: 0, unreadTokens: 0};
+      return {runner, costMs, workMs: 0, waitMs: 0, unreadTokens: 0};
     }
     const unreadTokens = this.unread(runner, model, prompt, home);
     const workMs = unreadTokens * this.options.rates.of(model);
     const waitMs =
       runner.totalPendingMs + runner.totalRunning * RUNNING_COST_MS;
     const costMs = (waitMs + workMs) * runner.slowness + crossing + spread;
-    return {runner, costMs, workMs, unreadTokens};
+    return {runner, costMs, workMs, waitMs, unreadTokens};
   }
 
   private unread(
