Runners of a lost place are passed over; a host reads for itself only past the usual age

Cause: hosts that follow a reader saw ages up to 2.3 s in calm times, over the 1.9 s at which they read the store themselves; in a cut of a place each runner there had to be found silent one by one.

--- a/packages/gateway/src/calls/call_forwarder.ts
+++ b/packages/gateway/src/calls/call_forwarder.ts
@@ -50,6 +50,8 @@
 const MIN_LEFT_MS = 30;
 /** Attempts that were not run do not count as such; this bounds them. */
 const MAX_TRIES = 6;
+/** Weight of a runner's silence to a call's end among its failures: enough to eject it. */
+const SILENT_WEIGHT = 2.5;
 /** Share of other work beside its own with which a prompt's time still tells the engine's rate. */
 const MAX_OTHER_WORK = 0.3;
 /** Fixed part of the time to a first event or answer, in ms, beside reading and waiting. */
@@ -210,7 +212,8 @@
     const hasFailed = isFailure(outcome.kind);
     if (outcome.kind === AttemptKind.ENDED) {
       // A runner that sent nothing until the time limit is as good as gone.
-      if (wasQuiet) this.countFailure(runner, 'silent to the end', 1);
+      if (wasQuiet)
+        this.countFailure(runner, 'silent to the end', SILENT_WEIGHT);
       return;
     }
     if (outcome.kind === AttemptKind.NOT_RUN) {
--- a/packages/gateway/src/calls/silence_rule.ts
+++ b/packages/gateway/src/calls/silence_rule.ts
@@ -14,6 +14,8 @@
 
 /** Part of a safe call's latency target after which another runner is asked. */
 const SAFE_PART = 0.6;
+/** How many times a runner's usual time it may take all the same. */
+const USUAL_TIMES = 2.5;
 /** Shortest silence of a runner that is taken as a failure, in ms: some steps of a full engine. */
 const MIN_SILENCE_MS = 700;
 /** How many times the expected time to the first event may pass in silence. */
@@ -32,7 +34,13 @@
 ): boolean {
   const {quietMs, runnerQuietMs, hasEvents, expectedMs} = progress;
   if (route.kind === CallKind.SAFE)
-    return quietMs > route.latencyTargetMs * SAFE_PART * runner.slowness;
+    return (
+      quietMs >
+      Math.max(
+        route.latencyTargetMs * SAFE_PART,
+        runner.usualFirstMs * USUAL_TIMES,
+      )
+    );
   if (!isStreamed(route.kind) || route.kind === CallKind.STREAM) return false;
   const silenceMs = Math.max(MIN_SILENCE_MS, route.pauseTargetMs * PAUSE_PART);
   if (hasEvents) return quietMs > silenceMs;
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -228,6 +228,7 @@
           rates,
           prefixes,
           place: settings.place,
+          isPlaceLost: place => this.roster.isPlaceLost(place),
         }),
         cascade: new CascadeRule({threshold: settings.confidenceThreshold}),
         budgetOf: service => this.budgetOf(service),
--- a/packages/gateway/src/peers/news_loop.ts
+++ b/packages/gateway/src/peers/news_loop.ts
@@ -28,9 +28,9 @@
 const PLACES_A_ROUND = 6;
 /**
  * Age of what another host tells at which this host reads the store itself, in ms: over the age in
- * normal running (a read that waits a second, two ways between hosts).
+ * normal running (a read that waits a second, is asked for again, and passed on by another host).
  */
-const OLD_MS = 1_900;
+const OLD_MS = 2_600;
 /** Pause after an exchange failed, in ms. */
 const RETRY_MS = 60;
 
--- a/packages/gateway/src/peers/roster.ts
+++ b/packages/gateway/src/peers/roster.ts
@@ -69,6 +69,15 @@
     return [...places].sort();
   }
 
+  /** Whether no host of another place answers, so that its runners are probably out of reach too. */
+  isPlaceLost(place: string): boolean {
+    if (place === this.options.self.place) return false;
+    const hosts = this.living().filter(host => host.place === place);
+    return (
+      hosts.length > 0 && hosts.every(({name}) => this.lostSince.has(name))
+    );
+  }
+
   noteAnswer(name: string): void {
     this.suspectedUntil.delete(name);
     if (this.lostSince.delete(name))
--- a/packages/gateway/src/runners/runner.ts
+++ b/packages/gateway/src/runners/runner.ts
@@ -57,10 +57,18 @@
     return this.running === 0 ? this.options.clock.now() : this.lastHeard;
   }
 
+  /** How long it usually takes to a first byte, in ms; 0 until measured. */
+  get usualFirstMs(): number {
+    return this.usualMs;
+  }
+
   /** Whether it has work of this host and has sent nothing for much longer than it usually takes. */
   get isQuiet(): boolean {
     const quietMs = this.options.clock.now() - this.lastHeardAt;
-    return quietMs > MIN_QUIET_MS + this.usualMs * QUIET_TIMES + this.pendingMs * QUIET_TIMES;
+    return (
+      quietMs >
+      MIN_QUIET_MS + this.usualMs * QUIET_TIMES + this.pendingMs * QUIET_TIMES
+    );
   }
 
   /** What this host itself has there. */
--- a/packages/gateway/src/runners/runner_chooser.ts
+++ b/packages/gateway/src/runners/runner_chooser.ts
@@ -10,6 +10,8 @@
 interface Options {
   /** The place of this host. */
   readonly place: string;
+  /** Whether the runners of a place are probably out of reach. */
+  readonly isPlaceLost: (place: string) => boolean;
   readonly random: RandomSource;
   readonly rates: ReadingRates;
   readonly prefixes: PrefixBook;
@@ -29,7 +31,7 @@
 const SERVICE_RUNNING_COST_MS = 5;
 const SERVICE_QUEUED_COST_MS = 40;
 /** A runner in another place: the way there and back, and the price of bytes between places. */
-const CROSSING_COST_MS = 6;
+const CROSSING_COST_MS = 20;
 /** Spread of random costs, in ms, so that hosts do not all take the same runner. */
 const SPREAD_MS = 3;
 
@@ -39,9 +41,7 @@
 
   choose(query: RunnerQuery): RunnerChoice | undefined {
     const {candidates, tried} = query;
-    const sound = candidates.filter(
-      runner => !runner.health.isEjected && !runner.isQuiet,
-    );
+    const sound = candidates.filter(runner => this.isSound(runner));
     const ejected = candidates.length - sound.length;
     const pools: Array<[string, readonly Runner[]]> = [
       ['least expected time', sound.filter(r => isOpen(r, tried))],
@@ -57,6 +57,11 @@
     return {runner, workMs, waitMs, unreadTokens, ejected, reason};
   }
 
+  private isSound(runner: Runner): boolean {
+    if (runner.health.isEjected || runner.isQuiet) return false;
+    return !this.options.isPlaceLost(runner.entry.place);
+  }
+
   private bestOf(runners: readonly Runner[], query: RunnerQuery): Bid {
     const home = homeOf(runners, query);
     return runners
