--- a/packages/decisions/src/calls/calls.test.ts
+++ b/packages/decisions/src/calls/calls.test.ts
@@ -29,7 +29,7 @@
   targets: [{service: 'svc', weight: 1}],
 };
 
-test('the longest prefix of the host name wins, queries and ports aside', () => {
+void test('the longest prefix of the host name wins, queries and ports aside', () => {
   const deeper = {...route, name: 'deeper', pathPrefix: '/x/y/'};
   const table = new RouteTable([route, deeper]);
   assert.equal(table.find('A.example:80', '/x/y/1?z=/x/')?.name, 'deeper');
@@ -38,7 +38,7 @@
   assert.equal(table.find('b.example', '/x/'), undefined);
 });
 
-test('weights are kept over many keys, and a key keeps its service', () => {
+void test('weights are kept over many keys, and a key keeps its service', () => {
   const targets = [
     {service: 'nine', weight: 90},
     {service: 'one', weight: 10},
@@ -52,7 +52,7 @@
   assert.ok(keys.every(key => chooseService(none, key) !== 'none'));
 });
 
-test('hosts rank alike, and losing one moves no other', () => {
+void test('hosts rank alike, and losing one moves no other', () => {
   const names = ['a', 'b', 'c', 'd'];
   const ranked = rankByHash('key', names);
   assert.deepEqual(rankByHash('key', [...names].reverse()), ranked);
@@ -63,7 +63,7 @@
   assert.deepEqual(without, [ranked[0], ranked[2], ranked[3]]);
 });
 
-test('repeats stay within the ratio over the window, also with several hosts', () => {
+void test('repeats stay within the ratio over the window, also with several hosts', () => {
   const clock = new VirtualClock();
   const options = {clock, ratio: 0.5, extra: 8, windowMs: 10_000};
   const budgets = [1, 2].map(
@@ -84,7 +84,7 @@
   assert.ok(budgets[0].left <= 8);
 });
 
-test('the share of a new version is constant first, never falls, and ends at all', () => {
+void test('the share of a new version is constant first, never falls, and ends at all', () => {
   const durationMs = 10_000;
   const shares = Array.from({length: 101}, (_, i) =>
     rolloutShare({elapsedMs: i * 100, durationMs}),
@@ -95,7 +95,7 @@
   assert.equal(shares[75], 1);
 });
 
-test('a version is bad for failures or slowness beyond chance, not below', () => {
+void test('a version is bad for failures or slowness beyond chance, not below', () => {
   const old = {ended: 300, failed: 12, slow: 3};
   const sound = {ended: 40, failed: 2, slow: 1};
   assert.equal(judgeVersion({fresh: sound, old}), 'open');
@@ -110,7 +110,7 @@
   assert.equal(judgeVersion({fresh: few, old}), 'open');
 });
 
-test('sound versions with a natural share of failures are hardly ever judged bad', () => {
+void test('sound versions with a natural share of failures are hardly ever judged bad', () => {
   let seed = 1;
   const random = () => (seed = (seed * 16_807) % 2_147_483_647) / 2_147_483_647;
   let wrong = 0;
@@ -129,7 +129,7 @@
   assert.ok(wrong <= 4, `${wrong} of 200 sound versions judged bad`);
 });
 
-test('a session keeps its version for a time after its last call', () => {
+void test('a session keeps its version for a time after its last call', () => {
   const clock = new VirtualClock();
   const sessions = new SessionVersions({clock, keepMs: 5_000});
   sessions.set('s', 'v1');
@@ -139,7 +139,7 @@
   assert.equal(sessions.get('s'), undefined);
 });
 
-test('unsure small answers are dropped in calm times and used under load', () => {
+void test('unsure small answers are dropped in calm times and used under load', () => {
   const rule = new CascadeRule({threshold: 60});
   const answer = {route, model: 'small', confidence: 40};
   assert.equal(rule.isGoodEnough({...answer, pressure: 0}), false);
@@ -154,7 +154,7 @@
   );
 });
 
-test('a route whose small answers are never used starts with the largest model', () => {
+void test('a route whose small answers are never used starts with the largest model', () => {
   const rule = new CascadeRule({threshold: 60});
   for (let i = 0; i < 100; i++)
     rule.isGoodEnough({route, model: 'small', confidence: 0, pressure: 0});
@@ -163,7 +163,7 @@
   assert.ok(starts.includes('small'));
 });
 
-test('events come out whole, however their bytes are cut', () => {
+void test('events come out whole, however their bytes are cut', () => {
   const text =
     'id: 1\ndata: a\n\nid: 2\r\ndata: b\r\n\r\ndata: no id\n\nid: 3\nda';
   for (const size of [1, 2, 3, 7, 100]) {
@@ -181,7 +181,7 @@
   }
 });
 
-test('a runner that fails more often than the others is left alone for a time', () => {
+void test('a runner that fails more often than the others is left alone for a time', () => {
   const clock = new VirtualClock();
   const health = new RunnerHealth({clock});
   for (let i = 0; i < 5; i++) {
@@ -195,7 +195,7 @@
   assert.equal(health.isEjected, false);
 });
 
-test('what other hosts saw counts for an ejection', () => {
+void test('what other hosts saw counts for an ejection', () => {
   const health = new RunnerHealth({clock: new VirtualClock()});
   health.countFailure();
   assert.equal(health.ejectIfWorse(0.05, 0, 0), undefined);
--- a/packages/gateway/src/beliefs/beliefs.test.ts
+++ b/packages/gateway/src/beliefs/beliefs.test.ts
@@ -23,7 +23,7 @@
 const keyed = {kind: CallKind.SAFE, isPublic: false};
 const withKey = {headers: {[names.apiKey]: 'key-1'}};
 
-test('without a configuration a call is refused as not run', async () => {
+void test('without a configuration a call is refused as not run', async () => {
   await fixture.startHost();
   const answer = await fixture.call();
   assert.equal(answer.status, 503);
@@ -31,7 +31,7 @@
   assert.equal(await fixture.readiness(), 503);
 });
 
-test('unknown routes and keys are refused, known ones pass', async () => {
+void test('unknown routes and keys are refused, known ones pass', async () => {
   fixture.configure([keyed], {'key-1': {workspace: 'ws'}});
   await fixture.addRunner(runner);
   await fixture.startHost();
@@ -42,7 +42,7 @@
   assert.equal(runner.received[0].headers[names.workspace], 'ws');
 });
 
-test('a new configuration is in force without a restart, an older one never', async () => {
+void test('a new configuration is in force without a restart, an older one never', async () => {
   fixture.configure([keyed], {'key-1': {workspace: 'ws'}});
   await fixture.addRunner(runner);
   await fixture.startHost();
@@ -58,7 +58,7 @@
   assert.equal((await fixture.call(withKey)).status, 401);
 });
 
-test('a host that cannot know of withdrawn keys runs nothing for a key', async () => {
+void test('a host that cannot know of withdrawn keys runs nothing for a key', async () => {
   fixture.configure([keyed], {'key-1': {workspace: 'ws'}});
   await fixture.addRunner(runner);
   await fixture.startHost({keyBoundMs: 1_800});
@@ -78,7 +78,7 @@
   );
 });
 
-test('a draining runner gets no new calls', async () => {
+void test('a draining runner gets no new calls', async () => {
   const other = new ScriptedRunner({id: 'two'});
   fixture.configure([{kind: CallKind.SAFE}]);
   await fixture.addRunner(runner);
@@ -93,7 +93,7 @@
   other.stop();
 });
 
-test('a runner whose entry is removed in calm times gets no new calls', async () => {
+void test('a runner whose entry is removed in calm times gets no new calls', async () => {
   fixture.configure([{kind: CallKind.SAFE}]);
   await fixture.addRunner(runner);
   await fixture.startHost();
@@ -104,7 +104,7 @@
   assert.equal(runner.received.length, 0);
 });
 
-test('a runner whose entry lapsed in an outage of the store is kept until entries are back', async () => {
+void test('a runner whose entry lapsed in an outage of the store is kept until entries are back', async () => {
   fixture.configure([{kind: CallKind.SAFE}]);
   await fixture.addRunner(runner);
   await fixture.startHost();
@@ -118,7 +118,7 @@
   await fixture.waitFor(() => fixture.events('runner_gone').length === 1);
 });
 
-test('hosts of a place share what one of them reads', async () => {
+void test('hosts of a place share what one of them reads', async () => {
   fixture.configure([{kind: CallKind.SAFE}]);
   await fixture.addRunner(runner);
   const stores = [new MemoryRecordStore(), new MemoryRecordStore()];
@@ -151,7 +151,7 @@
     );
 });
 
-test('a host that is cut off from the store lives on what its peer knows', async () => {
+void test('a host that is cut off from the store lives on what its peer knows', async () => {
   fixture.configure([keyed], {'key-1': {workspace: 'ws'}});
   await fixture.addRunner(runner);
   const cutStore = new MemoryRecordStore();
--- a/packages/gateway/src/calls/forwarding.test.ts
+++ b/packages/gateway/src/calls/forwarding.test.ts
@@ -30,7 +30,7 @@
   await fixture.waitReady();
 }
 
-test('a call arrives unchanged, and its answer comes back unchanged', async () => {
+void test('a call arrives unchanged, and its answer comes back unchanged', async () => {
   await serve(CallKind.UNSAFE, [first]);
   const answer = await fixture.call({path: '/x/1?q=%20a', body: 'some bytes'});
   const [seen] = first.received;
@@ -44,7 +44,7 @@
   assert.ok(leftMs <= 2_000 && leftMs > 1_000, `${leftMs} ms left`);
 });
 
-test('what only the gateway may set is dropped from what a caller sends', async () => {
+void test('what only the gateway may set is dropped from what a caller sends', async () => {
   await serve(CallKind.UNSAFE, [first]);
   const forged = {
     'x-hold': 'h',
@@ -58,14 +58,14 @@
   assert.equal(headers[names.apiKey], undefined);
 });
 
-test('a connection to a runner serves one call after the other', async () => {
+void test('a connection to a runner serves one call after the other', async () => {
   await serve(CallKind.SAFE, [first]);
   for (let i = 0; i < 4; i++) await fixture.call();
   assert.equal(first.received.length, 4);
   assert.equal(first.connections, 1);
 });
 
-test('a call that may run once is not sent again when its runner resets', async () => {
+void test('a call that may run once is not sent again when its runner resets', async () => {
   await serve(CallKind.UNSAFE, [first, second]);
   first.script = second.script = ({socket}) => socket.resetAndDestroy();
   const answer = await fixture.call();
@@ -74,7 +74,7 @@
   assert.equal(answer.headers['retry-after'], undefined);
 });
 
-test('a call that a runner did not run goes to another one', async () => {
+void test('a call that a runner did not run goes to another one', async () => {
   await serve(CallKind.UNSAFE, [first, second]);
   let refused = 0;
   const answerWhole = first.script;
@@ -88,7 +88,7 @@
   assert.equal(second.received.length, 1);
 });
 
-test('a refusal of all runners is told as not run, with the time to come back', async () => {
+void test('a refusal of all runners is told as not run, with the time to come back', async () => {
   await serve(CallKind.UNSAFE, [first]);
   first.script = (_request, response) =>
     response.writeHead(503, {[names.notRun]: '1'}).end();
@@ -97,7 +97,7 @@
   assert.ok(Number(answer.headers['retry-after']) > 0);
 });
 
-test('a safe call that fails at one runner is answered by another', async () => {
+void test('a safe call that fails at one runner is answered by another', async () => {
   await serve(CallKind.SAFE, [first, second]);
   let failed = 0;
   const answerWhole = first.script;
@@ -109,7 +109,7 @@
   assert.equal(answer.status, 200);
 });
 
-test('the last failure of a runner is passed on as it is', async () => {
+void test('the last failure of a runner is passed on as it is', async () => {
   await serve(CallKind.SAFE, [first], {attempts: 2});
   first.script = (request, response) =>
     response
@@ -121,7 +121,7 @@
   assert.equal(answer.body, 'failed');
 });
 
-test('no more runners are asked than the route allows', async () => {
+void test('no more runners are asked than the route allows', async () => {
   const third = new ScriptedRunner({id: 'three'});
   await serve(CallKind.SAFE, [first, second, third], {attempts: 2});
   const fail: ScriptedRunner['script'] = (request, response) =>
@@ -136,7 +136,7 @@
   third.stop();
 });
 
-test('an answer to another request is not passed on', async () => {
+void test('an answer to another request is not passed on', async () => {
   await serve(CallKind.UNSAFE, [first]);
   const answerWhole = first.script;
   first.script = (request, response) =>
@@ -146,7 +146,7 @@
   assert.notEqual(answer.body, 'whole body');
 });
 
-test('bytes behind a whole answer do not reach the next call', async () => {
+void test('bytes behind a whole answer do not reach the next call', async () => {
   await serve(CallKind.SAFE, [first]);
   const answerWhole = first.script;
   first.script = (request, response) => {
@@ -162,7 +162,7 @@
   assert.equal(next.body, 'whole body');
 });
 
-test('an answer cut short is not passed on as whole', async () => {
+void test('an answer cut short is not passed on as whole', async () => {
   await serve(CallKind.UNSAFE, [first]);
   first.script = ({id, socket}, response) => {
     response.writeHead(200, {
@@ -177,7 +177,7 @@
   assert.equal(answer.status, 502);
 });
 
-test('an answer without a length is passed on without one', async () => {
+void test('an answer without a length is passed on without one', async () => {
   await serve(CallKind.UNSAFE, [first]);
   first.script = ({id, socket}) => {
     socket.write(
@@ -191,7 +191,7 @@
   assert.equal(answer.isFramed, false);
 });
 
-test('an answer without a length that is reset is not passed on', async () => {
+void test('an answer without a length that is reset is not passed on', async () => {
   await serve(CallKind.UNSAFE, [first]);
   first.script = ({id, socket}) => {
     socket.write(
@@ -203,14 +203,14 @@
   assert.equal(answer.status, 502);
 });
 
-test('an unsigned or encoded success is not passed on', async () => {
+void test('an unsigned or encoded success is not passed on', async () => {
   await serve(CallKind.UNSAFE, [first]);
   first.script = ({id}, response) =>
     response.writeHead(200, {[names.requestId]: id}).end('unsigned');
   assert.equal((await fixture.call()).status, 502);
 });
 
-test('a call gets its final answer when its time is over', async () => {
+void test('a call gets its final answer when its time is over', async () => {
   await serve(CallKind.UNSAFE, [first], {timeLimitMs: 300});
   first.script = () => undefined;
   const answer = await fixture.call();
@@ -218,7 +218,7 @@
   assert.ok(answer.forMs > 250 && answer.forMs < 600, `${answer.forMs} ms`);
 });
 
-test('a caller that leaves takes its call away from the runner', async () => {
+void test('a caller that leaves takes its call away from the runner', async () => {
   await serve(CallKind.SAFE, [first], {latencyTargetMs: 5_000});
   first.script = () => undefined;
   await fixture.call({leaveAfterMs: 100}).catch(() => undefined);
@@ -227,7 +227,7 @@
   assert.ok(performance.now() - leftAt < 400);
 });
 
-test('a silent runner of a safe call is given up for another one', async () => {
+void test('a silent runner of a safe call is given up for another one', async () => {
   await serve(CallKind.SAFE, [first, second], {latencyTargetMs: 300});
   let asked = 0;
   const answerWhole = first.script;
@@ -239,7 +239,7 @@
   assert.ok(answer.forMs < 600, `${answer.forMs} ms`);
 });
 
-test('a request with two lengths is refused and reaches no runner', async () => {
+void test('a request with two lengths is refused and reaches no runner', async () => {
   await serve(CallKind.UNSAFE, [first]);
   const agent = new Agent({keepAlive: true});
   const answer = await fixture
@@ -254,7 +254,7 @@
   assert.equal(first.received.length, 0);
 });
 
-test('an address that another runner took over is not used again', async () => {
+void test('an address that another runner took over is not used again', async () => {
   await serve(CallKind.UNSAFE, [first, second]);
   const answerWhole = second.script;
   first.script = (_request, response) => response.writeHead(421).end();
--- a/packages/gateway/src/calls/streams.test.ts
+++ b/packages/gateway/src/calls/streams.test.ts
@@ -54,7 +54,7 @@
 
 const WHOLE = [1, 2, 3, 4, 5].map(event).join('');
 
-test('events are passed on as they are, to the end', async () => {
+void test('events are passed on as they are, to the end', async () => {
   await serve([first]);
   first.script = streamAll;
   const answer = await fixture.call();
@@ -62,7 +62,7 @@
   assert.ok(answer.isWhole);
 });
 
-test('a stream that breaks inside an event goes on at another runner', async () => {
+void test('a stream that breaks inside an event goes on at another runner', async () => {
   await serve([first, second]);
   let asked = 0;
   first.script = second.script = (request, response) => {
@@ -80,7 +80,7 @@
   assert.equal(again.headers[names.lastEventId], '2');
 });
 
-test('a stream that falls silent goes on at another runner', async () => {
+void test('a stream that falls silent goes on at another runner', async () => {
   await serve([first, second], {timeLimitMs: 4_000});
   let asked = 0;
   first.script = second.script = (request, response) => {
@@ -92,14 +92,14 @@
   assert.equal(answer.body, WHOLE);
 });
 
-test('a caller goes on behind the event that it names', async () => {
+void test('a caller goes on behind the event that it names', async () => {
   await serve([first]);
   first.script = streamAll;
   const answer = await fixture.call({headers: {[names.lastEventId]: '3'}});
   assert.equal(answer.body, event(4) + event(5));
 });
 
-test('events that were passed on before are left out, and gaps are not passed on', async () => {
+void test('events that were passed on before are left out, and gaps are not passed on', async () => {
   await serve([first, second]);
   let asked = 0;
   first.script = second.script = (request, response) => {
@@ -112,7 +112,7 @@
   assert.equal(answer.body, WHOLE);
 });
 
-test('a stream that nobody can go on with does not look whole', async () => {
+void test('a stream that nobody can go on with does not look whole', async () => {
   await serve([first], {attempts: 1});
   first.script = (request, response) => {
     begin(request.id, response);
@@ -124,7 +124,7 @@
   assert.equal(answer.isWhole, false);
 });
 
-test('a stream that may run once is not run again', async () => {
+void test('a stream that may run once is not run again', async () => {
   await serve([first, second], {kind: CallKind.STREAM});
   first.script = second.script = (request, response) => {
     begin(request.id, response);
@@ -136,7 +136,7 @@
   assert.equal(first.received.length + second.received.length, 1);
 });
 
-test('an unsure answer of a small model is dropped for one of the largest', async () => {
+void test('an unsure answer of a small model is dropped for one of the largest', async () => {
   await serve([first, second], {models: ['small', 'middle', 'large']});
   first.script = second.script = (request, response) => {
     const isLarge = request.headers[names.model] === 'large';
@@ -152,7 +152,7 @@
   assert.deepEqual(models.sort(), ['large', 'small']);
 });
 
-test('a sure answer of a small model is used', async () => {
+void test('a sure answer of a small model is used', async () => {
   await serve([first], {models: ['small', 'large']});
   first.script = (request, response) => {
     begin(request.id, response, 80);
@@ -165,7 +165,7 @@
   assert.equal(first.received[0].headers[names.priority], '1');
 });
 
-test('a caller that names a model where it must be left open is refused', async () => {
+void test('a caller that names a model where it must be left open is refused', async () => {
   await serve([first], {models: ['small', 'large']});
   const answer = await fixture.call({headers: {[names.model]: 'large'}});
   assert.equal(answer.status, 421);
--- a/packages/gateway/src/lifecycle/leaving.test.ts
+++ b/packages/gateway/src/lifecycle/leaving.test.ts
@@ -25,7 +25,7 @@
   runner.stop();
 });
 
-test('a host that leaves is not ready, serves on, and finishes what runs', async () => {
+void test('a host that leaves is not ready, serves on, and finishes what runs', async () => {
   const answerWhole = runner.script;
   runner.script = (request, response) =>
     setTimeout(() => answerWhole(request, response), 1_500);
@@ -41,7 +41,7 @@
   await left;
 });
 
-test('a kept connection ends behind its answer', async () => {
+void test('a kept connection ends behind its answer', async () => {
   const agent = new Agent({keepAlive: true, maxSockets: 1});
   await fixture.call({agent});
   const left = fixture.hosts[0].gateway.leave('test');
@@ -52,7 +52,7 @@
   await left;
 });
 
-test('what cannot finish is ended before the process is killed', async () => {
+void test('what cannot finish is ended before the process is killed', async () => {
   runner.script = () => undefined;
   const hanging = fixture.call({headers: {[names.deadline]: '20000'}});
   await fixture.waitFor(() => runner.received.length === 1);
--- a/packages/gateway/src/observability/observability.test.ts
+++ b/packages/gateway/src/observability/observability.test.ts
@@ -9,7 +9,7 @@
 import {EventLog} from './event_log.js';
 import {LineWriter} from './line_writer.js';
 
-test('detail is bounded and its loss is told, failures are always written', () => {
+void test('detail is bounded and its loss is told, failures are always written', () => {
   const clock = new VirtualClock();
   const lines: string[] = [];
   const sink = {write: (line: string) => void lines.push(line)};
@@ -33,7 +33,7 @@
   assert.equal(events.find(({event}) => event === 'lines_dropped')?.count, 40);
 });
 
-test('a reader that does not read blocks nothing, and drops are counted', async () => {
+void test('a reader that does not read blocks nothing, and drops are counted', async () => {
   const path = join(mkdtempSync(join(tmpdir(), 'bayspool-')), 'pipe');
   execFileSync('mkfifo', [path]);
   const descriptor = openSync(path, constants.O_RDWR | constants.O_NONBLOCK);
--- a/packages/gateway/src/rollouts/rollouts.test.ts
+++ b/packages/gateway/src/rollouts/rollouts.test.ts
@@ -40,7 +40,7 @@
     .map(({value}) => (JSON.parse(value ?? '{}') as {phase: string}).phase);
 }
 
-test('a good version gets few calls first, then all, and is complete in time', async () => {
+void test('a good version gets few calls first, then all, and is complete in time', async () => {
   order(4_000);
   await fixture.startHost({sessionKeptMs: 10});
   await fixture.waitReady();
@@ -56,7 +56,7 @@
   assert.deepEqual(phases(), ['active', 'complete']);
 });
 
-test('a session that runs on the old version stays there in the first half', async () => {
+void test('a session that runs on the old version stays there in the first half', async () => {
   await fixture.startHost({sessionKeptMs: 2_000});
   await fixture.waitReady();
   const sessions = Array.from({length: 40}, (_, i) => `session-${i}`);
@@ -76,7 +76,7 @@
   assert.equal(fresh.received.length, before);
 });
 
-test('a bad version gets no calls any more, and is reverted once', async () => {
+void test('a bad version gets no calls any more, and is reverted once', async () => {
   order(20_000);
   await fixture.startHost({sessionKeptMs: 10});
   await fixture.waitReady();
@@ -94,7 +94,7 @@
   assert.equal(phases().filter(phase => phase !== 'active').length, 1);
 });
 
-test('a phase whose answer was lost is not written a second time', async () => {
+void test('a phase whose answer was lost is not written a second time', async () => {
   order(1_000);
   await fixture.startHost({sessionKeptMs: 10});
   await fixture.waitReady();
@@ -104,7 +104,7 @@
   assert.equal(phases().filter(phase => phase === 'complete').length, 1);
 });
 
-test('several hosts write each phase once', async () => {
+void test('several hosts write each phase once', async () => {
   order(2_000);
   await fixture.startHost({sessionKeptMs: 10});
   await fixture.startHost({sessionKeptMs: 10});
