--- a/packages/client/src/commands.ts
+++ b/packages/client/src/commands.ts
@@ -1,6 +1,7 @@
 import type {Command} from './command.js';
 import {configCommand} from './commands/config_command.js';
 import {confirmCommand} from './commands/confirm_command.js';
+import {explainCommand} from './commands/explain_command.js';
 import {hashKeyCommand} from './commands/hash_key_command.js';
 import {intentCommand} from './commands/intent_command.js';
 import {intentsCommand} from './commands/intents_command.js';
@@ -15,5 +16,6 @@
   watchCommand,
   intentsCommand,
   configCommand,
+  explainCommand,
   hashKeyCommand,
 ];
--- /dev/null
+++ b/packages/client/src/explain/describe_story.ts
@@ -0,0 +1,34 @@
+import type {LogLine} from './log_line.js';
+import type {Story} from './story.js';
+
+const COMMON = new Set(['time', 'steadyMs', 'host', 'event', 'request']);
+
+/** A story as text: what held when the request began, then everything in order. */
+export function describeStory({request, lines, beliefs, changes}: Story): string {
+  const begun = lines[0];
+  const last = lines[lines.length - 1];
+  const order = [...lines, ...changes].sort((a, b) =>
+    a.time < b.time ? -1 : a.time > b.time ? 1 : a.steadyMs - b.steadyMs,
+  );
+  return [
+    `request ${request} at ${begun.host}, ${begun.time}`,
+    '',
+    'held when it began:',
+    ...beliefs.map(line => `  ${line.time}  ${describe(line)}`),
+    '',
+    'what happened (own lines are marked *):',
+    ...order.map(
+      line =>
+        `${line.request === request ? '* ' : '  '}${line.time}  ${describe(line)}`,
+    ),
+    '',
+    `ended with: ${describe(last)}`,
+  ].join('\n');
+}
+
+function describe(line: LogLine): string {
+  const fields = Object.entries(line)
+    .filter(([name, value]) => !COMMON.has(name) && value !== undefined)
+    .map(([name, value]) => `${name}=${String(value)}`);
+  return [line.event, ...fields].join(' ');
+}
--- /dev/null
+++ b/packages/client/src/explain/tell_story.test.ts
@@ -0,0 +1,53 @@
+import assert from 'node:assert/strict';
+import {test} from 'node:test';
+import {describeStory} from './describe_story.js';
+import type {LogLine} from './log_line.js';
+import {tellStory} from './tell_story.js';
+
+let steadyMs = 0;
+
+function line(second: number, event: string, fields: object = {}): LogLine {
+  const time = new Date(second * 1_000).toISOString();
+  return {time, steadyMs: steadyMs++, host: 'host-1', event, ...fields};
+}
+
+const lines: LogLine[] = [
+  line(1, 'configuration_in_force', {version: 1}),
+  line(2, 'configuration_in_force', {version: 2}),
+  line(3, 'store_lost', {reason: 'no answer'}),
+  line(3, 'runner_ejected', {runner: 'other'}),
+  line(4, 'runner_seen', {runner: 'one'}),
+  {...line(4, 'store_lost'), host: 'host-2'},
+  line(5, 'request_accepted', {request: 'r-1'}),
+  line(5, 'runner_chosen', {request: 'r-1', runner: 'one'}),
+  line(6, 'runner_ejected', {runner: 'one', reason: 'reset'}),
+  line(6, 'request_accepted', {request: 'r-2'}),
+  line(7, 'request_failed', {request: 'r-1', status: 502}),
+];
+
+void test("a story holds the request's lines, what held before, and what changed meanwhile", () => {
+  const story = tellStory([...lines].reverse(), 'r-1');
+  assert.deepEqual(
+    story.lines.map(({event}) => event),
+    ['request_accepted', 'runner_chosen', 'request_failed'],
+  );
+  assert.deepEqual(
+    story.beliefs.map(({event, version}) => [event, version]),
+    [
+      ['configuration_in_force', 2],
+      ['store_lost', undefined],
+      ['runner_seen', undefined],
+    ],
+  );
+  assert.deepEqual(
+    story.changes.map(({event}) => event),
+    ['runner_ejected'],
+  );
+});
+
+void test('the text names host, inputs and outcome', () => {
+  const text = describeStory(tellStory(lines, 'r-1'));
+  assert.match(text, /request r-1 at host-1/);
+  assert.match(text, /configuration_in_force version=2/);
+  assert.match(text, /ended with: request_failed status=502/);
+});
--- /dev/null
+++ b/packages/client/src/explain/tell_story.ts
@@ -0,0 +1,63 @@
+import type {LogLine} from './log_line.js';
+import type {Story} from './story.js';
+
+/** Changes of belief, and what each is about; the newest of a matter holds. */
+const MATTERS: Readonly<Record<string, string>> = {
+  configuration_in_force: 'configuration',
+  freshness_lost: 'freshness',
+  freshness_regained: 'freshness',
+  store_lost: 'store',
+  store_regained: 'store',
+  source_changed: 'source',
+  readiness_changed: 'readiness',
+  process_started: 'process',
+  process_stopping: 'process',
+  process_stopped: 'process',
+  runner_seen: 'runner',
+  runner_leaving: 'runner',
+  runner_gone: 'runner',
+  runner_lapsed: 'runner',
+  runner_ejected: 'runner',
+  rollout_ordered: 'roll-out',
+  rollout_judged: 'roll-out',
+  rollout_phase: 'roll-out',
+  rollout_written: 'roll-out',
+  peer_lost: 'peer',
+  peer_regained: 'peer',
+  key_withdrawn: 'key',
+};
+
+/** Finds all that the lines tell of a request. */
+export function tellStory(all: readonly LogLine[], request: string): Story {
+  const lines = all.filter(line => line.request === request).sort(byTime);
+  const hosts = new Set(lines.map(line => line.host));
+  const runners = new Set(lines.map(line => line.runner));
+  const near = all
+    .filter(line => line.event in MATTERS && hosts.has(line.host))
+    .filter(({runner}) => runner === undefined || runners.has(runner))
+    .sort(byTime);
+  const from = lines[0]?.time ?? '';
+  const to = lines[lines.length - 1]?.time ?? '';
+  return {
+    request,
+    lines,
+    beliefs: newestOfEach(near.filter(line => line.time <= from)),
+    changes: near.filter(line => line.time > from && line.time <= to),
+  };
+}
+
+function newestOfEach(lines: readonly LogLine[]): LogLine[] {
+  const newest = new Map<string, LogLine>();
+  for (const line of lines) {
+    const about = String(line.runner ?? line.peer ?? line.service ?? '');
+    const key = `${line.host}|${MATTERS[line.event]}|${about}`;
+    newest.delete(key);
+    newest.set(key, line);
+  }
+  return [...newest.values()].sort(byTime);
+}
+
+function byTime(a: LogLine, b: LogLine): number {
+  if (a.host === b.host && a.time === b.time) return a.steadyMs - b.steadyMs;
+  return a.time < b.time ? -1 : a.time > b.time ? 1 : 0;
+}
