--- a/packages/gateway/src/calls/attempt.ts
+++ b/packages/gateway/src/calls/attempt.ts
@@ -323,7 +323,7 @@
     const {runner} = choice;
     const isSilent = isTooSilent(call.route, runner, {
       quietMs: now - this.progressAt,
-      runnerQuietMs: now - runner.lastHeardAt,
+      longestPauseMs: this.options.caller.longestPauseMs,
       hasEvents: this.eventCount > 0,
       expectedMs: choice.workMs + runner.totalPendingMs,
     });
--- a/packages/gateway/src/calls/call_forwarder.ts
+++ b/packages/gateway/src/calls/call_forwarder.ts
@@ -371,6 +371,9 @@
       runner: runner.entry.id,
       events: caller.events || undefined,
       firstMs: Math.round(firstAt - call.acceptedAt),
+      longestPauseMs: caller.events
+        ? Math.round(caller.longestPauseMs)
+        : undefined,
       forMs: Math.round(forMs),
     });
   }
--- a/packages/gateway/src/calls/caller_answer.ts
+++ b/packages/gateway/src/calls/caller_answer.ts
@@ -33,6 +33,8 @@
   private count = 0;
   private firstMs: number | undefined;
   private unframed = false;
+  private lastEventAt: number | undefined;
+  private longestMs = 0;
 
   constructor(private readonly options: Options) {
     this.response = options.response;
@@ -62,6 +64,11 @@
     return this.firstMs;
   }
 
+  /** The longest pause between two events, in ms. */
+  get longestPauseMs(): number {
+    return this.longestMs;
+  }
+
   sendWhole(answer: WholeAnswer): void {
     this.noteFirst();
     if (answer.isUnframed) this.leaveUnframed();
@@ -92,6 +99,7 @@
     }
     if (event.id !== undefined) this.last = event.id;
     this.count += 1;
+    this.notePause();
     return this.response.write(event.bytes);
   }
 
@@ -139,6 +147,13 @@
     else response.writeHead(status, statusText, [...headers]);
   }
 
+  private notePause(): void {
+    const now = this.options.clock.now();
+    const pauseMs = now - (this.lastEventAt ?? now);
+    this.lastEventAt = now;
+    this.longestMs = Math.max(this.longestMs, pauseMs);
+  }
+
   private noteFirst(): void {
     this.firstMs ??= this.options.clock.now();
   }
--- a/packages/gateway/src/calls/silence_rule.ts
+++ b/packages/gateway/src/calls/silence_rule.ts
@@ -5,8 +5,8 @@
 interface Progress {
   /** Time since this attempt last got anything, or was sent, in ms. */
   readonly quietMs: number;
-  /** Time since the runner sent anything to this host, in ms. */
-  readonly runnerQuietMs: number;
+  /** The longest pause between two events so far, in ms. */
+  readonly longestPauseMs: number;
   readonly hasEvents: boolean;
   /** Expected time to the first event when it was sent, in ms. */
   readonly expectedMs: number;
@@ -16,12 +16,19 @@
 const SAFE_PART = 0.6;
 /** How many times a runner's usual time it may take all the same. */
 const USUAL_TIMES = 2.5;
-/** Shortest silence of a runner that is taken as a failure, in ms: some steps of a full engine. */
-const MIN_SILENCE_MS = 700;
+/** Shortest pause target that is reckoned with, in ms. */
+const MIN_PAUSE_MS = 800;
 /** How many times the expected time to the first event may pass in silence. */
 const EXPECTED_TIMES = 3;
-/** Part of the pause target after which a stream is continued elsewhere. */
+/** Part of the pause target after which a stream is continued elsewhere in any case. */
 const PAUSE_PART = 0.9;
+/**
+ * The same where the runner sends nothing on any connection: what is left of the target has to do for
+ * a new connection and for reading the prompt.
+ */
+const QUIET_PAUSE_PART = 0.45;
+/** How many times its own longest pause a stream may rest before that. */
+const OWN_PAUSE_TIMES = 2;
 
 /**
  * Whether an attempt has been without progress for so long that the call is better served by another
@@ -32,7 +39,7 @@
   runner: Runner,
   progress: Progress,
 ): boolean {
-  const {quietMs, runnerQuietMs, hasEvents, expectedMs} = progress;
+  const {quietMs, longestPauseMs, hasEvents, expectedMs} = progress;
   if (route.kind === CallKind.SAFE)
     return (
       quietMs >
@@ -42,9 +49,11 @@
       )
     );
   if (!isStreamed(route.kind) || route.kind === CallKind.STREAM) return false;
-  const silenceMs = Math.max(MIN_SILENCE_MS, route.pauseTargetMs * PAUSE_PART);
-  if (hasEvents) return quietMs > silenceMs;
-  return (
-    Math.min(quietMs, runnerQuietMs) > silenceMs + expectedMs * EXPECTED_TIMES
-  );
+  const pauseMs = Math.max(MIN_PAUSE_MS, route.pauseTargetMs);
+  if (hasEvents && quietMs > pauseMs * PAUSE_PART) return true;
+  if (!runner.isQuiet) return false;
+  const allowedMs = hasEvents
+    ? longestPauseMs * OWN_PAUSE_TIMES
+    : expectedMs * EXPECTED_TIMES;
+  return quietMs > Math.max(pauseMs * QUIET_PAUSE_PART, allowedMs);
 }
--- a/packages/gateway/src/observability/event_fields.ts
+++ b/packages/gateway/src/observability/event_fields.ts
@@ -76,6 +76,7 @@
     runner: string;
     events?: number;
     firstMs?: number;
+    longestPauseMs?: number;
     forMs: number;
   };
   request_failed: {
--- a/packages/gateway/src/runners/connection_pool.ts
+++ b/packages/gateway/src/runners/connection_pool.ts
@@ -17,7 +17,7 @@
  * Time for a connection to come up, in ms: some ten times the slowest way between two places and
  * back, and far under the second after which a lost opening packet is sent again.
  */
-const CONNECT_TIMEOUT_MS = 150;
+const CONNECT_TIMEOUT_MS = 100;
 /** Delay after which the system probes a silent connection, in ms. */
 const PROBE_DELAY_MS = 2_000;
 
--- a/packages/gateway/src/runners/runner.ts
+++ b/packages/gateway/src/runners/runner.ts
@@ -15,9 +15,13 @@
 const MAX_SLOWNESS = 4;
 /** Weight of one measurement of the usual time to a first byte. */
 const USUAL_RATE = 0.1;
-/** Silence that says nothing yet, in ms, and how many times the usual and the pending time is added. */
-const MIN_QUIET_MS = 150;
-const QUIET_TIMES = 2.5;
+/** Silence that says nothing yet, in ms: some steps of a full engine. */
+const MIN_QUIET_MS = 200;
+/** How many times its usual gap, and the reading it has to do, a runner may be silent besides. */
+const GAP_TIMES = 6;
+const PENDING_TIMES = 4;
+/** Weight of one gap between bytes in the mean. */
+const GAP_RATE = 0.05;
 /** Weight of one measurement of slowness. */
 const SLOWNESS_RATE = 0.08;
 const NO_LOAD: RunnerLoad = {running: 0, pendingMs: 0, ok: 0, failed: 0};
@@ -35,6 +39,7 @@
   private lastHeard: number;
   private slownessMean = 1;
   private usualMs = 0;
+  private gapMs = 0;
 
   constructor(private readonly options: Options) {
     this.current = options.entry;
@@ -65,10 +70,8 @@
   /** Whether it has work of this host and has sent nothing for much longer than it usually takes. */
   get isQuiet(): boolean {
     const quietMs = this.options.clock.now() - this.lastHeardAt;
-    return (
-      quietMs >
-      MIN_QUIET_MS + this.usualMs * QUIET_TIMES + this.pendingMs * QUIET_TIMES
-    );
+    const expectedMs = this.gapMs * GAP_TIMES + this.pendingMs * PENDING_TIMES;
+    return quietMs > MIN_QUIET_MS + expectedMs;
   }
 
   /** What this host itself has there. */
@@ -109,12 +112,15 @@
   }
 
   noteHeard(): void {
-    this.lastHeard = this.options.clock.now();
+    const now = this.options.clock.now();
+    if (this.running > 0)
+      this.gapMs += GAP_RATE * (now - this.lastHeard - this.gapMs);
+    this.lastHeard = now;
   }
 
   /** Notes a request on its way; the work counts until {@link noteFirst}. */
   noteSent(workMs: number): void {
-    if (this.running === 0) this.noteHeard();
+    if (this.running === 0) this.lastHeard = this.options.clock.now();
     this.running += 1;
     this.pendingMs += workMs;
   }
