Hosts of many: the strongest read the store, one sum a sync, patience of connects, slots in the choice

Change: capacity decides who reads; sums are made once and merged; a new version waits for its order; the time for a connection doubles while none comes up; hosts look at a few runners each, with the wait for a slot.

--- a/packages/client/src/explain/describe_story.ts
+++ b/packages/client/src/explain/describe_story.ts
@@ -4,7 +4,12 @@
 const COMMON = new Set(['time', 'steadyMs', 'host', 'event', 'request']);
 
 /** A story as text: what held when the request began, then everything in order. */
-export function describeStory({request, lines, beliefs, changes}: Story): string {
+export function describeStory({
+  request,
+  lines,
+  beliefs,
+  changes,
+}: Story): string {
   const begun = lines[0];
   const last = lines[lines.length - 1];
   const order = [...lines, ...changes].sort((a, b) =>
--- a/packages/gateway/src/beliefs/runner_directory.ts
+++ b/packages/gateway/src/beliefs/runner_directory.ts
@@ -22,12 +22,18 @@
  * that entries of living runners are back about two seconds after the store is.
  */
 const LAPSE_KEPT_MS = 1_900;
+/** How long a new version waits for the order that explains it, in ms: the topics are read apart. */
+const UNEXPLAINED_MS = 2_500;
 /** An entry that goes within this time after the store's return may have lapsed in the outage. */
 const LAPSE_WINDOW_MS = 1_500;
 
 /** The runners that can take calls, by service, as their entries in the store tell. */
 export class RunnerDirectory {
   private readonly runners = new Map<string, Runner>();
+  /** When each version of a service was first seen. */
+  private readonly versions = new Map<string, Map<string, number>>();
+  private loadedAt: number | undefined;
+  private updatedAt = 0;
   private readonly lapses = new Map<string, Timer>();
 
   constructor(private readonly options: Options) {
@@ -50,7 +56,31 @@
     );
   }
 
+  /**
+   * Versions of a service that appeared beside known ones a moment ago: the order to roll them out may
+   * not have arrived yet.
+   */
+  unexplainedVersions(service: string): Set<string> {
+    const seen = this.versions.get(service);
+    const now = this.options.clock.now();
+    const held = new Set<string>();
+    for (const [version, at] of seen ?? [])
+      if (at !== this.loadedAt && now - at < UNEXPLAINED_MS) held.add(version);
+    return held;
+  }
+
+  private noteVersion({service, version}: RunnerEntry): void {
+    const seen = this.versions.get(service) ?? new Map<string, number>();
+    this.versions.set(service, seen);
+    if (seen.has(version)) return;
+    // A service's first version needs no order.
+    const at = seen.size === 0 ? this.loadedAt : this.updatedAt;
+    seen.set(version, at ?? this.updatedAt);
+  }
+
   private take({changed, isReload}: MirrorUpdate): void {
+    this.updatedAt = this.options.clock.now();
+    this.loadedAt ??= this.updatedAt;
     for (const record of changed) {
       if (record.value === undefined) this.remove(record, isReload);
       else this.put(record);
@@ -75,6 +105,7 @@
     this.lapses.delete(entry.id);
     const known = this.runners.get(entry.id);
     const wasDraining = known?.entry.isDraining ?? false;
+    this.noteVersion(entry);
     if (known) known.update(entry);
     else this.runners.set(entry.id, createRunner(entry));
     this.report(entry, known !== undefined, wasDraining, record.offset);
--- a/packages/gateway/src/calls/attempt.ts
+++ b/packages/gateway/src/calls/attempt.ts
@@ -84,7 +84,7 @@
       this.watch?.cancel();
       this.noteFirst();
       this.endedQuiet = runner.isQuiet;
-      runner.noteEnded();
+      runner.noteEnded(this.options.clock.now() - this.startedAt);
       signal.removeEventListener('abort', follow);
     }
   }
--- a/packages/gateway/src/calls/call_forwarder.ts
+++ b/packages/gateway/src/calls/call_forwarder.ts
@@ -49,7 +49,7 @@
 /** Time under which another attempt cannot bring an answer, in ms. */
 const MIN_LEFT_MS = 30;
 /** Attempts that were not run do not count as such; this bounds them. */
-const MAX_TRIES = 6;
+const MAX_TRIES = 10;
 /** Weight of a runner's silence to a call's end among its failures: enough to eject it. */
 const SILENT_WEIGHT = 2.5;
 /** Share of other work beside its own with which a prompt's time still tells the engine's rate. */
@@ -104,8 +104,11 @@
     const {call, tried} = progress;
     const takers = directory.takersOf(call.service);
     const wish = rollouts.wishFor(call.service, call.id, call.session);
+    const held = directory.unexplainedVersions(call.service);
     const wished = takers.filter(({entry: {version}}) =>
-      wish.only !== undefined ? version === wish.only : version !== wish.not,
+      wish.only !== undefined
+        ? version === wish.only
+        : version !== wish.not && !held.has(version),
     );
     const able = wished.length > 0 ? wished : takers;
     const {prompt} = call;
@@ -346,7 +349,10 @@
     if (this.options.budgetOf(call.service).left < 1) return false;
     return this.options.directory
       .takersOf(call.service)
-      .some(runner => runner !== from && !runner.health.isEjected);
+      .some(
+        runner =>
+          runner !== from && !runner.health.isEjected && !runner.isQuiet,
+      );
   }
 
   private answer(
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -35,6 +35,7 @@
 import {RolloutWriter} from './rollouts/rollout_writer.js';
 import {startKey} from './rollouts/start_key.js';
 import type {Rollout} from './rollouts/rollout.js';
+import {ConnectPatience} from './runners/connect_patience.js';
 import {ConnectionPool} from './runners/connection_pool.js';
 import {PrefixBook} from './runners/prefix_book.js';
 import {ReadingRates} from './runners/reading_rates.js';
@@ -93,6 +94,7 @@
   private readonly leaving: Leaving;
   private readonly budgets = new Map<string, RetryBudget>();
   private readonly prefixes = new PrefixBook();
+  private readonly patience = new ConnectPatience();
   private sweepTimer: Timer | undefined;
   private wasFresh = false;
   private wasReady = false;
@@ -118,6 +120,7 @@
         place: settings.place,
         address: `${settings.ip}:${settings.peerPort}`,
         boot: this.boot,
+        capacity: settings.capacity,
       },
     });
     this.belief = new ConfigurationBelief({
@@ -189,7 +192,7 @@
           health: this.storeHealth,
           waitMs:
             mirror.topic === Topic.OPERATOR ? OPERATOR_WAIT_MS : OTHER_WAIT_MS,
-          isWanted: () => !mirror.isLoaded || this.news.readsStore,
+          isWanted: () => !mirror.isLoaded || this.reads(mirror.topic),
         }),
     );
     this.writer = new RolloutWriter({
@@ -229,6 +232,7 @@
           rates,
           prefixes,
           place: settings.place,
+          hosts: () => this.roster.living().length,
           isPlaceLost: place => this.roster.isPlaceLost(place),
         }),
         cascade: new CascadeRule({threshold: settings.confidenceThreshold}),
@@ -322,11 +326,17 @@
     return isReady;
   }
 
+  private reads(topic: Topic): boolean {
+    const {news} = this;
+    return topic === Topic.OPERATOR ? news.readsStore : news.readsAll;
+  }
+
   private createRunner(entry: RunnerEntry): Runner {
     const {clock} = this.options;
     const {service} = entry;
     const pool = new ConnectionPool({
       clock,
+      patience: this.patience,
       address: entry.address,
       maxConnections: () => this.maxConnections(service),
       onOpened: () => this.metrics.connections.inc({service}),
--- a/packages/gateway/src/gateway_settings.ts
+++ b/packages/gateway/src/gateway_settings.ts
@@ -3,6 +3,8 @@
   readonly host: string;
   readonly place: string;
   readonly ip: string;
+  /** Processor and link in relation to other hosts; the strongest read the store for their place. */
+  readonly capacity: number;
   readonly callerPort: number;
   readonly readinessPort: number;
   readonly readinessPath: string;
--- a/packages/gateway/src/peers/host_entry.ts
+++ b/packages/gateway/src/peers/host_entry.ts
@@ -4,6 +4,8 @@
   readonly place: string;
   /** IP:PORT for calls between hosts. */
   readonly address: string;
+  /** Processor and link in relation to other hosts. */
+  readonly capacity: number;
   /** Names one start of its process. */
   readonly boot: string;
 }
--- /dev/null
+++ b/packages/gateway/src/peers/kept_sum.ts
@@ -0,0 +1,27 @@
+import type {Clock} from '@bayspool/kernel';
+import type {LoadDigest} from './load_digest.js';
+import {mergeLoads} from './merge_loads.js';
+
+interface Options {
+  readonly clock: Clock;
+  readonly parts: () => readonly LoadDigest[];
+}
+
+/** How long a sum is used again: many hosts ask in one round of the exchange, in ms. */
+const KEPT_MS = 100;
+
+/** A sum of digests that is made anew at most every so often. */
+export class KeptSum {
+  private digest: LoadDigest | undefined;
+  private madeAt = -Infinity;
+
+  constructor(private readonly options: Options) {}
+
+  get(): LoadDigest {
+    const now = this.options.clock.now();
+    if (this.digest && now - this.madeAt < KEPT_MS) return this.digest;
+    this.madeAt = now;
+    this.digest = mergeLoads(this.options.parts());
+    return this.digest;
+  }
+}
--- a/packages/gateway/src/peers/news_loop.ts
+++ b/packages/gateway/src/peers/news_loop.ts
@@ -22,6 +22,8 @@
 
 /** How long a host of the same place may wait for news, in ms; also how often loads are told. */
 const WAIT_MS = 400;
+/** What each host of the place adds to it, in ms: one of them answers all the others. */
+const WAIT_PER_HOST_MS = 20;
 /** Pause between two exchanges with other places, in ms, for up to {@link PLACES_A_ROUND}. */
 const EXCHANGE_MS = 400;
 /** Places that are asked in one pause; with more of them the pause grows in proportion. */
@@ -44,9 +46,14 @@
 
   constructor(private readonly options: Options) {}
 
-  /** Whether this host is to read the store now. */
+  /** Whether this host is to read the operator's topic now. */
   get readsStore(): boolean {
-    return this.isReader || this.isOld;
+    return this.isReader || this.ageMs > OLD_MS;
+  }
+
+  /** Whether this host is to read all topics now. */
+  get readsAll(): boolean {
+    return this.isReader || this.ageMs > OLD_MS * 2;
   }
 
   get isReader(): boolean {
@@ -63,9 +70,9 @@
     this.stopped = true;
   }
 
-  private get isOld(): boolean {
+  private get ageMs(): number {
     const {clock, freshness} = this.options;
-    return clock.now() - freshness.provenAt > OLD_MS;
+    return clock.now() - freshness.provenAt;
   }
 
   private async followPlace(): Promise<void> {
@@ -77,7 +84,8 @@
         await sleep(clock, WAIT_MS / 2);
         continue;
       }
-      const isDone = await this.ask(first, WAIT_MS);
+      const hosts = roster.sizeOf(roster.self.place);
+      const isDone = await this.ask(first, WAIT_MS + hosts * WAIT_PER_HOST_MS);
       if (!isDone) await this.pause(RETRY_MS);
     }
   }
--- a/packages/gateway/src/peers/roster.ts
+++ b/packages/gateway/src/peers/roster.ts
@@ -58,7 +58,14 @@
     );
     const names = sound.map(({name}) => name);
     const byName = new Map(sound.map(host => [host.name, host]));
-    return rankByHash(`reader|${place}`, names).map(name => byName.get(name)!);
+    return rankByHash(`reader|${place}`, names)
+      .map(name => byName.get(name)!)
+      .sort((a, b) => b.capacity - a.capacity);
+  }
+
+  /** How many hosts of a place are taken to live. */
+  sizeOf(place: string): number {
+    return this.living().filter(host => host.place === place).length;
   }
 
   /** Places other than this host's that have hosts. */
--- a/packages/gateway/src/peers/sync_answer.ts
+++ b/packages/gateway/src/peers/sync_answer.ts
@@ -13,6 +13,8 @@
 /** News for a host that asked. */
 export interface SyncAnswer {
   readonly topics: Partial<Record<Topic, TopicNews>>;
-  /** Sums by place, the asking host's own part left out. */
-  readonly places: Readonly<Record<string, LoadDigest>>;
+  /** The place of the host that answers. */
+  readonly place: string;
+  /** The sum over all hosts for one of the same place, over the answering place for another. */
+  readonly loads: LoadDigest;
 }
--- a/packages/gateway/src/peers/sync_desk.ts
+++ b/packages/gateway/src/peers/sync_desk.ts
@@ -36,7 +36,8 @@
       await this.waitForNews(request.waitMs);
     return {
       topics: this.topicsFor(request),
-      places: board.placesFor(request.from.name, request.from.place),
+      place: self.place,
+      loads: board.sumFor(request.from.place),
     };
   }
 
@@ -58,9 +59,8 @@
   adopt(answer: SyncAnswer, sentAt: number): void {
     const {mirrors, board, self} = this.options;
     for (const mirror of mirrors) this.adoptTopic(mirror, answer, sentAt);
-    for (const [place, digest] of Object.entries(answer.places))
-      if (place !== self.place) board.notePlace(place, digest);
-      else board.noteHost('', digest);
+    if (answer.place === self.place) board.noteAll(answer.loads);
+    else board.notePlace(answer.place, answer.loads);
   }
 
   private adoptTopic(
--- /dev/null
+++ b/packages/gateway/src/peers/take_off.ts
@@ -0,0 +1,39 @@
+import type {LoadDigest} from './load_digest.js';
+
+type Numbers = readonly [number, number, number, number];
+
+/** A sum of loads without the part that one host added to it; evidence on roll-outs likewise. */
+export function takeOff(sum: LoadDigest, part: LoadDigest): LoadDigest {
+  const runners: Record<string, Numbers> = {...sum.runners};
+  for (const [id, own] of Object.entries(part.runners)) {
+    const all = runners[id];
+    if (all) runners[id] = all.map((n, i) => less(n, own[i])) as never;
+  }
+  const rollouts = {...sum.rollouts};
+  for (const [service, own] of Object.entries(part.rollouts)) {
+    const all = rollouts[service];
+    if (!all || all.offset !== own.offset) continue;
+    rollouts[service] = {
+      ...all,
+      oldRunning: less(all.oldRunning, own.oldRunning),
+      fresh: lessCells(all.fresh, own.fresh),
+      old: lessCells(all.old, own.old),
+    };
+  }
+  return {runners, rollouts};
+}
+
+type Cells = LoadDigest['rollouts'][string]['fresh'];
+
+function lessCells(sum: Cells, part: Cells): Cells {
+  const rest = {...sum};
+  for (const [name, own] of Object.entries(part)) {
+    const all = rest[name];
+    if (all) rest[name] = all.map((n, i) => less(n, own[i])) as never;
+  }
+  return rest;
+}
+
+function less(a: number, b: number): number {
+  return Math.max(0, a - b);
+}
--- a/packages/gateway/src/runners/connection_pool.ts
+++ b/packages/gateway/src/runners/connection_pool.ts
@@ -1,6 +1,7 @@
 import {connect} from 'node:net';
 import type {Socket} from 'node:net';
 import type {Clock} from '@bayspool/kernel';
+import type {ConnectPatience} from './connect_patience.js';
 import {ConnectFailure} from './connect_failure.js';
 import {PooledConnection} from './pooled_connection.js';
 
@@ -10,14 +11,11 @@
   readonly address: string;
   /** Connections that this host may hold to the runner. */
   readonly maxConnections: () => number;
+  /** How long a connection may take; shared by all pools of the host. */
+  readonly patience: ConnectPatience;
   readonly onOpened?: () => void;
 }
 
-/**
- * Time for a connection to come up, in ms: some ten times the slowest way between two places and
- * back, and far under the second after which a lost opening packet is sent again.
- */
-const CONNECT_TIMEOUT_MS = 100;
 /** Delay after which the system probes a silent connection, in ms. */
 const PROBE_DELAY_MS = 2_000;
 
@@ -61,12 +59,12 @@
   }
 
   private async openOne(): Promise<PooledConnection> {
-    const {clock, address, maxConnections, onOpened} = this.options;
+    const {clock, address, maxConnections, patience, onOpened} = this.options;
     if (this.open >= maxConnections()) throw new ConnectFailure('saturated');
     this.open += 1;
     let socket: Socket;
     try {
-      socket = await openSocket(clock, address);
+      socket = await openSocket(clock, address, patience);
     } catch (error) {
       this.open -= 1;
       throw error;
@@ -93,15 +91,24 @@
   }
 }
 
-function openSocket(clock: Clock, address: string): Promise<Socket> {
+function openSocket(
+  clock: Clock,
+  address: string,
+  patience: ConnectPatience,
+): Promise<Socket> {
   const colon = address.lastIndexOf(':');
   const host = address.slice(0, colon);
   const port = Number(address.slice(colon + 1));
   return new Promise((resolve, reject) => {
     const socket = connect({host, port, noDelay: true});
-    const timer = clock.after(CONNECT_TIMEOUT_MS, () => fail('timeout'));
+    const startedAt = clock.now();
+    const timer = clock.after(patience.timeoutMs, () => {
+      patience.noteTimeout();
+      fail('timeout');
+    });
     socket.once('connect', () => {
       timer.cancel();
+      patience.noteConnected(clock.now() - startedAt);
       socket.off('error', onError);
       socket.setKeepAlive(true, PROBE_DELAY_MS);
       resolve(socket);
--- a/packages/gateway/src/runners/runner.ts
+++ b/packages/gateway/src/runners/runner.ts
@@ -20,6 +20,8 @@
 /** How many times its usual gap, and the reading it has to do, a runner may be silent besides. */
 const GAP_TIMES = 6;
 const PENDING_TIMES = 4;
+/** Weight of one duration in the mean. */
+const DURATION_RATE = 0.1;
 /** Weight of one gap between bytes in the mean. */
 const GAP_RATE = 0.05;
 /** Weight of one measurement of slowness. */
@@ -40,6 +42,7 @@
   private slownessMean = 1;
   private usualMs = 0;
   private gapMs = 0;
+  private durationMs = 0;
 
   constructor(private readonly options: Options) {
     this.current = options.entry;
@@ -92,6 +95,13 @@
     return this.pendingMs + this.remote.pendingMs;
   }
 
+  /** Expected wait for a slot, in ms: the runner ends one request in every mean duration over its slots. */
+  get slotWaitMs(): number {
+    const over = this.totalRunning - this.current.slots + 1;
+    if (over <= 0) return 0;
+    return (over * this.durationMs) / Math.max(1, this.current.slots);
+  }
+
   /** How many times longer it takes than expected; 1 until measured. */
   get slowness(): number {
     return this.slownessMean;
@@ -129,8 +139,10 @@
     this.pendingMs = Math.max(0, this.pendingMs - workMs);
   }
 
-  noteEnded(): void {
+  /** @param forMs how long the request was there */
+  noteEnded(forMs: number): void {
     this.running = Math.max(0, this.running - 1);
+    this.durationMs += DURATION_RATE * (forMs - this.durationMs);
   }
 
   /** Notes that its address belongs to another runner now. */
--- a/packages/gateway/src/runners/runner_chooser.ts
+++ b/packages/gateway/src/runners/runner_chooser.ts
@@ -10,6 +10,8 @@
 interface Options {
   /** The place of this host. */
   readonly place: string;
+  /** Hosts that choose among the same runners, this one included. */
+  readonly hosts: () => number;
   /** Whether the runners of a place are probably out of reach. */
   readonly isPlaceLost: (place: string) => boolean;
   readonly random: RandomSource;
@@ -32,6 +34,9 @@
 const SERVICE_QUEUED_COST_MS = 40;
 /** A runner in another place: the way there and back, and the price of bytes between places. */
 const CROSSING_COST_MS = 20;
+/** How many hosts look at a runner, on average, and how many runners a host looks at, at least. */
+const LOOKS_A_RUNNER = 5;
+const MIN_LOOKS = 4;
 /** Spread of random costs, in ms, so that hosts do not all take the same runner. */
 const SPREAD_MS = 3;
 
@@ -64,11 +69,32 @@
 
   private bestOf(runners: readonly Runner[], query: RunnerQuery): Bid {
     const home = homeOf(runners, query);
-    return runners
+    return this.sample(runners, home)
       .map(runner => this.bid(runner, query, home))
       .reduce((best, bid) => (bid.costMs < best.costMs ? bid : best));
   }
 
+  /**
+   * The runners that are looked at: with many hosts a few of them, so that hosts that know the same
+   * loads do not all take the same runner.
+   */
+  private sample(
+    runners: readonly Runner[],
+    home: string | undefined,
+  ): readonly Runner[] {
+    const {hosts, random} = this.options;
+    const wanted = (runners.length * LOOKS_A_RUNNER) / hosts();
+    const count = Math.max(MIN_LOOKS, Math.ceil(wanted));
+    if (count >= runners.length) return runners;
+    const rest = [...runners];
+    const chosen = rest.filter(({entry}) => entry.id === home);
+    while (chosen.length < count) {
+      const [one] = rest.splice(random.below(rest.length), 1);
+      if (one.entry.id !== home) chosen.push(one);
+    }
+    return chosen;
+  }
+
   private bid(
     runner: Runner,
     query: RunnerQuery,
@@ -85,7 +111,9 @@
     const unreadTokens = this.unread(runner, model, prompt, home);
     const workMs = unreadTokens * this.options.rates.of(model);
     const waitMs =
-      runner.totalPendingMs + runner.totalRunning * RUNNING_COST_MS;
+      runner.totalPendingMs +
+      runner.totalRunning * RUNNING_COST_MS +
+      runner.slotWaitMs;
     const costMs = (waitMs + workMs) * runner.slowness + crossing + spread;
     return {runner, costMs, workMs, waitMs, unreadTokens};
   }
--- a/packages/gateway/src/testing/gateway_fixture.ts
+++ b/packages/gateway/src/testing/gateway_fixture.ts
@@ -58,6 +58,7 @@
       host: `host-${this.hosts.length + 1}`,
       place: 'a',
       ip: '127.0.0.1',
+      capacity: 1,
       callerPort,
       readinessPort,
       readinessPath: '/ready',
