--- a/packages/gateway/src/calls/call_forwarder.ts
+++ b/packages/gateway/src/calls/call_forwarder.ts
@@ -207,8 +207,8 @@
       sessions.set(call.session, runner.entry.version);
     if (firstMs !== undefined && call.prompt) {
       runner.learnSlowness(firstMs, expectedMs);
-      if (model !== undefined && isUnloaded)
-        rates.learn(model, choice.unreadTokens, firstMs);
+      if (model !== undefined)
+        rates.learn(model, choice.unreadTokens, firstMs, isUnloaded);
     } else if (firstMs !== undefined) {
       runner.learnSlowness(firstMs, call.route.latencyTargetMs / 2);
     }
--- a/packages/gateway/src/rollouts/rollouts.test.ts
+++ b/packages/gateway/src/rollouts/rollouts.test.ts
@@ -114,3 +114,18 @@
   await new Promise(resolve => setTimeout(resolve, 1_500));
   assert.equal(phases().filter(phase => phase === 'complete').length, 1);
 });
+
+void test('a version that appears before its order waits for it', async () => {
+  const late = new ScriptedRunner({id: 'late', version: 'v3'});
+  await fixture.startHost({sessionKeptMs: 10});
+  await fixture.waitReady();
+  await fixture.addRunner(late);
+  await fixture.waitFor(() =>
+    fixture.lines.some(
+      line => line.event === 'runner_seen' && line.runner === 'late',
+    ),
+  );
+  for (let i = 0; i < 30; i++) await fixture.call();
+  assert.equal(late.received.length, 0);
+  late.stop();
+});
--- a/packages/gateway/src/runners/reading_rates.ts
+++ b/packages/gateway/src/runners/reading_rates.ts
@@ -18,9 +18,18 @@
     return this.byModel.get(model) ?? FIRST_GUESS_MS;
   }
 
-  /** Notes that `tokens` were read in `forMs` by an engine that had nothing else to read. */
-  learn(model: string, tokens: number, forMs: number): void {
+  /**
+   * Notes that `tokens` were read in `forMs`. Where the engine had other work too, only a shorter time
+   * than believed says something: waiting makes times longer, never shorter.
+   */
+  learn(
+    model: string,
+    tokens: number,
+    forMs: number,
+    wasUnloaded: boolean,
+  ): void {
     if (tokens < MIN_TOKENS) return;
+    if (!wasUnloaded && forMs / tokens >= this.of(model)) return;
     const measured = Math.min(MAX_MS, Math.max(MIN_MS, forMs / tokens));
     const before = this.byModel.get(model);
     const next =
