--- a/packages/decisions/src/calls/calls.test.ts
+++ b/packages/decisions/src/calls/calls.test.ts
@@ -65,7 +65,12 @@
 
 void test('repeats stay within the ratio over the window, also with several hosts', () => {
   const clock = new VirtualClock();
-  const options = {clock, ratio: 0.5, extra: 8, windowMs: 10_000};
+  const options = {
+    clock,
+    ratio: () => 0.5,
+    extra: () => 8,
+    windowMs: 10_000,
+  };
   const budgets = [1, 2].map(
     () => new RetryBudget({...options, hosts: () => 2}),
   );
--- a/packages/decisions/src/calls/retry_budget.ts
+++ b/packages/decisions/src/calls/retry_budget.ts
@@ -8,10 +8,10 @@
 
 interface Options {
   readonly clock: Clock;
-  /** Repeats allowed per first attempt, over all hosts. */
-  readonly ratio: number;
+  /** Repeats allowed per first attempt, over all hosts; asked each time, as settings change. */
+  readonly ratio: () => number;
   /** Repeats allowed besides, over all hosts. */
-  readonly extra: number;
+  readonly extra: () => number;
   readonly windowMs: number;
   /** Hosts that share the allowance, this one included. */
   readonly hosts: () => number;
@@ -45,8 +45,8 @@
   /** Repeats that may still be sent now. */
   get left(): number {
     const {ratio, extra, hosts} = this.options;
-    const own = this.firsts.total * ratio * USED_PART;
-    const share = (extra * SHARED_EXTRA_PART) / Math.max(1, hosts());
+    const own = this.firsts.total * ratio() * USED_PART;
+    const share = (extra() * SHARED_EXTRA_PART) / Math.max(1, hosts());
     return own + share - this.repeats.total;
   }
 }
--- a/packages/gateway/src/calls/call_door.ts
+++ b/packages/gateway/src/calls/call_door.ts
@@ -31,9 +31,9 @@
   readonly ip: string;
   readonly port: number;
   /** Age of the configuration up to which keys are accepted, in ms. */
-  readonly maxKeyAgeMs: number;
+  readonly maxKeyAgeMs: () => number;
   /** Age of the configuration up to which an unknown route or key is refused as such, in ms. */
-  readonly maxDenialAgeMs: number;
+  readonly maxDenialAgeMs: () => number;
   /** Whether connections are closed behind their answers now. */
   readonly isClosing: () => boolean;
 }
@@ -205,7 +205,7 @@
     const id = request.headers[names.requestId];
     if (typeof id !== 'string' || id.includes(','))
       return {status: STATUS.BAD_REQUEST, reason: 'one request id is needed'};
-    const isCurrent = belief.ageMs <= maxDenialAgeMs;
+    const isCurrent = belief.ageMs <= maxDenialAgeMs();
     const route = belief.routes.find(
       request.headers.host ?? '',
       request.url ?? '',
@@ -218,7 +218,7 @@
     const key = request.headers[names.apiKey];
     const holder = typeof key === 'string' ? keys?.get(key) : undefined;
     if (keys && !route.isPublic) {
-      if (belief.ageMs > maxKeyAgeMs)
+      if (belief.ageMs > maxKeyAgeMs())
         return this.later('configuration too old to trust keys');
       if (!holder)
         return isCurrent
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -99,9 +99,11 @@
   private wasFresh = false;
   private wasReady = false;
   private isStopped = false;
+  private settings: GatewaySettings;
 
   constructor(private readonly options: Options) {
     const {settings, clock, random, log, store, reader, headerNames} = options;
+    this.settings = settings;
     this.mirrors = {
       [Topic.OPERATOR]: new TopicMirror(Topic.OPERATOR),
       [Topic.RUNNERS]: new TopicMirror(Topic.RUNNERS),
@@ -241,15 +243,15 @@
       }),
       ip: settings.ip,
       port: settings.callerPort,
-      maxKeyAgeMs: settings.keyBoundMs - KEY_MARGIN_MS,
-      maxDenialAgeMs: settings.configurationBoundMs,
+      maxKeyAgeMs: () => this.settings.keyBoundMs - KEY_MARGIN_MS,
+      maxDenialAgeMs: () => this.settings.configurationBoundMs,
       isClosing: () => this.leaving.isClosing,
     });
     this.leaving = new Leaving({
       clock,
       log,
       door: this.door,
-      graceMs: settings.graceMs,
+      graceMs: () => this.settings.graceMs,
     });
     this.readiness = new ReadinessServer({
       ip: settings.ip,
@@ -290,6 +292,21 @@
     });
   }
 
+  /**
+   * Takes over changed bounds without a restart. Addresses and names hold until the next start, as
+   * others know them.
+   */
+  applySettings(next: GatewaySettings, reason: string): void {
+    const changed = Object.entries(next)
+      .filter(([name, value]) => this.settings[name as never] !== value)
+      .map(([name]) => name);
+    this.settings = next;
+    this.options.log.write('settings_reloaded', {
+      reason,
+      changed: changed.join(' '),
+    });
+  }
+
   /** Stops in good order within the grace period. */
   async leave(reason: string): Promise<void> {
     await this.leaving.run(reason);
@@ -315,7 +332,7 @@
       !this.leaving.hasBegun &&
       this.belief.current !== undefined &&
       this.directory.all().length > 0 &&
-      this.belief.ageMs < this.options.settings.keyBoundMs - KEY_MARGIN_MS;
+      this.belief.ageMs < this.settings.keyBoundMs - KEY_MARGIN_MS;
     if (isReady !== this.wasReady) {
       this.wasReady = isReady;
       const reason = this.leaving.hasBegun
@@ -357,8 +374,8 @@
     const {clock, settings} = this.options;
     const budget = new RetryBudget({
       clock,
-      ratio: settings.retryRatio,
-      extra: settings.retryExtra,
+      ratio: () => this.settings.retryRatio,
+      extra: () => this.settings.retryExtra,
       windowMs: settings.retryWindowMs,
       hosts: () => this.roster.living().length,
     });
@@ -466,7 +483,7 @@
     this.sweepTimer = clock.after(SWEEP_MS, () => this.sweep());
     for (const {pool} of this.directory.all()) pool.sweep();
     const ageMs = Math.round(this.belief.ageMs);
-    const boundMs = this.options.settings.keyBoundMs - KEY_MARGIN_MS;
+    const boundMs = this.settings.keyBoundMs - KEY_MARGIN_MS;
     const isFresh = ageMs <= boundMs;
     if (isFresh === this.wasFresh) return;
     this.wasFresh = isFresh;
--- a/packages/gateway/src/lifecycle/leaving.ts
+++ b/packages/gateway/src/lifecycle/leaving.ts
@@ -8,7 +8,7 @@
   readonly log: EventLog;
   readonly door: CallDoor;
   /** Time until the process is killed, in ms. */
-  readonly graceMs: number;
+  readonly graceMs: () => number;
 }
 
 /** Time in which the balancer still sends new connections: two looks a second apart, and slack, in ms. */
@@ -34,7 +34,8 @@
 
   /** Resolves when nothing is open any more, or the grace period is nearly over. */
   async run(reason: string): Promise<void> {
-    const {clock, log, door, graceMs} = this.options;
+    const {clock, log, door} = this.options;
+    const graceMs = this.options.graceMs();
     const startedAt = clock.now();
     this.began = true;
     log.write('process_stopping', {reason, open: door.openCalls, graceMs});
