--- a/packages/gateway/src/calls/call_forwarder.ts
+++ b/packages/gateway/src/calls/call_forwarder.ts
@@ -103,7 +103,12 @@
     const {directory, rollouts, chooser} = this.options;
     const {call, tried} = progress;
     const takers = directory.takersOf(call.service);
-    const wish = rollouts.wishFor(call.service, call.id, call.session);
+    const wish = rollouts.wishFor({
+      service: call.service,
+      key: call.id,
+      session: call.session,
+      failedVersion: progress.failedVersion,
+    });
     const held = directory.unexplainedVersions(call.service);
     const wished = takers.filter(({entry: {version}}) =>
       wish.only !== undefined
--- a/packages/gateway/src/calls/call_progress.ts
+++ b/packages/gateway/src/calls/call_progress.ts
@@ -23,6 +23,8 @@
   sent = 0;
   /** Whether a runner may have run the request. */
   mayHaveRun = false;
+  /** The version of the runner that failed last. */
+  failedVersion: string | undefined;
   /** The last answer of a runner that failed, which can still be passed on. */
   lastError: WholeAnswer | undefined;
 
@@ -38,8 +40,10 @@
     if (wasSent) this.sent += 1;
     if (outcome.kind !== AttemptKind.WEAK) this.tried.add(runner.entry.id);
     if (outcome.kind !== AttemptKind.NOT_RUN) this.mayHaveRun = true;
-    if (outcome.kind === AttemptKind.RUNNER_ERROR)
+    if (outcome.kind === AttemptKind.RUNNER_ERROR) {
       this.lastError = outcome.answer;
+      this.failedVersion = runner.entry.version;
+    }
     if (outcome.kind === AttemptKind.BROKEN) this.lastError = undefined;
   }
 }
--- a/packages/gateway/src/rollouts/rollout_book.ts
+++ b/packages/gateway/src/rollouts/rollout_book.ts
@@ -27,6 +27,16 @@
   readonly notedElapsedMs: (order: RolloutOrder) => number;
 }
 
+/** A call that needs a version. */
+interface Wisher {
+  readonly service: string;
+  /** Names the call; decides where it has no session. */
+  readonly key: string;
+  readonly session?: string;
+  /** The version that answered an earlier attempt with a failure. */
+  readonly failedVersion?: string;
+}
+
 /** What version a call should have. */
 interface VersionWish {
   /** Only this version. */
@@ -63,13 +73,15 @@
    * Which version a call of a service gets: a pure function of session, roll-out and time since the
    * order, so that all hosts agree; sessions that run keep theirs.
    */
-  wishFor(service: string, key: string, session?: string): VersionWish {
+  wishFor({service, key, session, failedVersion}: Wisher): VersionWish {
     const rollout = this.rollouts.get(service);
     if (!rollout) return {};
     const {version} = rollout.order;
     const {share} = rollout;
     if (share === 0) return {not: version};
     if (share === 1) return {only: version};
+    // A call that failed there is not tried on the watched version again.
+    if (failedVersion === version) return {not: version};
     if (this.isFresh(rollout, key, session)) return {only: version};
     return {not: version};
   }
--- a/packages/gateway/src/rollouts/rollouts.test.ts
+++ b/packages/gateway/src/rollouts/rollouts.test.ts
@@ -129,3 +129,19 @@
   assert.equal(late.received.length, 0);
   late.stop();
 });
+
+void test('a call that fails on the watched version is answered by the old one', async () => {
+  const other = new ScriptedRunner({id: 'fresh-2', version: 'v2'});
+  const fail: ScriptedRunner['script'] = ({id}, response) =>
+    response.writeHead(500, {[names.requestId]: id}).end();
+  fresh.script = other.script = fail;
+  await fixture.addRunner(other);
+  order(60_000);
+  await fixture.startHost({sessionKeptMs: 10});
+  await fixture.waitReady();
+  const statuses = new Set<number>();
+  for (let i = 0; i < 60; i++) statuses.add((await fixture.call()).status);
+  assert.ok(fresh.received.length + other.received.length > 0);
+  assert.deepEqual([...statuses], [200]);
+  other.stop();
+});
