A caller's own key that falls to a place without hosts is claimed by any host

Cause: keys have a home place by hash over the configuration's places, and only hosts of that place claimed them; in the demo, whose second place has no host, half of a newcomer's keys got 503. The order of the place's stream in the log decides between claims, so any host may make them.

--- a/packages/daemon/src/callers/callers_plugin.ts
+++ b/packages/daemon/src/callers/callers_plugin.ts
@@ -25,6 +25,7 @@
 import {ClaimKeeper} from './tickets/claim_keeper.js';
 import {KeyedAnswers} from './tickets/keyed_answers.js';
 import {Successors} from './tickets/successors.js';
+import {VacantPlaceClaims} from './tickets/vacant_place_claims.js';
 
 const sections = {
   callers: {
@@ -164,18 +165,26 @@
       keepMs: tickets.keep,
       bytesMost: tickets.memory,
     });
-    const claims = new ClaimKeeper({
-      clock,
-      random,
-      logger,
-      metrics,
-      identity,
-      log: container.get(daemonTokens.log),
-      seal: seals.records,
-      windowMs: tickets.window,
-      pollMs: tickets['claim-poll'],
-      timeoutMs: tickets['claim-timeout'],
-    });
+    const createKeeper = (place: string) =>
+      new ClaimKeeper({
+        clock,
+        random,
+        logger,
+        identity,
+        place,
+        log: container.get(daemonTokens.log),
+        seal: seals.records,
+        windowMs: tickets.window,
+        pollMs: tickets['claim-poll'],
+        timeoutMs: tickets['claim-timeout'],
+      });
+    const claims = createKeeper(identity.place);
+    const vacantClaims = new VacantPlaceClaims({createKeeper});
+    metrics.observe(
+      'claims_kept',
+      "Callers' own keys that are claimed in this place.",
+      () => claims.size,
+    );
     const successors = new Successors({
       logger,
       identity,
@@ -195,6 +204,7 @@
       methods,
       home,
       claims,
+      vacantClaims,
       successors,
       dispatcher,
       seal: seals.tickets,
@@ -225,7 +235,7 @@
       requestTimeoutMs: callers['request-timeout'],
       drainMs: callers.drain,
     });
-    for (const service of [claims, keyed, door])
+    for (const service of [claims, vacantClaims, keyed, door])
       container.bind(tokens.service).toConstantValue(service);
   },
 };
--- a/packages/daemon/src/callers/tickets/claim_keeper.ts
+++ b/packages/daemon/src/callers/tickets/claim_keeper.ts
@@ -12,7 +12,6 @@
   sleep,
   type Clock,
   type Logger,
-  type Metrics,
   type RandomSource,
   type Service,
 } from '@bayspool/kernel';
@@ -22,8 +21,9 @@
   readonly clock: Clock;
   readonly random: RandomSource;
   readonly logger: Logger;
-  readonly metrics: Metrics;
   readonly identity: HostIdentity;
+  /** The place in whose stream keys are claimed. */
+  readonly place: string;
   readonly log: Log;
   readonly seal: Sealer;
   /** How long a key stays claimed, in ms; shorter than the log's retention. */
@@ -37,7 +37,7 @@
 const BACKOFF_FIRST_MS = 100;
 const BACKOFF_MOST_MS = 3_000;
 
-/** Claims callers' own keys in the log stream of this place: the first claim in the log's order wins. */
+/** Claims callers' own keys in the log stream of a place: the first claim in the log's order wins. */
 export class ClaimKeeper implements Service {
   readonly name = 'claim keeper';
   private readonly stopping = new AbortController();
@@ -51,12 +51,7 @@
   constructor(private readonly options: Options) {
     const table = new ClaimTable(options.windowMs);
     this.table = table;
-    this.stream = `claims.${options.identity.place}`;
-    options.metrics.observe(
-      'claims_kept',
-      "Callers' own keys that are claimed in this place.",
-      () => table.size,
-    );
+    this.stream = `claims.${options.place}`;
   }
 
   /** Claims a key and gives the claim that won, once it was read back. Nothing was dispatched when this fails. */
@@ -84,6 +79,11 @@
     return this.table.winner(key)!;
   }
 
+  /** Keys that are claimed, as far as this host has read. */
+  get size(): number {
+    return this.table.size;
+  }
+
   /** Whether the key was claimed, as far as this host has read. */
   knows(key: string): boolean {
     return this.table.winner(key) !== undefined;
--- a/packages/daemon/src/callers/tickets/keyed_answers.ts
+++ b/packages/daemon/src/callers/tickets/keyed_answers.ts
@@ -28,6 +28,7 @@
 import {CallMessage} from './call_message.js';
 import type {ClaimKeeper} from './claim_keeper.js';
 import {keyProblems} from './key_problems.js';
+import type {VacantPlaceClaims} from './vacant_place_claims.js';
 import type {Successors} from './successors.js';
 
 interface Options {
@@ -42,6 +43,7 @@
   readonly seal: TicketSeal;
   readonly home: AnswerHome;
   readonly claims: ClaimKeeper;
+  readonly vacantClaims: VacantPlaceClaims;
   readonly successors: Successors;
   readonly dispatcher: CallDispatcher;
   /** How long a ticket may be used, in ms. */
@@ -130,9 +132,16 @@
   ): Promise<StoredAnswer> {
     const {identity, store, membership} = this.options;
     const [place] = rendezvous(Object.keys(store.current.places), key, 1);
-    if (place === identity.place) return this.claimAndAnswer(key, call);
-    const hosts =
-      membership.digests().find(digest => digest.place === place)?.hosts ?? [];
+    if (place === identity.place)
+      return this.claimAndAnswer(key, call, () =>
+        this.options.claims.claim(key),
+      );
+    const digest = membership.digests().find(one => one.place === place);
+    if (!digest)
+      return this.claimAndAnswer(key, call, () =>
+        this.options.vacantClaims.claim(place, key),
+      );
+    const {hosts} = digest;
     const [target] = rendezvous(
       hosts.filter(host => !host.leaving).map(host => host.address),
       key,
@@ -145,10 +154,11 @@
   private async claimAndAnswer(
     key: string,
     call: CallerCall,
+    claim: () => Promise<Claim>,
   ): Promise<StoredAnswer> {
     let winner: Claim;
     try {
-      winner = await this.options.claims.claim(key);
+      winner = await claim();
     } catch (error) {
       throw (await this.isUnused(key))
         ? error
@@ -177,7 +187,9 @@
 
   private knowsKey(key: string): boolean {
     return (
-      this.options.claims.knows(key) || this.options.home.memory.knows(key)
+      this.options.claims.knows(key) ||
+      this.options.vacantClaims.knows(key) ||
+      this.options.home.memory.knows(key)
     );
   }
 
@@ -290,9 +302,9 @@
       ({key: asked}) => !this.knowsKey(asked),
     );
     methods.add(answerMethods.claim, params, ({key, call}) =>
-      this.claimAndAnswer(key, this.toCall(call)).catch(error =>
-        storeAnswer(errorAnswer(error, call.id)),
-      ),
+      this.claimAndAnswer(key, this.toCall(call), () =>
+        this.options.claims.claim(key),
+      ).catch(error => storeAnswer(errorAnswer(error, call.id))),
     );
   }
 
