Split the call forwarder by what it does

AttemptLessons, RepeatRule and FinalAnswer now hold one of these each; the forwarder keeps the loop over attempts. No change of behaviour.

--- /dev/null
+++ b/packages/gateway/src/calls/attempt_lessons.ts
@@ -0,0 +1,117 @@
+import {RolloutPhase} from '@bayspool/decisions/calls';
+import type {SessionVersions} from '@bayspool/decisions/calls';
+import type {RunnerDirectory} from '../beliefs/runner_directory.js';
+import type {EventLog} from '../observability/event_log.js';
+import type {GatewayMetrics} from '../observability/gateway_metrics.js';
+import type {RolloutBook} from '../rollouts/rollout_book.js';
+import type {ReadingRates} from '../runners/reading_rates.js';
+import type {Runner} from '../runners/runner.js';
+import type {RunnerChoice} from '../runners/runner_choice.js';
+import {AttemptKind} from './attempt_kind.js';
+import type {AttemptOutcome} from './attempt_outcome.js';
+import type {AttemptTiming} from './attempt_timing.js';
+import type {CallProgress} from './call_progress.js';
+import {roundHundredths} from './round_hundredths.js';
+
+interface Options {
+  readonly log: EventLog;
+  readonly metrics: GatewayMetrics;
+  readonly directory: RunnerDirectory;
+  readonly rollouts: RolloutBook;
+  readonly sessions: SessionVersions;
+  readonly rates: ReadingRates;
+}
+
+/** Weight of a runner's silence to a call's end among its failures: enough to eject it. */
+const SILENT_WEIGHT = 2.5;
+
+/** What an attempt teaches: the health and speed of its runner, and evidence on its version. */
+export class AttemptLessons {
+  constructor(private readonly options: Options) {}
+
+  /** Takes the outcome into what is believed of the runner and its version. */
+  learn(
+    progress: CallProgress,
+    choice: RunnerChoice,
+    outcome: AttemptOutcome,
+    {firstMs, expectedMs, isUnloaded, wasQuiet}: AttemptTiming,
+  ): void {
+    const {metrics, rates, sessions} = this.options;
+    const {call, model} = progress;
+    const {runner} = choice;
+    const service = call.service;
+    metrics.attempts.inc({service, outcome: outcome.kind});
+    if (call.session !== undefined)
+      sessions.set(call.session, runner.entry.version);
+    if (firstMs !== undefined && call.prompt) {
+      runner.learnSlowness(firstMs, expectedMs);
+      if (model !== undefined)
+        rates.learn(model, choice.unreadTokens, firstMs, isUnloaded);
+    } else if (firstMs !== undefined) {
+      runner.learnSlowness(firstMs, call.route.latencyTargetMs / 2);
+    }
+    const hasFailed = isFailure(outcome.kind);
+    if (outcome.kind === AttemptKind.ENDED) {
+      // A runner that sent nothing until the time limit is as good as gone.
+      if (wasQuiet)
+        this.countFailure(runner, 'silent to the end', SILENT_WEIGHT);
+      return;
+    }
+    if (outcome.kind === AttemptKind.NOT_RUN) {
+      if (outcome.status === undefined && outcome.reason !== 'saturated')
+        this.countFailure(runner, outcome.reason, 2);
+      return;
+    }
+    if (hasFailed) this.countFailure(runner, outcome.reason, 1);
+    else runner.health.countOk();
+    this.noteEvidence(progress, runner, hasFailed, firstMs);
+  }
+
+  private noteEvidence(
+    {call, model}: CallProgress,
+    runner: Runner,
+    hasFailed: boolean,
+    firstMs: number | undefined,
+  ): void {
+    const rollout = this.options.rollouts.get(call.service);
+    if (!rollout || rollout.phase !== RolloutPhase.ACTIVE) return;
+    const isFresh = runner.entry.version === rollout.order.version;
+    const cell = `${call.route.name}/${model ?? ''}`;
+    rollout.evidence.note(cell, isFresh, hasFailed, firstMs);
+  }
+
+  private countFailure(runner: Runner, reason: string, weight: number): void {
+    const {directory, log} = this.options;
+    const {health, remote, entry} = runner;
+    health.countFailure(weight);
+    const others = directory
+      .takersOf(entry.service)
+      .filter(other => other !== runner);
+    const ok = sum(others, ({ownLoad, remote: far}) => ownLoad.ok + far.ok);
+    const failed = sum(
+      others,
+      ({ownLoad, remote: far}) => ownLoad.failed + far.failed,
+    );
+    const othersShare = failed / Math.max(1, ok + failed);
+    const ownFailed = health.failedWeight;
+    const forMs = health.ejectIfWorse(othersShare, remote.ok, remote.failed);
+    if (forMs === undefined) return;
+    log.write('runner_ejected', {
+      runner: entry.id,
+      service: entry.service,
+      forMs,
+      ownFailed: roundHundredths(ownFailed),
+      remoteFailed: roundHundredths(remote.failed),
+      othersShare: roundHundredths(othersShare),
+      reason,
+    });
+  }
+}
+
+function isFailure(kind: AttemptKind): boolean {
+  return kind === AttemptKind.RUNNER_ERROR || kind === AttemptKind.BROKEN;
+}
+
+function sum(runners: Runner[], read: (runner: Runner) => number): number {
+  return runners.reduce((total, runner) => total + read(runner), 0);
+}
--- /dev/null
+++ b/packages/gateway/src/calls/final_answer.ts
@@ -0,0 +1,106 @@
+import type {Clock, RandomSource} from '@bayspool/kernel';
+import type {EventLog} from '../observability/event_log.js';
+import type {GatewayMetrics} from '../observability/gateway_metrics.js';
+import type {Runner} from '../runners/runner.js';
+import type {AttemptOutcome} from './attempt_outcome.js';
+import type {CallProgress} from './call_progress.js';
+import type {CallerAnswer} from './caller_answer.js';
+import type {OwnAnswer} from './own_answer.js';
+import {chooseRetryAfter} from './retry_after.js';
+
+interface Options {
+  readonly clock: Clock;
+  readonly random: RandomSource;
+  readonly log: EventLog;
+  readonly metrics: GatewayMetrics;
+}
+
+/** What is said to a caller when nothing else can be. */
+const STATUS = {BAD_GATEWAY: 502, UNAVAILABLE: 503, GATEWAY_TIMEOUT: 504};
+
+/** The end of a call towards its caller: the last answer, its log entry and its metrics. */
+export class FinalAnswer {
+  constructor(private readonly options: Options) {}
+
+  /** Records an answered call; an answer that was received whole is sent now. */
+  answer(
+    progress: CallProgress,
+    outcome: AttemptOutcome,
+    runner: Runner,
+    caller: CallerAnswer,
+  ): void {
+    const {clock, log, metrics} = this.options;
+    const {call} = progress;
+    if (outcome.answer && !caller.isClosed) caller.sendWhole(outcome.answer);
+    const route = call.route.name;
+    const firstAt = caller.firstByteAt ?? clock.now();
+    const forMs = clock.now() - call.acceptedAt;
+    metrics.requests.inc({route, outcome: 'answered', reason: ''});
+    metrics.firstSeconds.observe({route}, (firstAt - call.acceptedAt) / 1000);
+    metrics.totalSeconds.observe({route}, forMs / 1000);
+    log.write('request_answered', {
+      request: call.id,
+      status: outcome.status ?? 0,
+      attempts: progress.tries,
+      runner: runner.entry.id,
+      events: caller.events || undefined,
+      firstMs: Math.round(firstAt - call.acceptedAt),
+      longestPauseMs: caller.events
+        ? Math.round(caller.longestPauseMs)
+        : undefined,
+      forMs: Math.round(forMs),
+    });
+  }
+
+  /** Gives the final answer of a call that no runner answered well. */
+  finish(progress: CallProgress, caller: CallerAnswer, reason: string): void {
+    const {clock, log, metrics} = this.options;
+    const {call} = progress;
+    const forMs = Math.round(clock.now() - call.acceptedAt);
+    const attempts = progress.tries;
+    const request = call.id;
+    const route = call.route.name;
+    const why = reasonLabel(reason);
+    if (reason === 'caller left') {
+      metrics.requests.inc({route, outcome: 'left', reason: why});
+      log.write('caller_left', {request, attempts, forMs});
+      return;
+    }
+    if (caller.hasBegun) {
+      caller.cut();
+      metrics.requests.inc({route, outcome: 'cut', reason: why});
+      const lastEvent = caller.lastEventId;
+      log.write('request_cut', {request, reason, attempts, lastEvent, forMs});
+      return;
+    }
+    const failed = progress.lastError;
+    if (failed && !caller.isClosed) caller.sendWhole(failed);
+    const own = this.ownAnswer(progress, reason);
+    if (!failed && !caller.isClosed) caller.sendOwn(own);
+    metrics.requests.inc({route, outcome: 'failed', reason: why});
+    log.write('request_failed', {
+      request,
+      status: failed?.status ?? own.status,
+      reason,
+      attempts,
+      hasRun: progress.mayHaveRun ? 'maybe' : 'no',
+      retryAfterMs: failed ? undefined : own.retryAfterMs,
+      forMs,
+    });
+  }
+
+  private ownAnswer(progress: CallProgress, reason: string): OwnAnswer {
+    if (!progress.mayHaveRun) {
+      const retryAfterMs = Math.round(chooseRetryAfter(this.options.random));
+      return {status: STATUS.UNAVAILABLE, reason, retryAfterMs};
+    }
+    const status =
+      reason === 'time limit' ? STATUS.GATEWAY_TIMEOUT : STATUS.BAD_GATEWAY;
+    return {status, reason};
+  }
+}
+
+/** Reasons as metric labels: a bounded set, without numbers. */
+function reasonLabel(reason: string): string {
+  return reason.replace(/[^a-zA-Z ]+/g, '').trim();
+}
--- /dev/null
+++ b/packages/gateway/src/calls/repeat_rule.ts
@@ -0,0 +1,105 @@
+import {CallKind, isRepeatable} from '@bayspool/decisions/calls';
+import type {CascadeRule, RetryBudget} from '@bayspool/decisions/calls';
+import type {Clock} from '@bayspool/kernel';
+import type {RunnerDirectory} from '../beliefs/runner_directory.js';
+import type {EventLog} from '../observability/event_log.js';
+import type {GatewayMetrics} from '../observability/gateway_metrics.js';
+import type {Runner} from '../runners/runner.js';
+import {AttemptKind} from './attempt_kind.js';
+import type {AttemptOutcome} from './attempt_outcome.js';
+import type {CallProgress} from './call_progress.js';
+import {roundHundredths} from './round_hundredths.js';
+
+interface Options {
+  readonly clock: Clock;
+  readonly log: EventLog;
+  readonly metrics: GatewayMetrics;
+  readonly directory: RunnerDirectory;
+  readonly cascade: CascadeRule;
+  /** The retry budget of a service. */
+  readonly budgetOf: (service: string) => RetryBudget;
+}
+
+/** Time under which another attempt cannot bring an answer, in ms. */
+const MIN_LEFT_MS = 30;
+/** Attempts that were not run do not count as such; this bounds them. */
+const MAX_TRIES = 10;
+
+/** Whether a call may be sent to a runner once more. */
+export class RepeatRule {
+  constructor(private readonly options: Options) {}
+
+  /** Whether the call may be sent once more after this outcome, and spends the budget for it. */
+  mayRepeat(progress: CallProgress, outcome: AttemptOutcome): boolean {
+    const {clock, log, metrics, budgetOf} = this.options;
+    const {call} = progress;
+    const leftMs = call.deadlineAt - clock.now();
+    const budget = budgetOf(call.service);
+    const again =
+      this.isRepeatAllowed(progress, outcome, leftMs) &&
+      this.spend(progress, outcome, budget);
+    log.write('retry_decided', {
+      request: call.id,
+      attempt: progress.tries,
+      again,
+      reason: outcome.reason,
+      budgetLeft: roundHundredths(budget.left),
+      leftMs: Math.round(leftMs),
+    });
+    if (!again) return false;
+    if (outcome.kind === AttemptKind.WEAK)
+      progress.model = this.options.cascade.strongestModel(call.route);
+    metrics.repeats.inc({service: call.service, reason: outcome.kind});
+    return true;
+  }
+
+  private spend(
+    progress: CallProgress,
+    outcome: AttemptOutcome,
+    budget: RetryBudget,
+  ): boolean {
+    // Nothing arrived at a runner whose connection did not come up.
+    if (outcome.kind === AttemptKind.NOT_RUN && outcome.status === undefined)
+      return true;
+    if (budget.trySpend()) return true;
+    const {id: request, service} = progress.call;
+    this.options.log.write('budget_spent', {request, service});
+    return false;
+  }
+
+  private isRepeatAllowed(
+    progress: CallProgress,
+    outcome: AttemptOutcome,
+    leftMs: number,
+  ): boolean {
+    const {call} = progress;
+    if (leftMs < MIN_LEFT_MS || progress.tries >= MAX_TRIES) return false;
+    if (progress.sent >= call.route.attempts) return false;
+    if (outcome.kind === AttemptKind.NOT_RUN) return true;
+    if (outcome.kind === AttemptKind.WEAK) return true;
+    return isRepeatable(call.route.kind);
+  }
+
+  /** Whether an answer of a small model may be dropped for one of the largest. */
+  canEscalate(progress: CallProgress): boolean {
+    const {clock, budgetOf} = this.options;
+    const {call} = progress;
+    if (call.route.kind !== CallKind.RESUMABLE) return false;
+    if (progress.sent + 1 >= call.route.attempts) return false;
+    if (call.deadlineAt - clock.now() < MIN_LEFT_MS) return false;
+    return budgetOf(call.service).left >= 1;
+  }
+
+  /** Whether another runner could take the call if this one falls silent. */
+  canMove(progress: CallProgress, from: Runner): boolean {
+    const {call} = progress;
+    if (progress.sent + 1 >= call.route.attempts) return false;
+    if (this.options.budgetOf(call.service).left < 1) return false;
+    return this.options.directory
+      .takersOf(call.service)
+      .some(
+        runner =>
+          runner !== from && !runner.health.isEjected && !runner.isQuiet,
+      );
+  }
+}
