Split the door for callers: checking a request, making it a call

It was hard to read: one function of fifty lines made eight checks and looked up two things between them, in a class that also runs the HTTP server. No change of behaviour.

--- /dev/null
+++ b/packages/gateway/src/calls/admission.ts
@@ -0,0 +1,8 @@
+import type {CallRoute, KeyHolder} from '@bayspool/decisions/calls';
+
+/** What a request that may run was found to be for. */
+export interface Admission {
+  readonly route: CallRoute;
+  /** Whose key it came with, if it came with a known one. */
+  readonly holder?: KeyHolder;
+}
--- a/packages/gateway/src/calls/call_door.ts
+++ b/packages/gateway/src/calls/call_door.ts
@@ -1,12 +1,7 @@
 import {createServer} from 'node:http';
 import type {IncomingMessage, Server, ServerResponse} from 'node:http';
 import type {Socket} from 'node:net';
-import {chooseService} from '@bayspool/decisions/calls';
-import type {
-  CallConfiguration,
-  CallRoute,
-  KeyHolder,
-} from '@bayspool/decisions/calls';
+import type {CallConfiguration} from '@bayspool/decisions/calls';
 import type {Clock, RandomSource} from '@bayspool/kernel';
 import type {ConfigurationBelief} from '../beliefs/configuration_belief.js';
 import type {EventLog} from '../observability/event_log.js';
@@ -17,8 +12,9 @@
 import type {IncomingCall} from './incoming_call.js';
 import type {OwnAnswer} from './own_answer.js';
 import {readBody} from './read_body.js';
-import {readPrompt} from './read_prompt.js';
-import {chooseRetryAfter} from './retry_after.js';
+import {readNumber} from './read_number.js';
+import {RequestCheck} from './request_check.js';
+import {toCall} from './to_call.js';
 
 interface Options {
   readonly clock: Clock;
@@ -38,31 +34,29 @@
   readonly isClosing: () => boolean;
 }
 
-const STATUS = {
-  BAD_REQUEST: 400,
-  UNAUTHORIZED: 401,
-  NOT_FOUND: 404,
-  TOO_LARGE: 413,
-  MISDIRECTED: 421,
-  HEADERS_TOO_LARGE: 431,
-  UNAVAILABLE: 503,
-};
+/** The status of a body over the bound, which is known only after the other checks. */
+const TOO_LARGE = 413;
 /** Room for headers over the largest configured bound, in bytes; above it Node refuses by itself. */
 const MAX_HEADER_BYTES = 65_536;
 /** Bodies accepted before a configuration is known, in bytes. */
 const DEFAULT_BODY_BYTES = 1_048_576;
-/** The value by which a caller leaves the model open. */
-const ANY_MODEL = '*';
-/** Time kept back from a caller's deadline for the answer's way, in ms. */
-const ANSWER_WAY_MS = 10;
 
 /** The HTTP server for callers: checks a request, finds its route and hands it to the forwarder. */
 export class CallDoor {
   private readonly server: Server;
+  private readonly checks: RequestCheck;
   private readonly open = new Map<ServerResponse, AbortController>();
   private readonly sockets = new Set<Socket>();
 
   constructor(private readonly options: Options) {
+    const {random, names, belief, maxKeyAgeMs, maxDenialAgeMs} = options;
+    this.checks = new RequestCheck({
+      random,
+      names,
+      belief,
+      maxKeyAgeMs,
+      maxDenialAgeMs,
+    });
     this.server = createServer(
       {maxHeaderSize: MAX_HEADER_BYTES, noDelay: true},
       (request, response) => this.take(request, response),
@@ -72,7 +66,7 @@
       this.refuseFraming(error, socket as Socket),
     );
     this.server.on('connection', socket => this.noteSocket(socket));
-    options.belief.onChange(configuration => this.applyLimits(configuration));
+    belief.onChange(configuration => this.applyLimits(configuration));
   }
 
   /** Requests that are not answered yet. */
@@ -80,6 +74,7 @@
     return this.open.size;
   }
 
+  /** Listens for callers. */
   start(): Promise<void> {
     const {ip, port} = this.options;
     return new Promise((resolve, reject) => {
@@ -101,6 +96,7 @@
     return count;
   }
 
+  /** Closes all connections at once. */
   stop(): void {
     this.server.close();
     this.server.closeAllConnections();
@@ -163,9 +159,8 @@
       closesAfter: this.options.isClosing,
       retryAfterName: 'retry-after',
     });
-    const refusal = this.check(request);
-    if (!('route' in refusal)) return this.refuse(request, caller, refusal);
-    const {route, holder} = refusal;
+    const verdict = this.checks.check(request);
+    if (!('route' in verdict)) return this.refuse(request, caller, verdict);
     const limits = belief.current?.limits;
     const body = await readBody(
       request,
@@ -174,10 +169,10 @@
     if (body === 'broken') return;
     if (body === 'too-large')
       return this.refuse(request, caller, {
-        status: STATUS.TOO_LARGE,
+        status: TOO_LARGE,
         reason: 'body over the limit of the configuration',
       });
-    const call = this.toCall(request, body, route, holder, acceptedAt);
+    const call = toCall({request, body, admission: verdict, names, acceptedAt});
     this.noteAccepted(call);
     const timer = clock.after(call.deadlineAt - clock.now(), () =>
       controller.abort('time limit'),
@@ -189,55 +184,6 @@
     }
   }
 
-  /** The route and the key's holder, or why the request is refused; it has not run then. */
-  private check(
-    request: IncomingMessage,
-  ): {route: CallRoute; holder?: KeyHolder} | OwnAnswer {
-    const {belief, names, maxDenialAgeMs, maxKeyAgeMs} = this.options;
-    const configuration = belief.current;
-    if (!configuration) return this.later('no configuration yet');
-    const headerBytes = request.rawHeaders.reduce(
-      (sum, text) => sum + text.length + 2,
-      0,
-    );
-    if (headerBytes > configuration.limits.headerBytes)
-      return {status: STATUS.HEADERS_TOO_LARGE, reason: 'headers too large'};
-    const id = request.headers[names.requestId];
-    if (typeof id !== 'string' || id.includes(','))
-      return {status: STATUS.BAD_REQUEST, reason: 'one request id is needed'};
-    const isCurrent = belief.ageMs <= maxDenialAgeMs();
-    const route = belief.routes.find(
-      request.headers.host ?? '',
-      request.url ?? '',
-    );
-    if (!route)
-      return isCurrent
-        ? {status: STATUS.NOT_FOUND, reason: 'no route'}
-        : this.later('no route in an old configuration');
-    const {keys} = configuration;
-    const key = request.headers[names.apiKey];
-    const holder = typeof key === 'string' ? keys?.get(key) : undefined;
-    if (keys && !route.isPublic) {
-      if (belief.ageMs > maxKeyAgeMs())
-        return this.later('configuration too old to trust keys');
-      if (!holder)
-        return isCurrent
-          ? {status: STATUS.UNAUTHORIZED, reason: 'unknown key'}
-          : this.later('unknown key in an old configuration');
-    }
-    if (route.models.length > 0 && request.headers[names.model] !== ANY_MODEL)
-      return {
-        status: STATUS.MISDIRECTED,
-        reason: 'the model must be left open',
-      };
-    return {route, holder};
-  }
-
-  private later(reason: string): OwnAnswer {
-    const retryAfterMs = Math.round(chooseRetryAfter(this.options.random));
-    return {status: STATUS.UNAVAILABLE, reason, retryAfterMs};
-  }
-
   private refuse(
     request: IncomingMessage,
     caller: CallerAnswer,
@@ -259,43 +205,6 @@
     });
   }
 
-  private toCall(
-    request: IncomingMessage,
-    body: Buffer,
-    route: CallRoute,
-    holder: KeyHolder | undefined,
-    acceptedAt: number,
-  ): IncomingCall {
-    const {names} = this.options;
-    const {headers} = request;
-    const id = String(headers[names.requestId]);
-    const deadlineMs = readNumber(request, names.deadline) ?? Infinity;
-    const session = headers[names.session];
-    const model = headers[names.model];
-    const sessionId = typeof session === 'string' ? session : undefined;
-    return {
-      id,
-      method: request.method ?? 'GET',
-      path: request.url ?? '/',
-      rawHeaders: request.rawHeaders,
-      body,
-      route,
-      service: chooseService(route, sessionId ?? id),
-      workspace: holder?.workspace,
-      priority: holder?.priority ?? route.priority,
-      acceptedAt,
-      deadlineAt:
-        acceptedAt + Math.min(deadlineMs - ANSWER_WAY_MS, route.timeLimitMs),
-      prompt: readPrompt(
-        asText(headers[names.promptSize]),
-        asText(headers[names.promptParts]),
-      ),
-      session: sessionId,
-      model: typeof model === 'string' ? model : undefined,
-      lastEventId: readNumber(request, names.lastEventId),
-    };
-  }
-
   private noteAccepted(call: IncomingCall): void {
     const {log, belief} = this.options;
     log.write('request_accepted', {
@@ -311,17 +220,3 @@
     });
   }
 }
-
-function asText(value: string | string[] | undefined): string | undefined {
-  return typeof value === 'string' ? value : undefined;
-}
-
-function readNumber(
-  request: IncomingMessage,
-  name: string,
-): number | undefined {
-  const text = request.headers[name];
-  if (typeof text !== 'string' || text === '') return undefined;
-  const value = Number(text);
-  return Number.isFinite(value) ? value : undefined;
-}
--- /dev/null
+++ b/packages/gateway/src/calls/to_call.ts
@@ -0,0 +1,61 @@
+import type {IncomingMessage} from 'node:http';
+import {chooseService} from '@bayspool/decisions/calls';
+import type {Admission} from './admission.js';
+import type {HeaderNames} from './header_names.js';
+import type {IncomingCall} from './incoming_call.js';
+import {readNumber} from './read_number.js';
+import {readPrompt} from './read_prompt.js';
+
+interface Options {
+  readonly request: IncomingMessage;
+  readonly body: Buffer;
+  readonly admission: Admission;
+  readonly names: HeaderNames;
+  /** When the request arrived, on this host's clock. */
+  readonly acceptedAt: number;
+}
+
+/** Time kept back from a caller's deadline for the answer's way, in ms. */
+const ANSWER_WAY_MS = 10;
+
+/** The call that an admitted request makes. */
+export function toCall({
+  request,
+  body,
+  admission,
+  names,
+  acceptedAt,
+}: Options): IncomingCall {
+  const {route, holder} = admission;
+  const {headers} = request;
+  const id = String(headers[names.requestId]);
+  const deadlineMs = readNumber(request, names.deadline) ?? Infinity;
+  const session = headers[names.session];
+  const model = headers[names.model];
+  const sessionId = typeof session === 'string' ? session : undefined;
+  return {
+    id,
+    method: request.method ?? 'GET',
+    path: request.url ?? '/',
+    rawHeaders: request.rawHeaders,
+    body,
+    route,
+    service: chooseService(route, sessionId ?? id),
+    workspace: holder?.workspace,
+    priority: holder?.priority ?? route.priority,
+    acceptedAt,
+    deadlineAt:
+      acceptedAt + Math.min(deadlineMs - ANSWER_WAY_MS, route.timeLimitMs),
+    prompt: readPrompt(
+      asText(headers[names.promptSize]),
+      asText(headers[names.promptParts]),
+    ),
+    session: sessionId,
+    model: typeof model === 'string' ? model : undefined,
+    lastEventId: readNumber(request, names.lastEventId),
+  };
+}
+
+function asText(value: string | string[] | undefined): string | undefined {
+  return typeof value === 'string' ? value : undefined;
+}
