Split an attempt: streams, whole answers, and what they share

It was hard to read: two functions of sixty lines held all their handlers as closures. No change of behaviour.

--- a/packages/gateway/src/calls/attempt.ts
+++ b/packages/gateway/src/calls/attempt.ts
@@ -1,15 +1,15 @@
 import type {IncomingMessage} from 'node:http';
-import {EventSplitter, isStreamed} from '@bayspool/decisions/calls';
-import type {StreamEvent} from '@bayspool/decisions/calls';
+import {isStreamed} from '@bayspool/decisions/calls';
 import type {Clock, Timer} from '@bayspool/kernel';
 import {ConnectFailure} from '../runners/connect_failure.js';
 import type {PooledConnection} from '../runners/pooled_connection.js';
 import type {RunnerChoice} from '../runners/runner_choice.js';
 import {sendRequest} from '../runners/send_request.js';
-import {answerHeaders} from './answer_headers.js';
+import {AnswerReader} from './answer_reader.js';
 import {AttemptKind} from './attempt_kind.js';
 import type {AttemptOutcome} from './attempt_outcome.js';
 import type {CallerAnswer} from './caller_answer.js';
+import {EventPump} from './event_pump.js';
 import type {HeaderNames} from './header_names.js';
 import type {IncomingCall} from './incoming_call.js';
 import {readKeepAlive} from './read_keep_alive.js';
@@ -32,13 +32,8 @@
 }
 
 const MISDIRECTED = 421;
-const SERVER_ERROR = 500;
 const OK = 200;
-const NO_CONTENT = 204;
-const NOT_MODIFIED = 304;
 const REDIRECT = 300;
-/** A whole answer that is larger is taken as spoiled; callers' bodies are bounded alike, in bytes. */
-const MAX_ANSWER_BYTES = 16_777_216;
 /** Pause between two looks at whether the runner has fallen silent, in ms. */
 const WATCH_MS = 50;
 
@@ -68,6 +63,7 @@
     return this.endedQuiet;
   }
 
+  /** Sends the call and follows the answer to its end. */
   async run(): Promise<AttemptOutcome> {
     const {choice, signal} = this.options;
     const {runner, workMs} = choice;
@@ -165,128 +161,32 @@
       connection.discard();
       return {kind: AttemptKind.WEAK, reason: 'low confidence', confidence};
     }
-    return this.pump(answer, connection, confidence);
-  }
-
-  private pump(
-    answer: IncomingMessage,
-    connection: PooledConnection,
-    confidence: number | undefined,
-  ): Promise<AttemptOutcome> {
-    const {caller} = this.options;
-    const status = answer.statusCode ?? 0;
-    const splitter = new EventSplitter();
-    const isUnframed = !isFramed(answer);
-    const head = {
-      status,
-      isUnframed,
-      statusText: answer.statusMessage ?? '',
-      headers: answerHeaders(answer),
-    };
-    return new Promise(resolve => {
-      let isSettled = false;
-      const fail = (reason: string) => {
-        // Node closes an answer behind its end too; the connection is sound then.
-        if (isSettled) return;
-        isSettled = true;
-        connection.discard();
-        resolve({kind: this.failureKind(), reason, status, confidence});
-      };
-      answer.on('data', (chunk: Buffer) => {
-        this.noteProgress();
-        this.firstByteAt ??= this.progressAt;
-        this.noteFirst();
-        if (isSettled) return;
-        const events = splitter.push(chunk);
-        if (splitter.isOversized) return fail('event too large');
-        for (const event of events) {
-          const verdict = this.checkOrder(event);
-          if (verdict === 'gap') return fail('events out of order');
-          if (verdict === 'seen' || caller.isClosed) continue;
-          this.eventCount += 1;
-          if (caller.sendEvent(head, event)) continue;
-          answer.pause();
-          caller.onRoom(() => answer.resume());
-        }
-      });
-      answer.once('end', () => {
-        if (isSettled) return;
-        if (!isWhole(answer, connection) || splitter.pendingBytes > 0)
-          return fail('stream broke off');
-        if (isUnframed && !caller.acceptsUnframed)
-          return fail('end of the stream is not certain');
-        isSettled = true;
-        if (!caller.isClosed) caller.finishStream(head);
-        resolve({
-          kind: AttemptKind.ANSWERED,
-          reason: 'whole',
-          status,
-          confidence,
-        });
-      });
-      answer.once('error', () => fail('stream broke off'));
-      answer.once('close', () => fail('stream closed'));
-    });
-  }
-
-  /** Whether an event is the next one, was passed on before, or leaves some out. */
-  private checkOrder(event: StreamEvent): 'next' | 'seen' | 'gap' {
-    const last = this.options.caller.lastEventId;
-    if (event.id === undefined || last === undefined) return 'next';
-    if (event.id <= last) return 'seen';
-    return event.id === last + 1 ? 'next' : 'gap';
+    return new EventPump({
+      answer,
+      connection,
+      caller,
+      confidence,
+      failureKind: () => this.failureKind(),
+      onBytes: () => this.noteStreamBytes(),
+      onEvent: () => {
+        this.eventCount += 1;
+      },
+    }).run();
   }
 
   private readWhole(
     answer: IncomingMessage,
     connection: PooledConnection,
   ): Promise<AttemptOutcome> {
-    const status = answer.statusCode ?? 0;
-    return new Promise(resolve => {
-      const chunks: Buffer[] = [];
-      let size = 0;
-      let isSettled = false;
-      const fail = (reason: string) => {
-        if (isSettled) return;
-        isSettled = true;
-        connection.discard();
-        resolve({kind: this.failureKind(), reason, status});
-      };
-      answer.on('data', (chunk: Buffer) => {
-        this.noteProgress();
-        size += chunk.length;
-        if (size > MAX_ANSWER_BYTES) return fail('answer too large');
-        chunks.push(chunk);
-      });
-      answer.once('end', () => {
-        if (isSettled) return;
-        if (!isWhole(answer, connection)) return fail('answer broke off');
+    return new AnswerReader({
+      answer,
+      connection,
+      failureKind: () => this.failureKind(),
+      onBytes: () => this.noteProgress(),
+      onWhole: () => {
         this.firstByteAt = this.progressAt;
-        isSettled = true;
-        const body = Buffer.concat(chunks);
-        const isUnframed = !isFramed(answer);
-        resolve({
-          kind:
-            status >= SERVER_ERROR
-              ? AttemptKind.RUNNER_ERROR
-              : AttemptKind.ANSWERED,
-          reason: `status ${status}`,
-          status,
-          answer: {
-            status,
-            statusText: answer.statusMessage ?? '',
-            headers: answerHeaders(
-              answer,
-              isUnframed ? undefined : body.length,
-            ),
-            body,
-            isUnframed,
-          },
-        });
-      });
-      answer.once('error', () => fail('answer broke off'));
-      answer.once('close', () => fail('answer closed'));
-    });
+      },
+    }).run();
   }
 
   private toOutcome(error: unknown): AttemptOutcome {
@@ -335,6 +235,12 @@
     this.options.choice.runner.noteHeard();
   }
 
+  private noteStreamBytes(): void {
+    this.noteProgress();
+    this.firstByteAt ??= this.progressAt;
+    this.noteFirst();
+  }
+
   private noteFirst(): void {
     if (this.isFirstNoted) return;
     this.isFirstNoted = true;
@@ -342,24 +248,3 @@
     choice.runner.noteFirst(choice.workMs);
   }
 }
-
-/**
- * Whether an answer came to its end. Node takes one without a length as complete when its connection
- * is reset, because the parser is told of an end in either case.
- */
-function isWhole(
-  answer: IncomingMessage,
-  connection: PooledConnection,
-): boolean {
-  return answer.complete && !connection.hasFailed;
-}
-
-/** Whether an answer tells its end by a length or chunks, rather than by its connection's end. */
-function isFramed({headers, statusCode}: IncomingMessage): boolean {
-  return (
-    headers['content-length'] !== undefined ||
-    headers['transfer-encoding'] !== undefined ||
-    statusCode === NO_CONTENT ||
-    statusCode === NOT_MODIFIED
-  );
-}
--- a/packages/gateway/src/calls/caller_answer.ts
+++ b/packages/gateway/src/calls/caller_answer.ts
@@ -2,6 +2,7 @@
 import type {StreamEvent} from '@bayspool/decisions/calls';
 import type {Clock} from '@bayspool/kernel';
 import type {OwnAnswer} from './own_answer.js';
+import type {StreamHead} from './stream_head.js';
 import type {WholeAnswer} from './whole_answer.js';
 
 interface Options {
@@ -15,14 +16,6 @@
   readonly retryAfterName: string;
 }
 
-interface StreamHead {
-  readonly status: number;
-  readonly statusText: string;
-  readonly headers: readonly string[];
-  /** Whether its end is told by the connection's end alone. */
-  readonly isUnframed: boolean;
-}
-
 const MS_PER_SECOND = 1_000;
 const NO_BODY_STATUSES: ReadonlySet<number> = new Set([204, 304]);
 
--- /dev/null
+++ b/packages/gateway/src/calls/is_framed.ts
@@ -0,0 +1,14 @@
+import type {IncomingMessage} from 'node:http';
+
+const NO_CONTENT = 204;
+const NOT_MODIFIED = 304;
+
+/** Whether an answer tells its end by a length or chunks, rather than by its connection's end. */
+export function isFramed({headers, statusCode}: IncomingMessage): boolean {
+  return (
+    headers['content-length'] !== undefined ||
+    headers['transfer-encoding'] !== undefined ||
+    statusCode === NO_CONTENT ||
+    statusCode === NOT_MODIFIED
+  );
+}
