Split the gateway: what a host knows, its exchange, its limits

It was hard to read: one class of 530 lines built all parts, computed limits, digests and start times, entered the host in the store and registered metrics. The folder parts/ now has Knowledge (what a host believes), Exchange (what keeps it current), ServiceLimits, HostLoads, RolloutStarts, HostRegistration and observeParts; Gateway builds them, starts and stops them. The parts are built in the same order. No change of behaviour.

--- /dev/null
+++ b/packages/gateway/src/parts/exchange.ts
@@ -0,0 +1,101 @@
+import {LoadBoard} from '../peers/load_board.js';
+import {NewsLoop} from '../peers/news_loop.js';
+import {PeerClient} from '../peers/peer_client.js';
+import {PeerServer} from '../peers/peer_server.js';
+import {SyncDesk} from '../peers/sync_desk.js';
+import {TopicFollower} from '../records/topic_follower.js';
+import {Topic} from '../records/topic.js';
+import type {GatewayOptions} from './gateway_options.js';
+import type {Knowledge} from './knowledge.js';
+
+/** How long one read of the operator's topic waits, in ms: the age of what hosts know in calm times. */
+const OPERATOR_WAIT_MS = 1_000;
+/** The same for topics whose age does not matter; a record ends the wait at once. */
+const OTHER_WAIT_MS = 10_000;
+
+/** What keeps a host's knowledge current: the store's followers and the exchange with other hosts. */
+export class Exchange {
+  readonly news: NewsLoop;
+  private readonly board: LoadBoard;
+  private readonly desk: SyncDesk;
+  private readonly client: PeerClient;
+  private readonly server: PeerServer;
+  private readonly followers: readonly TopicFollower[];
+
+  constructor(options: GatewayOptions, knowledge: Knowledge) {
+    const {settings, clock, random, log, store} = options;
+    const {mirrors, roster, loads, storeHealth} = knowledge;
+    const freshness = mirrors[Topic.OPERATOR];
+    this.board = new LoadBoard({
+      clock,
+      place: settings.place,
+      own: () => loads.ownDigest(),
+    });
+    this.desk = new SyncDesk({
+      clock,
+      freshness,
+      mirrors: Object.values(mirrors),
+      board: this.board,
+      self: roster.self,
+    });
+    this.client = new PeerClient({clock});
+    this.server = new PeerServer({
+      ip: settings.ip,
+      port: settings.peerPort,
+      desk: this.desk,
+      log,
+    });
+    this.news = new NewsLoop({
+      clock,
+      random,
+      log,
+      freshness,
+      roster,
+      client: this.client,
+      desk: this.desk,
+      onNews: () => loads.takeRemote(this.board.others()),
+    });
+    this.followers = Object.values(mirrors).map(
+      mirror =>
+        new TopicFollower({
+          clock,
+          random,
+          store,
+          mirror,
+          log,
+          health: storeHealth,
+          waitMs:
+            mirror.topic === Topic.OPERATOR ? OPERATOR_WAIT_MS : OTHER_WAIT_MS,
+          isWanted: () => !mirror.isLoaded || this.reads(mirror.topic),
+        }),
+    );
+  }
+
+  /** Answers other hosts from now on. */
+  listen(): Promise<void> {
+    return this.server.start();
+  }
+
+  /** Follows the store and the other hosts from now on. */
+  follow(): void {
+    for (const follower of this.followers) follower.start();
+    this.news.start();
+  }
+
+  /** Stops following. */
+  unfollow(): void {
+    this.news.stop();
+    for (const follower of this.followers) follower.stop();
+  }
+
+  /** Closes what leads to other hosts. */
+  close(): void {
+    this.server.stop();
+    this.client.stop();
+  }
+
+  private reads(topic: Topic): boolean {
+    const {news} = this;
+    return topic === Topic.OPERATOR ? news.readsStore : news.readsAll;
+  }
+}
--- /dev/null
+++ b/packages/gateway/src/parts/gateway_options.ts
@@ -0,0 +1,18 @@
+import type {Clock, RandomSource} from '@bayspool/kernel';
+import type {WireReader} from '../beliefs/wire_reader.js';
+import type {HeaderNames} from '../calls/header_names.js';
+import type {GatewaySettings} from '../gateway_settings.js';
+import type {EventLog} from '../observability/event_log.js';
+import type {RecordStore} from '../records/record_store.js';
+
+/** What a host is given to run with. */
+export interface GatewayOptions {
+  /** The settings at the start. */
+  readonly settings: GatewaySettings;
+  readonly clock: Clock;
+  readonly random: RandomSource;
+  readonly log: EventLog;
+  readonly store: RecordStore;
+  readonly reader: WireReader;
+  readonly headerNames: HeaderNames;
+}
--- /dev/null
+++ b/packages/gateway/src/parts/host_registration.ts
@@ -0,0 +1,51 @@
+import type {Clock} from '@bayspool/kernel';
+import type {EventLog} from '../observability/event_log.js';
+import type {HostEntry} from '../peers/host_entry.js';
+import {hostKey} from '../peers/host_key.js';
+import type {RecordStore} from '../records/record_store.js';
+import {Topic} from '../records/topic.js';
+
+interface Options {
+  readonly clock: Clock;
+  readonly log: EventLog;
+  readonly store: RecordStore;
+  readonly self: HostEntry;
+}
+
+/** Pause after this host could not be entered in the store, in ms. */
+const ENTER_RETRY_MS = 400;
+
+/** Makes this host known to the others. */
+export class HostRegistration {
+  private isStopped = false;
+
+  constructor(private readonly options: Options) {}
+
+  /** Enters this host in the store, until it is done. */
+  async run(): Promise<void> {
+    const {clock, log, store, self} = this.options;
+    while (!this.isStopped) {
+      try {
+        await store.append({
+          topic: Topic.HOSTS,
+          key: hostKey.of(self.name),
+          value: JSON.stringify(self),
+        });
+        return;
+      } catch (error) {
+        log.write('unexpected', {
+          where: 'entry of this host in the store',
+          message: String(error),
+        });
+        await new Promise<void>(resolve => {
+          clock.after(ENTER_RETRY_MS, resolve);
+        });
+      }
+    }
+  }
+
+  /** Gives up, if it is not done yet. */
+  stop(): void {
+    this.isStopped = true;
+  }
+}
--- /dev/null
+++ b/packages/gateway/src/parts/knowledge.ts
@@ -0,0 +1,126 @@
+import {randomBytes} from 'node:crypto';
+import {SessionVersions} from '@bayspool/decisions/calls';
+import type {RunnerEntry} from '@bayspool/decisions/calls';
+import {ConfigurationBelief} from '../beliefs/configuration_belief.js';
+import {RunnerDirectory} from '../beliefs/runner_directory.js';
+import type {GatewaySettings} from '../gateway_settings.js';
+import type {GatewayMetrics} from '../observability/gateway_metrics.js';
+import {Roster} from '../peers/roster.js';
+import {StoreHealth} from '../records/store_health.js';
+import {TopicMirror} from '../records/topic_mirror.js';
+import {Topic} from '../records/topic.js';
+import {RolloutBook} from '../rollouts/rollout_book.js';
+import {ConnectPatience} from '../runners/connect_patience.js';
+import {ConnectionPool} from '../runners/connection_pool.js';
+import {Runner} from '../runners/runner.js';
+import type {GatewayOptions} from './gateway_options.js';
+import {HostLoads} from './host_loads.js';
+import {RolloutStarts} from './rollout_starts.js';
+import {ServiceLimits} from './service_limits.js';
+
+interface Options extends GatewayOptions {
+  readonly metrics: GatewayMetrics;
+  /** The settings in force. */
+  readonly liveSettings: () => GatewaySettings;
+}
+
+/** Age of what is known up to which this host counts as in touch, in ms. */
+const TOUCH_MS = 3_000;
+/** Length of the random name of one start of a host, in bytes: enough that no two are alike. */
+const BOOT_BYTES = 6;
+
+/** What a host knows: copies of the store's topics, and what follows from them. */
+export class Knowledge {
+  readonly mirrors: Record<Topic, TopicMirror>;
+  readonly storeHealth: StoreHealth;
+  readonly roster: Roster;
+  readonly belief: ConfigurationBelief;
+  readonly limits: ServiceLimits;
+  readonly directory: RunnerDirectory;
+  readonly sessions: SessionVersions;
+  readonly starts: RolloutStarts;
+  readonly rollouts: RolloutBook;
+  readonly loads: HostLoads;
+  private readonly patience = new ConnectPatience();
+
+  constructor(private readonly options: Options) {
+    const {settings, liveSettings, clock, log, store, reader} = options;
+    this.mirrors = {
+      [Topic.OPERATOR]: new TopicMirror(Topic.OPERATOR),
+      [Topic.RUNNERS]: new TopicMirror(Topic.RUNNERS),
+      [Topic.STATUS]: new TopicMirror(Topic.STATUS),
+      [Topic.HOSTS]: new TopicMirror(Topic.HOSTS),
+    };
+    const {mirrors} = this;
+    const freshness = mirrors[Topic.OPERATOR];
+    this.storeHealth = new StoreHealth({clock, log});
+    this.roster = new Roster({
+      clock,
+      log,
+      mirror: mirrors[Topic.HOSTS],
+      self: {
+        name: settings.host,
+        place: settings.place,
+        address: `${settings.ip}:${settings.peerPort}`,
+        boot: randomBytes(BOOT_BYTES).toString('hex'),
+        capacity: settings.capacity,
+      },
+    });
+    this.belief = new ConfigurationBelief({
+      clock,
+      log,
+      reader,
+      mirror: freshness,
+    });
+    this.limits = new ServiceLimits({
+      clock,
+      belief: this.belief,
+      roster: this.roster,
+      settings: liveSettings,
+      retryWindowMs: settings.retryWindowMs,
+    });
+    this.directory = new RunnerDirectory({
+      clock,
+      log,
+      reader,
+      freshness,
+      mirror: mirrors[Topic.RUNNERS],
+      createRunner: entry => this.createRunner(entry),
+    });
+    this.starts = new RolloutStarts({
+      clock,
+      store,
+      mirror: mirrors[Topic.HOSTS],
+    });
+    this.sessions = new SessionVersions({
+      clock,
+      keepMs: settings.sessionKeptMs,
+    });
+    this.rollouts = new RolloutBook({
+      clock,
+      log,
+      reader,
+      sessions: this.sessions,
+      orders: freshness,
+      states: mirrors[Topic.STATUS],
+      isInTouch: () => clock.now() - freshness.provenAt < TOUCH_MS,
+      sessionMemoryMs: settings.sessionKeptMs,
+      notedElapsedMs: order => this.starts.elapsedMs(order),
+    });
+    const {directory, rollouts} = this;
+    this.loads = new HostLoads({directory, rollouts});
+  }
+
+  private createRunner(entry: RunnerEntry): Runner {
+    const {clock, metrics} = this.options;
+    const {service} = entry;
+    const pool = new ConnectionPool({
+      clock,
+      patience: this.patience,
+      address: entry.address,
+      maxConnections: () => this.limits.maxConnections(service),
+      onOpened: () => metrics.connections.inc({service}),
+    });
+    return new Runner({clock, entry, pool});
+  }
+}
--- /dev/null
+++ b/packages/gateway/src/parts/service_limits.ts
@@ -0,0 +1,63 @@
+import {RetryBudget} from '@bayspool/decisions/calls';
+import type {Clock} from '@bayspool/kernel';
+import type {ConfigurationBelief} from '../beliefs/configuration_belief.js';
+import type {GatewaySettings} from '../gateway_settings.js';
+import type {Roster} from '../peers/roster.js';
+
+interface Options {
+  readonly clock: Clock;
+  readonly belief: ConfigurationBelief;
+  readonly roster: Roster;
+  /** The settings in force. */
+  readonly settings: () => GatewaySettings;
+  /** Window over which retries are counted, in ms; fixed at the start. */
+  readonly retryWindowMs: number;
+}
+
+/** Part of a runner's connections that all hosts together open. */
+const CONNECTION_PART = 0.9;
+/** Connections a host may open to a runner whatever its share is. */
+const MIN_CONNECTIONS = 3;
+/** Latency target of services that no route names, in ms. */
+const MAX_TARGET_MS = 10_000;
+
+/** What this host may use of each service, by the configuration and the number of hosts. */
+export class ServiceLimits {
+  private readonly budgets = new Map<string, RetryBudget>();
+
+  constructor(private readonly options: Options) {}
+
+  /** Connections that this host may hold to a runner of the service. */
+  maxConnections(service: string): number {
+    const all =
+      this.options.belief.current?.services.get(service)?.maxConnections;
+    if (all === undefined) return MIN_CONNECTIONS;
+    const share = (all * CONNECTION_PART) / this.options.roster.living().length;
+    return Math.max(MIN_CONNECTIONS, Math.floor(share));
+  }
+
+  /** The retry budget of a service. */
+  budgetOf(service: string): RetryBudget {
+    const known = this.budgets.get(service);
+    if (known) return known;
+    const {clock, settings, retryWindowMs, roster} = this.options;
+    const budget = new RetryBudget({
+      clock,
+      ratio: () => settings().retryRatio,
+      extra: () => settings().retryExtra,
+      windowMs: retryWindowMs,
+      hosts: () => roster.living().length,
+    });
+    this.budgets.set(service, budget);
+    return budget;
+  }
+
+  /** The shortest latency target of a service's routes, in ms. */
+  targetOf(service: string): number {
+    const routes = this.options.belief.current?.routes ?? [];
+    const targets = routes
+      .filter(({targets}) => targets.some(target => target.service === service))
+      .map(({latencyTargetMs}) => latencyTargetMs);
+    return Math.min(MAX_TARGET_MS, ...targets);
+  }
+}
