Remove what nothing in the gateway uses

Getters, methods, a call's field and log fields that nothing reads or writes made the classes look larger than they are: RunnerDirectory.get, Roster.get, StoreHealth.isLost and returnedAt, Rollout.noteBad, RolloutBook.hasActive, IncomingCall.lastEventId, an option of CallerAnswer with one value, and the never written events runner_silent and rollout_stage and field route of request_refused. runner_headers said in three places when the model's header is dropped; it says so in one now. No change of behaviour.

--- a/packages/gateway/src/beliefs/runner_directory.ts
+++ b/packages/gateway/src/beliefs/runner_directory.ts
@@ -40,10 +40,6 @@
     options.mirror.onUpdate(update => this.take(update));
   }
 
-  get(id: string): Runner | undefined {
-    return this.runners.get(id);
-  }
-
   all(): Runner[] {
     return [...this.runners.values()];
   }
--- a/packages/gateway/src/calls/call_door.ts
+++ b/packages/gateway/src/calls/call_door.ts
@@ -157,7 +157,6 @@
       response,
       lastEventId: readNumber(request, names.lastEventId),
       closesAfter: this.options.isClosing,
-      retryAfterName: 'retry-after',
     });
     const verdict = this.checks.check(request);
     if (!('route' in verdict)) return this.refuse(request, caller, verdict);
--- a/packages/gateway/src/calls/caller_answer.ts
+++ b/packages/gateway/src/calls/caller_answer.ts
@@ -12,11 +12,11 @@
   readonly lastEventId?: number;
   /** Whether the connection is to be closed behind the answer; asked when the head is written. */
   readonly closesAfter: () => boolean;
-  /** The header that tells when to come back, in seconds. */
-  readonly retryAfterName: string;
 }
 
 const MS_PER_SECOND = 1_000;
+/** The header that tells when to come back, in seconds. */
+const RETRY_AFTER = 'retry-after';
 const NO_BODY_STATUSES: ReadonlySet<number> = new Set([204, 304]);
 
 /** The one answer that a caller gets: whole, or as events of one or several runs. */
@@ -75,10 +75,7 @@
     const headers = ['content-type', 'application/json'];
     headers.push('content-length', String(body.length));
     if (retryAfterMs !== undefined)
-      headers.push(
-        this.options.retryAfterName,
-        (retryAfterMs / MS_PER_SECOND).toFixed(3),
-      );
+      headers.push(RETRY_AFTER, (retryAfterMs / MS_PER_SECOND).toFixed(3));
     this.writeHead(status, undefined, headers);
     this.response.end(body);
   }
--- a/packages/gateway/src/calls/incoming_call.ts
+++ b/packages/gateway/src/calls/incoming_call.ts
@@ -21,6 +21,4 @@
   readonly session?: string;
   /** The model that the caller named, where the route leaves none open. */
   readonly model?: string;
-  /** The last event that the caller has from an earlier answer. */
-  readonly lastEventId?: number;
 }
--- a/packages/gateway/src/calls/runner_headers.ts
+++ b/packages/gateway/src/calls/runner_headers.ts
@@ -14,7 +14,7 @@
   readonly lastEventId?: number;
 }
 
-/** Most urgent and least urgent value of the priority header. */
+/** Value of the priority header for the least urgent calls. */
 const MAX_PRIORITY = 9;
 
 /** The headers that go to a runner: the caller's, less the hop's and ours, with what we set. */
@@ -45,11 +45,11 @@
     'content-length',
     'expect',
   ]);
-  if (call.route.models.length > 0) dropped.add(names.model);
   // A Connection header must not take away what the runner needs.
   for (const kept of ['host', names.promptSize, names.promptParts])
     dropped.delete(kept);
-  if (call.route.models.length === 0) dropped.delete(names.model);
+  if (call.route.models.length > 0) dropped.add(names.model);
+  else dropped.delete(names.model);
   return dropped;
 }
 
--- a/packages/gateway/src/calls/to_call.ts
+++ b/packages/gateway/src/calls/to_call.ts
@@ -52,7 +52,6 @@
     ),
     session: sessionId,
     model: typeof model === 'string' ? model : undefined,
-    lastEventId: readNumber(request, names.lastEventId),
   };
 }
 
--- a/packages/gateway/src/observability/event_fields.ts
+++ b/packages/gateway/src/observability/event_fields.ts
@@ -31,7 +31,6 @@
     request: string;
     status: number;
     reason: string;
-    route?: string;
     configuration?: number;
     configurationAgeMs?: number;
     retryAfterMs?: number;
@@ -129,7 +128,6 @@
     othersShare: number;
     reason: string;
   };
-  runner_silent: {runner: string; service: string; silentMs: number};
   rollout_ordered: {
     service: string;
     version: string;
@@ -157,7 +155,6 @@
     reason: string;
   };
   rollout_phase: {service: string; version: string; phase: string};
-  rollout_stage: {service: string; version: string; share: number};
   store_lost: {reason: string};
   store_regained: {afterMs: number};
   topic_reloaded: {topic: string; position: number};
--- a/packages/gateway/src/peers/roster.ts
+++ b/packages/gateway/src/peers/roster.ts
@@ -44,10 +44,6 @@
     return [self, ...others];
   }
 
-  get(name: string): HostEntry | undefined {
-    return this.entries.get(name);
-  }
-
   /** Hosts of a place in the order in which they read the store for it; those in doubt are left out. */
   readersOf(place: string): HostEntry[] {
     const now = this.options.clock.now();
--- a/packages/gateway/src/records/store_health.ts
+++ b/packages/gateway/src/records/store_health.ts
@@ -6,37 +6,26 @@
   readonly log: EventLog;
 }
 
-/** Whether this host reaches the store itself, and when it came back. */
+/** Tells the log when this host loses the store and when it reaches it again. */
 export class StoreHealth {
   private lost = false;
-  private changedAt = -Infinity;
-  private lostForMs = 0;
+  private lostAt = 0;
 
   constructor(private readonly options: Options) {}
 
-  get isLost(): boolean {
-    return this.lost;
-  }
-
-  /** When the store answered again after the last outage; -Infinity if there was none. */
-  get returnedAt(): number {
-    return this.lost ? -Infinity : this.changedAt;
-  }
-
   noteSuccess(): void {
     if (!this.lost) return;
     const {clock, log} = this.options;
     this.lost = false;
-    this.lostForMs = clock.now() - this.changedAt;
-    this.changedAt = clock.now();
-    log.write('store_regained', {afterMs: Math.round(this.lostForMs)});
+    const afterMs = Math.round(clock.now() - this.lostAt);
+    log.write('store_regained', {afterMs});
   }
 
   noteFailure(reason: string): void {
     if (this.lost) return;
     const {clock, log} = this.options;
     this.lost = true;
-    this.changedAt = clock.now();
+    this.lostAt = clock.now();
     log.write('store_lost', {reason});
   }
 }
--- a/packages/gateway/src/rollouts/rollout.ts
+++ b/packages/gateway/src/rollouts/rollout.ts
@@ -62,10 +62,6 @@
     this.startedAt = Math.min(this.startedAt, startedAt);
   }
 
-  noteBad(): void {
-    this.bad = true;
-  }
-
   /** What this host itself saw, for the others. */
   digest(oldRunning: number): RolloutDigest {
     return {
--- a/packages/gateway/src/rollouts/rollout_book.ts
+++ b/packages/gateway/src/rollouts/rollout_book.ts
@@ -65,10 +65,6 @@
     return [...this.rollouts.values()];
   }
 
-  get hasActive(): boolean {
-    return this.all().some(({phase}) => phase === RolloutPhase.ACTIVE);
-  }
-
   /**
    * Which version a call of a service gets: a pure function of session, roll-out and time since the
    * order, so that all hosts agree; sessions that run keep theirs.
