Name the weights of failures; shorter steps in learning

AttemptLessons.learn mixed speed, health and evidence with bare weights 1 and 2 and a half of the target. It has one method for each now, and the figures have names, as has the 0.05 of judgeVersion. Gateway builds the forwarder in a method of its own. No change of behaviour.

--- a/packages/decisions/src/calls/judge_version.ts
+++ b/packages/decisions/src/calls/judge_version.ts
@@ -18,6 +18,8 @@
 const PRIOR_SHARE = 0.02;
 /** Weight of that share, in answers. */
 const PRIOR_WEIGHT = 20;
+/** Least share of sound answers that the deviation is computed with, so that it is never 0. */
+const MIN_SOUND_SHARE = 0.05;
 
 /**
  * Whether a new version is worse than the old one: more failures or more slow answers than chance
@@ -40,6 +42,6 @@
   const share =
     (oldBad + PRIOR_SHARE * PRIOR_WEIGHT) / (oldEnded + PRIOR_WEIGHT);
   const expected = share * ended;
-  const deviation = Math.sqrt(expected * Math.max(0.05, 1 - share));
+  const deviation = Math.sqrt(expected * Math.max(MIN_SOUND_SHARE, 1 - share));
   return bad > expected + DEVIATIONS * deviation;
 }
--- a/packages/gateway/src/calls/attempt_lessons.ts
+++ b/packages/gateway/src/calls/attempt_lessons.ts
@@ -24,6 +24,12 @@
 
 /** Weight of a runner's silence to a call's end among its failures: enough to eject it. */
 const SILENT_WEIGHT = 2.5;
+/** Weight of a connection that did not come up: it leaves less doubt than a failed answer. */
+const UNREACHABLE_WEIGHT = 2;
+/** Weight of a failed answer: the unit of the others. */
+const FAILURE_WEIGHT = 1;
+/** Part of a route's latency target that a call without a prompt is expected to take. */
+const USUAL_TARGET_PART = 0.5;
 
 /** What an attempt teaches: the health and speed of its runner, and evidence on its version. */
 export class AttemptLessons {
@@ -34,37 +40,59 @@
     progress: CallProgress,
     choice: RunnerChoice,
     outcome: AttemptOutcome,
-    {firstMs, expectedMs, isUnloaded, wasQuiet}: AttemptTiming,
+    timing: AttemptTiming,
   ): void {
-    const {metrics, rates, sessions} = this.options;
-    const {call, model} = progress;
+    const {metrics, sessions} = this.options;
+    const {call} = progress;
     const {runner} = choice;
-    const service = call.service;
-    metrics.attempts.inc({service, outcome: outcome.kind});
+    metrics.attempts.inc({service: call.service, outcome: outcome.kind});
     if (call.session !== undefined)
       sessions.set(call.session, runner.entry.version);
-    if (firstMs !== undefined && call.prompt) {
-      runner.learnSlowness(firstMs, expectedMs);
-      if (model !== undefined)
-        rates.learn(model, choice.unreadTokens, firstMs, isUnloaded);
-    } else if (firstMs !== undefined) {
-      runner.learnSlowness(firstMs, call.route.latencyTargetMs / 2);
+    if (timing.firstMs !== undefined)
+      this.learnSpeed(progress, choice, timing.firstMs, timing);
+    this.learnHealth(runner, outcome, timing.wasQuiet);
+    if (tellsOfVersion(outcome.kind))
+      this.noteEvidence(
+        progress,
+        runner,
+        isFailure(outcome.kind),
+        timing.firstMs,
+      );
+  }
+
+  private learnSpeed(
+    {call, model}: CallProgress,
+    {runner, unreadTokens}: RunnerChoice,
+    firstMs: number,
+    {expectedMs, isUnloaded}: AttemptTiming,
+  ): void {
+    if (!call.prompt) {
+      const usualMs = call.route.latencyTargetMs * USUAL_TARGET_PART;
+      runner.learnSlowness(firstMs, usualMs);
+      return;
     }
-    const hasFailed = isFailure(outcome.kind);
-    if (outcome.kind === AttemptKind.ENDED) {
+    runner.learnSlowness(firstMs, expectedMs);
+    if (model === undefined) return;
+    this.options.rates.learn(model, unreadTokens, firstMs, isUnloaded);
+  }
+
+  private learnHealth(
+    runner: Runner,
+    {kind, reason, status}: AttemptOutcome,
+    wasQuiet: boolean,
+  ): void {
+    if (kind === AttemptKind.ENDED) {
       // A runner that sent nothing until the time limit is as good as gone.
       if (wasQuiet)
         this.countFailure(runner, 'silent to the end', SILENT_WEIGHT);
-      return;
+    } else if (kind === AttemptKind.NOT_RUN) {
+      if (status === undefined && reason !== 'saturated')
+        this.countFailure(runner, reason, UNREACHABLE_WEIGHT);
+    } else if (isFailure(kind)) {
+      this.countFailure(runner, reason, FAILURE_WEIGHT);
+    } else {
+      runner.health.countOk();
     }
-    if (outcome.kind === AttemptKind.NOT_RUN) {
-      if (outcome.status === undefined && outcome.reason !== 'saturated')
-        this.countFailure(runner, outcome.reason, 2);
-      return;
-    }
-    if (hasFailed) this.countFailure(runner, outcome.reason, 1);
-    else runner.health.countOk();
-    this.noteEvidence(progress, runner, hasFailed, firstMs);
   }
 
   private noteEvidence(
@@ -108,6 +136,11 @@
   }
 }
 
+/** Whether the outcome says something of the version that the runner has. */
+function tellsOfVersion(kind: AttemptKind): boolean {
+  return kind !== AttemptKind.ENDED && kind !== AttemptKind.NOT_RUN;
+}
+
 function isFailure(kind: AttemptKind): boolean {
   return kind === AttemptKind.RUNNER_ERROR || kind === AttemptKind.BROKEN;
 }
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -177,10 +177,7 @@
 
   private createDoor(): CallDoor {
     const {clock, random, log, headerNames, settings} = this.options;
-    const {belief, directory, limits, rollouts, roster, sessions} =
-      this.knowledge;
-    const rates = new ReadingRates();
-    const prefixes = new PrefixBook();
+    const {belief} = this.knowledge;
     return new CallDoor({
       clock,
       random,
@@ -188,29 +185,7 @@
       names: headerNames,
       metrics: this.metrics,
       belief,
-      forwarder: new CallForwarder({
-        clock,
-        random,
-        log,
-        sessions,
-        prefixes,
-        rates,
-        metrics: this.metrics,
-        names: headerNames,
-        directory,
-        rollouts,
-        chooser: new RunnerChooser({
-          random,
-          rates,
-          prefixes,
-          place: settings.place,
-          hosts: () => roster.living().length,
-          isPlaceLost: place => roster.isPlaceLost(place),
-        }),
-        cascade: new CascadeRule({threshold: settings.confidenceThreshold}),
-        budgetOf: service => limits.budgetOf(service),
-        targetOf: service => limits.targetOf(service),
-      }),
+      forwarder: this.createForwarder(),
       ip: settings.ip,
       port: settings.callerPort,
       maxKeyAgeMs: () => this.settings.keyBoundMs - KEY_MARGIN_MS,
@@ -219,6 +194,36 @@
     });
   }
 
+  private createForwarder(): CallForwarder {
+    const {clock, random, log, headerNames, settings} = this.options;
+    const {directory, limits, rollouts, roster, sessions} = this.knowledge;
+    const rates = new ReadingRates();
+    const prefixes = new PrefixBook();
+    return new CallForwarder({
+      clock,
+      random,
+      log,
+      sessions,
+      prefixes,
+      rates,
+      metrics: this.metrics,
+      names: headerNames,
+      directory,
+      rollouts,
+      chooser: new RunnerChooser({
+        random,
+        rates,
+        prefixes,
+        place: settings.place,
+        hosts: () => roster.living().length,
+        isPlaceLost: place => roster.isPlaceLost(place),
+      }),
+      cascade: new CascadeRule({threshold: settings.confidenceThreshold}),
+      budgetOf: service => limits.budgetOf(service),
+      targetOf: service => limits.targetOf(service),
+    });
+  }
+
   private sweep(): void {
     const {clock, log} = this.options;
     const {belief, directory} = this.knowledge;
