--- a/packages/client/src/explain/describe_story.ts
+++ b/packages/client/src/explain/describe_story.ts
@@ -1,6 +1,7 @@
 import type {LogLine} from './log_line.js';
 import type {Story} from './story.js';
 
+/** Fields that are left out of a line's text: they stand elsewhere or are the same for all. */
 const COMMON = new Set(['time', 'steadyMs', 'host', 'event', 'request']);
 
 /** A story as text: what held when the request began, then everything in order. */
--- a/packages/daemon/src/callers/tickets/vacant_place_claims.ts
+++ b/packages/daemon/src/callers/tickets/vacant_place_claims.ts
@@ -27,8 +27,10 @@
     return [...this.keepers.values()].some(keeper => keeper.knows(key));
   }
 
+  /** Nothing to do: a place's stream is read from its first claim on. */
   async start(): Promise<void> {}
 
+  /** Stops reading the streams of all places. */
   async stop(): Promise<void> {
     await Promise.all([...this.keepers.values()].map(keeper => keeper.stop()));
   }
--- a/packages/decisions/src/calls/event_splitter.ts
+++ b/packages/decisions/src/calls/event_splitter.ts
@@ -1,5 +1,6 @@
 import type {StreamEvent} from './stream_event.js';
 
+/** The bytes that end a line. */
 const LINE_FEED = 0x0a;
 const CARRIAGE_RETURN = 0x0d;
 
