Comments on constants that had none

Units and meaning of several limits had to be guessed, and some comments spoke of two constants at once. Comments only; no change of behaviour.

--- a/packages/decisions/src/calls/runner_health.ts
+++ b/packages/decisions/src/calls/runner_health.ts
@@ -12,6 +12,7 @@
 const FAILURE_MARGIN = 0.22;
 /** First time of an ejection, in ms; it doubles with each one in a row. */
 const EJECT_MS = 1_500;
+/** Longest time of an ejection, in ms. */
 const MAX_EJECT_MS = 12_000;
 /** How long after an ejection a further one counts as in a row, in ms. */
 const MEMORY_MS = 20_000;
--- a/packages/gateway/src/lifecycle/leaving.ts
+++ b/packages/gateway/src/lifecycle/leaving.ts
@@ -15,6 +15,7 @@
 const BALANCER_MS = 2_300;
 /** Time kept back before the end of the grace period, in ms: the way of the last answers. */
 const END_MARGIN_MS = 700;
+/** Pause between two looks at whether all calls have ended, in ms. */
 const TICK_MS = 50;
 
 /** How a host leaves: not ready at once, then no new connections, then what runs is finished. */
--- a/packages/gateway/src/observability/line_writer.ts
+++ b/packages/gateway/src/observability/line_writer.ts
@@ -8,6 +8,7 @@
   readonly maxPendingBytes?: number;
 }
 
+/** File descriptor of the standard output. */
 const STANDARD_OUTPUT = 1;
 /** Some seconds of lines of a busy host. */
 const MAX_PENDING_BYTES = 262_144;
--- a/packages/gateway/src/peers/host_key.ts
+++ b/packages/gateway/src/peers/host_key.ts
@@ -1,3 +1,4 @@
+/** Start of the keys under which hosts stand in their topic. */
 const PREFIX = 'host/';
 
 /** Keys of hosts in their topic. */
--- a/packages/gateway/src/records/topic_follower.ts
+++ b/packages/gateway/src/records/topic_follower.ts
@@ -24,6 +24,7 @@
 const IDLE_MS = 150;
 /** Pause after a failed call, in ms; doubled with each one in a row. */
 const RETRY_MS = 120;
+/** Longest such pause, in ms. */
 const MAX_RETRY_MS = 1_000;
 /** Least pause between two calls of a topic, so that a busy topic is read in batches, in ms. */
 const MIN_GAP_MS = 60;
--- a/packages/gateway/src/runners/connect_patience.ts
+++ b/packages/gateway/src/runners/connect_patience.ts
@@ -3,6 +3,7 @@
  * and far under the second after which a lost opening packet is sent again.
  */
 const SHORTEST_MS = 100;
+/** Longest time that is allowed when connections keep timing out, in ms. */
 const LONGEST_MS = 1_600;
 /** How many times the last successful time the next one may take. */
 const TIMES = 8;
--- a/packages/gateway/src/runners/reading_rates.ts
+++ b/packages/gateway/src/runners/reading_rates.ts
@@ -1,5 +1,6 @@
 /** Time to read a prompt token on an idle engine before anything is measured, in ms. */
 const FIRST_GUESS_MS = 0.02;
+/** Bounds of a learned time, in ms a token. */
 const MIN_MS = 0.001;
 const MAX_MS = 1;
 /** Weight of one measurement. */
--- a/packages/gateway/src/runners/runner.ts
+++ b/packages/gateway/src/runners/runner.ts
@@ -17,8 +17,9 @@
 const USUAL_RATE = 0.1;
 /** Silence that says nothing yet, in ms: some steps of a full engine. */
 const MIN_QUIET_MS = 200;
-/** How many times its usual gap, and the reading it has to do, a runner may be silent besides. */
+/** How many times its usual gap between bytes a runner may be silent besides. */
 const GAP_TIMES = 6;
+/** How many times the reading it has to do a runner may be silent besides. */
 const PENDING_TIMES = 4;
 /** Weight of one duration in the mean. */
 const DURATION_RATE = 0.1;
--- a/packages/gateway/src/runners/runner_chooser.ts
+++ b/packages/gateway/src/runners/runner_chooser.ts
@@ -29,13 +29,15 @@
 
 /** What another running request adds to the time of a call, in ms: its part of the engine's steps. */
 const RUNNING_COST_MS = 4;
-/** The same for plain services below their slots; above, each one waits for a whole answer. */
+/** The same for plain services, in ms; above their slots each request waits for a whole answer. */
 const SERVICE_RUNNING_COST_MS = 5;
+/** What each request above the slots of a plain service adds, in ms. */
 const SERVICE_QUEUED_COST_MS = 40;
 /** A runner in another place: the way there and back, and the price of bytes between places. */
 const CROSSING_COST_MS = 20;
-/** How many hosts look at a runner, on average, and how many runners a host looks at, at least. */
+/** How many hosts look at a runner, on average. */
 const LOOKS_A_RUNNER = 5;
+/** Runners that a host looks at in any case. */
 const MIN_LOOKS = 4;
 /** Spread of random costs, in ms, so that hosts do not all take the same runner. */
 const SPREAD_MS = 3;
