--- a/packages/client/src/explain/describe_story.ts
+++ b/packages/client/src/explain/describe_story.ts
@@ -1,3 +1,4 @@
+import {compareLines} from './compare_lines.js';
 import type {LogLine} from './log_line.js';
 import type {Story} from './story.js';
 
@@ -13,9 +14,7 @@
 }: Story): string {
   const begun = lines[0];
   const last = lines[lines.length - 1];
-  const order = [...lines, ...changes].sort((a, b) =>
-    a.time < b.time ? -1 : a.time > b.time ? 1 : a.steadyMs - b.steadyMs,
-  );
+  const order = [...lines, ...changes].sort((a, b) => compareLines(a, b));
   return [
     `request ${request} at ${begun.host}, ${begun.time}`,
     '',
--- a/packages/client/src/explain/tell_story.ts
+++ b/packages/client/src/explain/tell_story.ts
@@ -1,3 +1,4 @@
+import {compareLines} from './compare_lines.js';
 import type {LogLine} from './log_line.js';
 import type {Story} from './story.js';
 
@@ -29,13 +30,13 @@
 
 /** Finds all that the lines tell of a request. */
 export function tellStory(all: readonly LogLine[], request: string): Story {
-  const lines = all.filter(line => line.request === request).sort(byTime);
+  const lines = all.filter(line => line.request === request).sort(compareLines);
   const hosts = new Set(lines.map(line => line.host));
   const runners = new Set(lines.map(line => line.runner));
   const near = all
     .filter(line => line.event in MATTERS && hosts.has(line.host))
     .filter(({runner}) => runner === undefined || runners.has(runner))
-    .sort(byTime);
+    .sort(compareLines);
   const from = lines[0]?.time ?? '';
   const to = lines[lines.length - 1]?.time ?? '';
   return {
@@ -54,10 +55,5 @@
     newest.delete(key);
     newest.set(key, line);
   }
-  return [...newest.values()].sort(byTime);
-}
-
-function byTime(a: LogLine, b: LogLine): number {
-  if (a.host === b.host && a.time === b.time) return a.steadyMs - b.steadyMs;
-  return a.time < b.time ? -1 : a.time > b.time ? 1 : 0;
+  return [...newest.values()].sort(compareLines);
 }
--- a/packages/gateway/src/beliefs/runner_directory.ts
+++ b/packages/gateway/src/beliefs/runner_directory.ts
@@ -14,6 +14,8 @@
   readonly reader: WireReader;
   /** The copy whose proofs tell when the store was away. */
   readonly freshness: TopicMirror;
+  /** Told of each runner that is no longer known. */
+  readonly onGone: (id: string) => void;
   readonly createRunner: (entry: RunnerEntry) => Runner;
 }
 
@@ -154,6 +156,7 @@
     const {id, service} = runner.entry;
     this.runners.delete(id);
     runner.retire();
+    this.options.onGone(id);
     this.options.log.write('runner_gone', {runner: id, service, reason});
   }
 }
--- a/packages/gateway/src/calls/call_door.ts
+++ b/packages/gateway/src/calls/call_door.ts
@@ -36,6 +36,8 @@
 
 /** The status of a body over the bound, which is known only after the other checks. */
 const TOO_LARGE = 413;
+/** Says that the request has not run. */
+const REQUEST_TIMEOUT = 408;
 /** Room for headers over the largest configured bound, in bytes; above it Node refuses by itself. */
 const MAX_HEADER_BYTES = 65_536;
 /** Bodies accepted before a configuration is known, in bytes. */
@@ -161,11 +163,17 @@
     const verdict = this.checks.check(request);
     if (!('route' in verdict)) return this.refuse(request, caller, verdict);
     const limits = belief.current?.limits;
+    const bodyTimer = clock.after(verdict.route.timeLimitMs, () =>
+      controller.abort('time limit'),
+    );
     const body = await readBody(
       request,
       limits?.bodyBytes ?? DEFAULT_BODY_BYTES,
+      controller.signal,
     );
+    bodyTimer.cancel();
     if (body === 'broken') return;
+    if (body === 'late') return this.refuseLate(request, response, caller);
     if (body === 'too-large')
       return this.refuse(request, caller, {
         status: TOO_LARGE,
@@ -183,6 +191,21 @@
     }
   }
 
+  /** The rest of a body that comes too late is not waited for: the connection ends. */
+  private refuseLate(
+    request: IncomingMessage,
+    response: ServerResponse,
+    caller: CallerAnswer,
+  ): void {
+    if (caller.isClosed) return;
+    response.shouldKeepAlive = false;
+    response.once('finish', () => request.destroy());
+    this.refuse(request, caller, {
+      status: REQUEST_TIMEOUT,
+      reason: 'body not received within the time limit of the route',
+    });
+  }
+
   private refuse(
     request: IncomingMessage,
     caller: CallerAnswer,
--- a/packages/gateway/src/calls/forwarding.test.ts
+++ b/packages/gateway/src/calls/forwarding.test.ts
@@ -262,3 +262,13 @@
   for (let i = 0; i < 6; i++) assert.equal((await fixture.call()).status, 200);
   assert.ok(first.received.length <= 1);
 });
+
+void test('a body that does not come in time is refused as not run', async () => {
+  await serve(CallKind.UNSAFE, [first], {timeLimitMs: 300});
+  const answer = await fixture.call({
+    headers: {'content-length': '10'},
+    holdsBody: true,
+  });
+  assert.equal(answer.status, 408);
+  assert.equal(first.received.length, 0);
+});
--- a/packages/gateway/src/calls/read_body.ts
+++ b/packages/gateway/src/calls/read_body.ts
@@ -1,12 +1,13 @@
 import type {IncomingMessage} from 'node:http';
 
 /** Why a body was not read. */
-type BodyFailure = 'too-large' | 'broken';
+type BodyFailure = 'too-large' | 'broken' | 'late';
 
-/** Reads a request's body whole, up to a bound. */
+/** Reads a request's body whole, up to a bound; `signal` ends the wait for it. */
 export function readBody(
   request: IncomingMessage,
   maxBytes: number,
+  signal: AbortSignal,
 ): Promise<Buffer | BodyFailure> {
   return new Promise(resolve => {
     const chunks: Buffer[] = [];
@@ -19,5 +20,6 @@
     request.once('end', () => resolve(Buffer.concat(chunks)));
     request.once('close', () => resolve('broken'));
     request.once('error', () => resolve('broken'));
+    signal.addEventListener('abort', () => resolve('late'), {once: true});
   });
 }
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -14,7 +14,6 @@
 import {observeParts} from './parts/observe_parts.js';
 import {Topic} from './records/topic.js';
 import {RolloutWriter} from './rollouts/rollout_writer.js';
-import {PrefixBook} from './runners/prefix_book.js';
 import {ReadingRates} from './runners/reading_rates.js';
 import {RunnerChooser} from './runners/runner_chooser.js';
 
@@ -196,9 +195,9 @@
 
   private createForwarder(): CallForwarder {
     const {clock, random, log, headerNames, settings} = this.options;
-    const {directory, limits, rollouts, roster, sessions} = this.knowledge;
+    const {directory, limits, prefixes, rollouts, roster, sessions} =
+      this.knowledge;
     const rates = new ReadingRates();
-    const prefixes = new PrefixBook();
     return new CallForwarder({
       clock,
       random,
--- a/packages/gateway/src/parts/exchange.ts
+++ b/packages/gateway/src/parts/exchange.ts
@@ -50,6 +50,7 @@
       clock,
       random,
       log,
+      metrics: knowledge.metrics,
       freshness,
       roster,
       client: this.client,
--- a/packages/gateway/src/parts/knowledge.ts
+++ b/packages/gateway/src/parts/knowledge.ts
@@ -12,6 +12,7 @@
 import {RolloutBook} from '../rollouts/rollout_book.js';
 import {ConnectPatience} from '../runners/connect_patience.js';
 import {ConnectionPool} from '../runners/connection_pool.js';
+import {PrefixBook} from '../runners/prefix_book.js';
 import {Runner} from '../runners/runner.js';
 import type {GatewayOptions} from './gateway_options.js';
 import {HostLoads} from './host_loads.js';
@@ -36,6 +37,9 @@
   /** Whether the store answers this host. */
   readonly storeHealth: StoreHealth;
   /** The hosts. */
+  readonly metrics: GatewayMetrics;
+  /** Parts of prompts that runners probably keep. */
+  readonly prefixes: PrefixBook;
   readonly roster: Roster;
   /** The configuration in force. */
   readonly belief: ConfigurationBelief;
@@ -63,6 +67,8 @@
     };
     const {mirrors} = this;
     const freshness = mirrors[Topic.OPERATOR];
+    this.metrics = options.metrics;
+    this.prefixes = new PrefixBook();
     this.storeHealth = new StoreHealth({clock, log});
     this.roster = new Roster({
       clock,
@@ -95,6 +101,7 @@
       reader,
       freshness,
       mirror: mirrors[Topic.RUNNERS],
+      onGone: id => this.prefixes.forget(id),
       createRunner: entry => this.createRunner(entry),
     });
     this.starts = new RolloutStarts({
--- a/packages/gateway/src/peers/news_loop.ts
+++ b/packages/gateway/src/peers/news_loop.ts
@@ -1,6 +1,7 @@
 import {jitter, sleep} from '@bayspool/kernel';
 import type {Clock, RandomSource} from '@bayspool/kernel';
 import type {EventLog} from '../observability/event_log.js';
+import type {GatewayMetrics} from '../observability/gateway_metrics.js';
 import type {TopicMirror} from '../records/topic_mirror.js';
 import type {HostEntry} from './host_entry.js';
 import type {PeerClient} from './peer_client.js';
@@ -11,6 +12,7 @@
   readonly clock: Clock;
   readonly random: RandomSource;
   readonly log: EventLog;
+  readonly metrics: GatewayMetrics;
   readonly roster: Roster;
   readonly client: PeerClient;
   readonly desk: SyncDesk;
@@ -110,15 +112,17 @@
   }
 
   private async ask(peer: HostEntry, waitMs: number): Promise<boolean> {
-    const {clock, client, desk, roster, onNews} = this.options;
+    const {clock, client, desk, roster, metrics, onNews} = this.options;
     const sentAt = clock.now();
     try {
       const answer = await client.sync(peer, desk.request(waitMs));
       desk.adopt(answer, sentAt);
       roster.noteAnswer(peer.name);
+      metrics.peerCalls.inc({outcome: 'answered'});
       onNews();
       return true;
     } catch (error) {
+      metrics.peerCalls.inc({outcome: 'failed'});
       roster.noteFailure(peer.name, String(error));
       return false;
     }
--- a/packages/gateway/src/testing/gateway_fixture.ts
+++ b/packages/gateway/src/testing/gateway_fixture.ts
@@ -23,6 +23,8 @@
   /** Closes the connection after this time, in ms. */
   readonly leaveAfterMs?: number;
   readonly host?: number;
+  /** Sends the headers only. */
+  readonly holdsBody?: boolean;
 }
 
 interface Host {
@@ -181,7 +183,8 @@
           }),
         );
       });
-      outgoing.end(body);
+      if (options.holdsBody) outgoing.flushHeaders();
+      else outgoing.end(body);
       if (options.leaveAfterMs !== undefined)
         setTimeout(() => outgoing.destroy(), options.leaveAfterMs);
     });
