A leaving host ends connections whose streams began before it left

Change: such a connection ends with its answer; a request that crosses that is left unread. Test failed before: leaving.test.ts.

--- a/packages/gateway/src/calls/call_door.ts
+++ b/packages/gateway/src/calls/call_door.ts
@@ -49,6 +49,8 @@
   private readonly checks: RequestCheck;
   private readonly open = new Map<ServerResponse, AbortController>();
   private readonly sockets = new Set<Socket>();
+  /** Connections that take no further request. */
+  private readonly ended = new WeakSet<Socket>();
 
   constructor(private readonly options: Options) {
     const {random, names, belief, maxKeyAgeMs, maxDenialAgeMs} = options;
@@ -104,6 +106,13 @@
     this.server.closeAllConnections();
   }
 
+  /** An answer whose head was sent before the host began to leave did not announce the close. */
+  private endIfClosing(socket: Socket): void {
+    if (!this.options.isClosing()) return;
+    this.ended.add(socket);
+    socket.destroySoon();
+  }
+
   private noteSocket(socket: Socket): void {
     this.sockets.add(socket);
     socket.once('close', () => this.sockets.delete(socket));
@@ -131,6 +140,9 @@
   }
 
   private take(request: IncomingMessage, response: ServerResponse): void {
+    // It crossed the end of its connection: unread, so its caller may send it again elsewhere.
+    if (this.ended.has(request.socket)) return void request.socket.destroy();
+    response.once('finish', () => this.endIfClosing(request.socket));
     const controller = new AbortController();
     this.open.set(response, controller);
     response.once('close', () => {
--- a/packages/gateway/src/lifecycle/leaving.test.ts
+++ b/packages/gateway/src/lifecycle/leaving.test.ts
@@ -52,6 +52,32 @@
   await left;
 });
 
+void test('a connection whose stream began before the host leaves takes no further call', async () => {
+  const agent = new Agent({keepAlive: true, maxSockets: 1});
+  runner.script = ({id}, response) => {
+    response.writeHead(200, {
+      [names.requestId]: id,
+      [names.signature]: 'signed',
+    });
+    response.write('id: 1\ndata: a\n\n');
+    setTimeout(() => response.end('id: 2\ndata: b\n\n'), 1_000);
+  };
+  fixture.configure([{kind: CallKind.RESUMABLE, timeLimitMs: 8_000}]);
+  await fixture.waitFor(
+    () => fixture.events('configuration_in_force').length === 2,
+  );
+  const running = fixture.call({agent});
+  await fixture.waitFor(() => runner.received.length === 1);
+  await new Promise(resolve => setTimeout(resolve, 100));
+  const left = fixture.hosts[0].gateway.leave('test');
+  const answer = await running;
+  assert.notEqual(answer.headers.connection, 'close');
+  await new Promise(resolve => setTimeout(resolve, 100));
+  assert.equal(Object.values(agent.freeSockets).flat().length, 0);
+  agent.destroy();
+  await left;
+});
+
 void test('what cannot finish is ended before the process is killed', async () => {
   runner.script = () => undefined;
   const hanging = fixture.call({headers: {[names.deadline]: '20000'}});
