--- a/packages/gateway/src/records/topic_mirror.ts
+++ b/packages/gateway/src/records/topic_mirror.ts
@@ -7,7 +7,7 @@
 
 /**
  * Time without proof after which the store counts as having been away, in ms: over the time between
- * two proofs in normal running (a waiting read of a second, passed on by a relay).
+ * two proofs in normal running (a waiting read of a second, passed on by the host that made it).
  */
 const GAP_MS = 2_500;
 
