--- a/packages/gateway/src/calls/call_door.ts
+++ b/packages/gateway/src/calls/call_door.ts
@@ -48,7 +48,6 @@
   private readonly server: Server;
   private readonly checks: RequestCheck;
   private readonly open = new Map<ServerResponse, AbortController>();
-  private readonly sockets = new Set<Socket>();
   /** Connections that take no further request. */
   private readonly ended = new WeakSet<Socket>();
 
@@ -69,7 +68,6 @@
     this.server.on('clientError', (error, socket) =>
       this.refuseFraming(error, socket as Socket),
     );
-    this.server.on('connection', socket => this.noteSocket(socket));
     belief.onChange(configuration => this.applyLimits(configuration));
   }
 
@@ -113,11 +111,6 @@
     socket.destroySoon();
   }
 
-  private noteSocket(socket: Socket): void {
-    this.sockets.add(socket);
-    socket.once('close', () => this.sockets.delete(socket));
-  }
-
   private applyLimits({limits}: CallConfiguration): void {
     this.server.keepAliveTimeout = limits.idleTimeoutMs;
     this.server.headersTimeout = limits.headerTimeoutMs;
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -189,7 +189,7 @@
       port: settings.callerPort,
       maxKeyAgeMs: () => this.settings.keyBoundMs - KEY_MARGIN_MS,
       maxDenialAgeMs: () => this.settings.configurationBoundMs,
-      isClosing: () => this.leaving.isClosing,
+      isClosing: () => this.leaving.hasBegun,
     });
   }
 
--- a/packages/gateway/src/lifecycle/leaving.ts
+++ b/packages/gateway/src/lifecycle/leaving.ts
@@ -24,16 +24,11 @@
 
   constructor(private readonly options: Options) {}
 
-  /** Whether this host is about to stop. */
+  /** Whether this host is about to stop: it is not ready, and connections are closed behind their answers. */
   get hasBegun(): boolean {
     return this.began;
   }
 
-  /** Whether connections are closed behind their answers. */
-  get isClosing(): boolean {
-    return this.began;
-  }
-
   /** Resolves when nothing is open any more, or the grace period is nearly over. */
   async run(reason: string): Promise<void> {
     const {clock, log, door} = this.options;
