One way for the gateway's servers to listen and to close

Cause: four servers had the same promise around listen and the same two calls to close. Change: listen_on.ts, close_server.ts. Result: no change of behaviour.

--- a/packages/gateway/src/calls/call_door.ts
+++ b/packages/gateway/src/calls/call_door.ts
@@ -15,6 +15,8 @@
 import {readNumber} from './read_number.js';
 import {RequestCheck} from './request_check.js';
 import {toCall} from './to_call.js';
+import {closeServer} from '../lifecycle/close_server.js';
+import {listenOn} from '../lifecycle/listen_on.js';
 
 interface Options {
   readonly clock: Clock;
@@ -79,10 +81,7 @@
   /** Listens for callers. */
   start(): Promise<void> {
     const {ip, port} = this.options;
-    return new Promise((resolve, reject) => {
-      this.server.once('error', reject);
-      this.server.listen(port, ip, () => resolve());
-    });
+    return listenOn(this.server, ip, port);
   }
 
   /** Closes connections that carry no request, and takes no new ones. */
@@ -100,8 +99,7 @@
 
   /** Closes all connections at once. */
   stop(): void {
-    this.server.close();
-    this.server.closeAllConnections();
+    closeServer(this.server);
   }
 
   /** An answer whose head was sent before the host began to leave did not announce the close. */
--- a/packages/gateway/src/lifecycle/metrics_server.ts
+++ b/packages/gateway/src/lifecycle/metrics_server.ts
@@ -1,6 +1,8 @@
 import {createServer} from 'node:http';
 import type {Server} from 'node:http';
 import type {Registry} from 'prom-client';
+import {closeServer} from './close_server.js';
+import {listenOn} from './listen_on.js';
 
 interface Options {
   readonly ip: string;
@@ -30,15 +32,11 @@
   /** Listens. */
   start(): Promise<void> {
     const {ip, port} = this.options;
-    return new Promise((resolve, reject) => {
-      this.server.once('error', reject);
-      this.server.listen(port, ip, () => resolve());
-    });
+    return listenOn(this.server, ip, port);
   }
 
   /** Closes all connections at once. */
   stop(): void {
-    this.server.close();
-    this.server.closeAllConnections();
+    closeServer(this.server);
   }
 }
--- a/packages/gateway/src/lifecycle/readiness_server.ts
+++ b/packages/gateway/src/lifecycle/readiness_server.ts
@@ -1,5 +1,7 @@
 import {createServer} from 'node:http';
 import type {Server} from 'node:http';
+import {closeServer} from './close_server.js';
+import {listenOn} from './listen_on.js';
 
 interface Options {
   readonly ip: string;
@@ -24,15 +26,11 @@
   /** Listens. */
   start(): Promise<void> {
     const {ip, port} = this.options;
-    return new Promise((resolve, reject) => {
-      this.server.once('error', reject);
-      this.server.listen(port, ip, () => resolve());
-    });
+    return listenOn(this.server, ip, port);
   }
 
   /** Closes all connections at once. */
   stop(): void {
-    this.server.close();
-    this.server.closeAllConnections();
+    closeServer(this.server);
   }
 }
--- a/packages/gateway/src/peers/peer_server.ts
+++ b/packages/gateway/src/peers/peer_server.ts
@@ -4,6 +4,8 @@
 import type {EventLog} from '../observability/event_log.js';
 import type {SyncDesk} from './sync_desk.js';
 import type {SyncRequest} from './sync_request.js';
+import {closeServer} from '../lifecycle/close_server.js';
+import {listenOn} from '../lifecycle/listen_on.js';
 
 interface Options {
   readonly ip: string;
@@ -41,16 +43,12 @@
   /** Listens for other hosts. */
   start(): Promise<void> {
     const {ip, port} = this.options;
-    return new Promise((resolve, reject) => {
-      this.server.once('error', reject);
-      this.server.listen(port, ip, () => resolve());
-    });
+    return listenOn(this.server, ip, port);
   }
 
   /** Closes all connections at once. */
   stop(): void {
-    this.server.close();
-    this.server.closeAllConnections();
+    closeServer(this.server);
   }
 
   private async take(
