--- a/packages/gateway/src/records/topic_follower.ts
+++ b/packages/gateway/src/records/topic_follower.ts
@@ -71,28 +71,28 @@
 
   private async read(): Promise<void> {
     const {clock, store, mirror, waitMs} = this.options;
-    const {topic} = mirror;
+    if (!mirror.isLoaded) return this.reload();
+    const {topic, next: from} = mirror;
     const asOf = clock.now();
-    if (!mirror.isLoaded) {
-      mirror.load(await store.readNewest(topic), asOf);
-      return;
-    }
-    const from = mirror.next;
     mirror.extend(await store.readFrom({topic, from, waitMs}), asOf);
   }
 
+  private async reload(): Promise<void> {
+    const {clock, store, mirror} = this.options;
+    const asOf = clock.now();
+    mirror.load(await store.readNewest(mirror.topic), asOf);
+  }
+
   private async handle(error: unknown): Promise<void> {
-    const {clock, random, store, mirror, health, log} = this.options;
+    const {clock, random, mirror, health, log} = this.options;
     const failure =
       error instanceof StoreFailure
         ? error
         : new StoreFailure(StoreFailureKind.UNREADABLE, String(error));
     if (failure.kind === StoreFailureKind.TRIMMED) {
       log.write('topic_reloaded', {topic: mirror.topic, position: mirror.next});
-      const asOf = clock.now();
       try {
-        mirror.load(await store.readNewest(mirror.topic), asOf);
-        return;
+        return await this.reload();
       } catch (second) {
         health.noteFailure(String(second));
       }
