One way to write the head of a runner's answer

Cause: three places asked whether the answer has a length before they wrote its head. Change: writeRunnerHead(). Result: no change of behaviour.

--- a/packages/gateway/src/calls/caller_answer.ts
+++ b/packages/gateway/src/calls/caller_answer.ts
@@ -68,8 +68,7 @@
   /** Sends an answer of a runner that was received whole. */
   sendWhole(answer: WholeAnswer): void {
     this.noteFirst();
-    if (answer.isUnframed) this.leaveUnframed();
-    this.writeHead(answer.status, answer.statusText, answer.headers);
+    this.writeRunnerHead(answer);
     if (NO_BODY_STATUSES.has(answer.status)) this.response.end();
     else this.response.end(answer.body);
   }
@@ -89,8 +88,7 @@
   sendEvent(head: StreamHead, event: StreamEvent): boolean {
     if (!this.hasBegun) {
       this.noteFirst();
-      if (head.isUnframed) this.leaveUnframed();
-      this.writeHead(head.status, head.statusText, head.headers);
+      this.writeRunnerHead(head);
     }
     if (event.id !== undefined) this.last = event.id;
     this.count += 1;
@@ -100,10 +98,7 @@
 
   /** Ends a stream that is whole; `head` is used if it had no event. */
   finishStream(head: StreamHead): void {
-    if (!this.hasBegun) {
-      if (head.isUnframed) this.leaveUnframed();
-      this.writeHead(head.status, head.statusText, head.headers);
-    }
+    if (!this.hasBegun) this.writeRunnerHead(head);
     this.response.end();
   }
 
@@ -125,6 +120,11 @@
     this.response.once('drain', action);
   }
 
+  private writeRunnerHead(head: StreamHead): void {
+    if (head.isUnframed) this.leaveUnframed();
+    this.writeHead(head.status, head.statusText, head.headers);
+  }
+
   private leaveUnframed(): void {
     this.unframed = true;
     this.response.useChunkedEncodingByDefault = false;
