The ends of a call are named once

Cause: the door, the final answer and leaving wrote and compared the same texts; a slip in one would have changed a 504 into a 502. Change: CallEnd. Result: no change of behaviour.

--- a/packages/gateway/src/calls/call_door.ts
+++ b/packages/gateway/src/calls/call_door.ts
@@ -7,6 +7,7 @@
 import type {EventLog} from '../observability/event_log.js';
 import type {GatewayMetrics} from '../observability/gateway_metrics.js';
 import {CallerAnswer} from './caller_answer.js';
+import {CallEnd} from './call_end.js';
 import type {CallForwarder} from './call_forwarder.js';
 import type {HeaderNames} from './header_names.js';
 import type {IncomingCall} from './incoming_call.js';
@@ -91,7 +92,7 @@
   }
 
   /** Ends all open calls. @returns how many there were */
-  cutAll(reason: string): number {
+  cutAll(reason: CallEnd): number {
     const count = this.open.size;
     for (const controller of [...this.open.values()]) controller.abort(reason);
     return count;
@@ -138,7 +139,7 @@
     this.open.set(response, controller);
     response.once('close', () => {
       this.open.delete(response);
-      if (!response.writableFinished) controller.abort('caller left');
+      if (!response.writableFinished) controller.abort(CallEnd.CALLER_LEFT);
     });
     response.on('error', () => undefined);
     this.handle(request, response, controller).catch(error => {
@@ -167,7 +168,7 @@
     if (!('route' in verdict)) return this.refuse(request, caller, verdict);
     const limits = belief.current?.limits;
     const bodyTimer = clock.after(verdict.route.timeLimitMs, () =>
-      controller.abort('time limit'),
+      controller.abort(CallEnd.TIME_LIMIT),
     );
     const body = await readBody(
       request,
@@ -185,7 +186,7 @@
     const call = toCall({request, body, admission: verdict, names, acceptedAt});
     this.noteAccepted(call);
     const timer = clock.after(call.deadlineAt - clock.now(), () =>
-      controller.abort('time limit'),
+      controller.abort(CallEnd.TIME_LIMIT),
     );
     try {
       await forwarder.forward(call, caller, controller.signal);
--- a/packages/gateway/src/calls/final_answer.ts
+++ b/packages/gateway/src/calls/final_answer.ts
@@ -3,6 +3,7 @@
 import type {GatewayMetrics} from '../observability/gateway_metrics.js';
 import type {Runner} from '../runners/runner.js';
 import type {AttemptOutcome} from './attempt_outcome.js';
+import {CallEnd} from './call_end.js';
 import type {CallProgress} from './call_progress.js';
 import type {CallerAnswer} from './caller_answer.js';
 import type {OwnAnswer} from './own_answer.js';
@@ -61,7 +62,7 @@
     const request = call.id;
     const route = call.route.name;
     const why = reasonLabel(reason);
-    if (reason === 'caller left') {
+    if (reason === CallEnd.CALLER_LEFT) {
       metrics.requests.inc({route, outcome: 'left', reason: why});
       log.write('caller_left', {request, attempts, forMs});
       return;
@@ -95,7 +96,9 @@
       return {status: STATUS.UNAVAILABLE, reason, retryAfterMs};
     }
     const status =
-      reason === 'time limit' ? STATUS.GATEWAY_TIMEOUT : STATUS.BAD_GATEWAY;
+      reason === CallEnd.TIME_LIMIT
+        ? STATUS.GATEWAY_TIMEOUT
+        : STATUS.BAD_GATEWAY;
     return {status, reason};
   }
 }
--- a/packages/gateway/src/lifecycle/leaving.ts
+++ b/packages/gateway/src/lifecycle/leaving.ts
@@ -1,6 +1,7 @@
 import {sleep} from '@bayspool/kernel';
 import type {Clock} from '@bayspool/kernel';
 import type {CallDoor} from '../calls/call_door.js';
+import {CallEnd} from '../calls/call_end.js';
 import type {EventLog} from '../observability/event_log.js';
 
 interface Options {
@@ -43,7 +44,7 @@
       await sleep(clock, TICK_MS);
       door.closeIdle();
     }
-    const cut = door.cutAll('host leaves');
+    const cut = door.cutAll(CallEnd.HOST_LEAVES);
     await sleep(clock, TICK_MS);
     const forMs = Math.round(clock.now() - startedAt);
     log.write('process_stopped', {reason, cut, forMs});
