The names of headers that are not passed on are gathered once, not for each attempt

Cause: a set of some 25 names was built for every attempt on a request's path, though only the caller's Connection header differs. Change: RunnerHeaders holds the fixed part.

--- a/packages/gateway/src/calls/attempt.ts
+++ b/packages/gateway/src/calls/attempt.ts
@@ -13,12 +13,14 @@
 import type {HeaderNames} from './header_names.js';
 import type {IncomingCall} from './incoming_call.js';
 import {readKeepAlive} from './read_keep_alive.js';
-import {runnerHeaders} from './runner_headers.js';
+import type {RunnerHeaders} from './runner_headers.js';
 import {isTooSilent} from './silence_rule.js';
 
 interface Options {
   readonly clock: Clock;
   readonly names: HeaderNames;
+  /** Makes the headers for a runner. */
+  readonly runnerHeaders: RunnerHeaders;
   readonly call: IncomingCall;
   readonly choice: RunnerChoice;
   readonly model?: string;
@@ -88,16 +90,15 @@
   }
 
   private async exchange(): Promise<AttemptOutcome> {
-    const {call, choice, names, clock, model, caller} = this.options;
+    const {call, choice, clock, model, caller, runnerHeaders} = this.options;
     const {runner} = choice;
     const connection = await runner.pool.acquire();
     if (this.ended.signal.aborted) {
       connection.discard();
       return {kind: AttemptKind.NOT_RUN, reason: this.endReason()};
     }
-    const headers = runnerHeaders({
+    const headers = runnerHeaders.make({
       call,
-      names,
       model,
       runner: runner.entry.id,
       leftMs: call.deadlineAt - clock.now(),
--- a/packages/gateway/src/calls/call_forwarder.ts
+++ b/packages/gateway/src/calls/call_forwarder.ts
@@ -22,6 +22,7 @@
 import type {HeaderNames} from './header_names.js';
 import type {IncomingCall} from './incoming_call.js';
 import {RepeatRule} from './repeat_rule.js';
+import {RunnerHeaders} from './runner_headers.js';
 
 interface Options {
   readonly clock: Clock;
@@ -52,6 +53,7 @@
   private readonly lessons: AttemptLessons;
   private readonly repeats: RepeatRule;
   private readonly final: FinalAnswer;
+  private readonly runnerHeaders: RunnerHeaders;
 
   constructor(private readonly options: Options) {
     const {clock, random, log, metrics, directory} = options;
@@ -72,6 +74,7 @@
       cascade,
       budgetOf,
     });
+    this.runnerHeaders = new RunnerHeaders(options.names);
     this.final = new FinalAnswer({clock, random, log, metrics});
   }
 
@@ -170,6 +173,7 @@
     return new Attempt({
       clock,
       names,
+      runnerHeaders: this.runnerHeaders,
       call,
       choice,
       model,
--- a/packages/gateway/src/calls/runner_headers.ts
+++ b/packages/gateway/src/calls/runner_headers.ts
@@ -3,9 +3,8 @@
 import type {IncomingCall} from './incoming_call.js';
 import {nominatedHeaders} from './nominated_headers.js';
 
-interface Options {
+interface RunnerHead {
   readonly call: IncomingCall;
-  readonly names: HeaderNames;
   /** The id of the runner that is meant. */
   readonly runner: string;
   readonly model?: string;
@@ -17,55 +16,73 @@
 /** Value of the priority header for the least urgent calls. */
 const MAX_PRIORITY = 9;
 
-/** The headers that go to a runner: the caller's, less the hop's and ours, with what we set. */
-export function runnerHeaders(options: Options): string[] {
-  const {call, names} = options;
-  const dropped = droppedNames(call, names);
-  const headers: string[] = [];
-  for (let i = 0; i < call.rawHeaders.length; i += 2) {
-    const name = call.rawHeaders[i].toLowerCase();
-    if (dropped.has(name)) continue;
-    headers.push(call.rawHeaders[i], call.rawHeaders[i + 1]);
+/** Makes the headers that go to a runner: the caller's, less the hop's and ours, with what we set. */
+export class RunnerHeaders {
+  /** Never passed on. */
+  private readonly dropped: ReadonlySet<string>;
+  /** What a runner needs, so that a Connection header must not take it away. */
+  private readonly kept: ReadonlySet<string>;
+
+  constructor(private readonly names: HeaderNames) {
+    this.dropped = new Set([
+      ...hopHeaders,
+      ...names.reserved,
+      names.apiKey,
+      names.workspace,
+      names.expectedRunner,
+      names.priority,
+      names.deadline,
+      names.requestId,
+      names.lastEventId,
+      'content-length',
+      'expect',
+    ]);
+    this.kept = new Set(['host', names.promptSize, names.promptParts]);
   }
-  return headers.concat(ownHeaders(options));
-}
 
-function droppedNames(call: IncomingCall, names: HeaderNames): Set<string> {
-  const dropped = new Set([
-    ...hopHeaders,
-    ...nominatedHeaders(call.rawHeaders),
-    ...names.reserved,
-    names.apiKey,
-    names.workspace,
-    names.expectedRunner,
-    names.priority,
-    names.deadline,
-    names.requestId,
-    names.lastEventId,
-    'content-length',
-    'expect',
-  ]);
-  // A Connection header must not take away what the runner needs.
-  for (const kept of ['host', names.promptSize, names.promptParts])
-    dropped.delete(kept);
-  if (call.route.models.length > 0) dropped.add(names.model);
-  else dropped.delete(names.model);
-  return dropped;
-}
+  /** Names and values by turns. */
+  make(head: RunnerHead): string[] {
+    const {rawHeaders} = head.call;
+    const nominated = nominatedHeaders(rawHeaders);
+    const headers: string[] = [];
+    for (let i = 0; i < rawHeaders.length; i += 2) {
+      const name = rawHeaders[i].toLowerCase();
+      if (this.isDropped(name, head.call, nominated)) continue;
+      headers.push(rawHeaders[i], rawHeaders[i + 1]);
+    }
+    return headers.concat(this.own(head));
+  }
 
-function ownHeaders(options: Options): string[] {
-  const {call, names, runner, model, leftMs, lastEventId} = options;
-  const own = [names.requestId, call.id];
-  own.push(names.deadline, String(Math.max(1, Math.floor(leftMs))));
-  own.push(names.expectedRunner, runner);
-  if (call.workspace !== undefined) own.push(names.workspace, call.workspace);
-  if (model !== undefined && call.route.models.length > 0)
-    own.push(names.model, model);
-  if (call.prompt)
-    own.push(names.priority, String(Math.min(MAX_PRIORITY, call.priority)));
-  if (lastEventId !== undefined)
-    own.push(names.lastEventId, String(lastEventId));
-  if (call.body.length > 0 || call.method !== 'GET')
-    own.push('content-length', String(call.body.length));
-  return own;
+  private isDropped(
+    name: string,
+    {route}: IncomingCall,
+    nominated: ReadonlySet<string>,
+  ): boolean {
+    if (this.kept.has(name)) return false;
+    if (name === this.names.model) return route.models.length > 0;
+    return this.dropped.has(name) || nominated.has(name);
+  }
+
+  private own({
+    call,
+    runner,
+    model,
+    leftMs,
+    lastEventId,
+  }: RunnerHead): string[] {
+    const {names} = this;
+    const own = [names.requestId, call.id];
+    own.push(names.deadline, String(Math.max(1, Math.floor(leftMs))));
+    own.push(names.expectedRunner, runner);
+    if (call.workspace !== undefined) own.push(names.workspace, call.workspace);
+    if (model !== undefined && call.route.models.length > 0)
+      own.push(names.model, model);
+    if (call.prompt)
+      own.push(names.priority, String(Math.min(MAX_PRIORITY, call.priority)));
+    if (lastEventId !== undefined)
+      own.push(names.lastEventId, String(lastEventId));
+    if (call.body.length > 0 || call.method !== 'GET')
+      own.push('content-length', String(call.body.length));
+    return own;
+  }
 }
