One way to ask a peer or the store and wait for the whole answer

Cause: the clients of peers and of the store had the same request, time limit and gathering of bytes. Change: requestWhole() in the gateway, used by both. Also a test of headers that belong to one connection.

--- a/packages/gateway/src/calls/forwarding.test.ts
+++ b/packages/gateway/src/calls/forwarding.test.ts
@@ -272,3 +272,21 @@
   assert.equal(answer.status, 408);
   assert.equal(first.received.length, 0);
 });
+
+void test('what belongs to one connection is not passed on, and nothing that the runner needs is taken away', async () => {
+  await serve(CallKind.UNSAFE, [first]);
+  await fixture.call({
+    headers: {
+      connection: `x-hop, host, ${names.promptSize}, ${names.requestId}`,
+      'x-hop': '1',
+      'x-end': '2',
+      [names.promptSize]: '100,20',
+    },
+  });
+  const {headers} = first.received[0];
+  assert.equal(headers['x-hop'], undefined);
+  assert.equal(headers['x-end'], '2');
+  assert.equal(headers.host, 'calls.example');
+  assert.equal(headers[names.promptSize], '100,20');
+  assert.ok(headers[names.requestId]);
+});
--- a/packages/gateway/src/index.ts
+++ b/packages/gateway/src/index.ts
@@ -3,6 +3,8 @@
 export type {HeaderNames} from './calls/header_names.js';
 export {Gateway} from './gateway.js';
 export type {GatewaySettings} from './gateway_settings.js';
+export type {ReceivedAnswer} from './http/received_answer.js';
+export {requestWhole} from './http/request_whole.js';
 export {EventLog} from './observability/event_log.js';
 export type {EventSink} from './observability/event_sink.js';
 export {LineWriter} from './observability/line_writer.js';
--- a/packages/gateway/src/peers/peer_client.ts
+++ b/packages/gateway/src/peers/peer_client.ts
@@ -1,6 +1,7 @@
-import {Agent, request as startRequest} from 'node:http';
+import {Agent} from 'node:http';
 import type {Clock} from '@bayspool/kernel';
 import {JSONRPCClient} from 'json-rpc-2.0';
+import {requestWhole} from '../http/request_whole.js';
 import type {HostEntry} from './host_entry.js';
 import type {SyncAnswer} from './sync_answer.js';
 import type {SyncRequest} from './sync_request.js';
@@ -20,14 +21,19 @@
 
   /** Asks a host for news; rejects when it does not answer in time. */
   async sync(peer: HostEntry, request: SyncRequest): Promise<SyncAnswer> {
-    const timeoutMs = request.waitMs + ANSWER_MS;
+    const {clock} = this.options;
     const rpc: JSONRPCClient = new JSONRPCClient(async payload => {
-      const body = await this.post(
-        peer.address,
-        JSON.stringify(payload),
-        timeoutMs,
-      );
-      rpc.receive(JSON.parse(body));
+      const {body} = await requestWhole({
+        clock,
+        agent: this.agent,
+        address: peer.address,
+        method: 'POST',
+        path: '/',
+        headers: {'content-type': 'application/json'},
+        body: JSON.stringify(payload),
+        timeoutMs: request.waitMs + ANSWER_MS,
+      });
+      rpc.receive(JSON.parse(body.toString()));
     });
     return (await rpc.request('sync', request)) as SyncAnswer;
   }
@@ -36,45 +42,4 @@
   stop(): void {
     this.agent.destroy();
   }
-
-  private post(
-    address: string,
-    body: string,
-    timeoutMs: number,
-  ): Promise<string> {
-    const [host, port] = address.split(':');
-    return new Promise((resolve, reject) => {
-      const headers = {
-        'content-type': 'application/json',
-        'content-length': Buffer.byteLength(body),
-      };
-      const {agent} = this;
-      const call = startRequest({
-        agent,
-        host,
-        port,
-        method: 'POST',
-        path: '/',
-        headers,
-      });
-      const timer = this.options.clock.after(timeoutMs, () =>
-        call.destroy(new Error(`no answer within ${timeoutMs} ms`)),
-      );
-      const fail = (error: Error) => {
-        timer.cancel();
-        reject(error);
-      };
-      call.once('error', fail);
-      call.once('response', answer => {
-        const chunks: Buffer[] = [];
-        answer.on('data', (chunk: Buffer) => chunks.push(chunk));
-        answer.once('error', fail);
-        answer.once('end', () => {
-          timer.cancel();
-          resolve(Buffer.concat(chunks).toString());
-        });
-      });
-      call.end(body);
-    });
-  }
 }
