One way to settle what came of a runner's answer

Cause: the readers of whole answers and of streams had the same flag, promise and failure. Change: PendingOutcome.

--- a/packages/gateway/src/calls/answer_reader.ts
+++ b/packages/gateway/src/calls/answer_reader.ts
@@ -5,6 +5,7 @@
 import type {AttemptOutcome} from './attempt_outcome.js';
 import {isFramed} from './is_framed.js';
 import {isWhole} from './is_whole.js';
+import {PendingOutcome} from './pending_outcome.js';
 import type {WholeAnswer} from './whole_answer.js';
 
 interface Options {
@@ -27,44 +28,43 @@
 export class AnswerReader {
   private readonly chunks: Buffer[] = [];
   private readonly status: number;
+  private readonly outcome: PendingOutcome;
   private size = 0;
-  private isSettled = false;
-  private resolve: (outcome: AttemptOutcome) => void = () => undefined;
 
   constructor(private readonly options: Options) {
     this.status = options.answer.statusCode ?? 0;
+    this.outcome = new PendingOutcome({...options, status: this.status});
   }
 
   /** Receives the answer until it ends or fails. */
   run(): Promise<AttemptOutcome> {
     const {answer} = this.options;
-    return new Promise(resolve => {
-      this.resolve = resolve;
-      answer.on('data', (chunk: Buffer) => this.take(chunk));
-      answer.once('end', () => this.end());
-      answer.once('error', () => this.fail('answer broke off'));
-      answer.once('close', () => this.fail('answer closed'));
-    });
+    answer.on('data', (chunk: Buffer) => this.take(chunk));
+    answer.once('end', () => this.end());
+    answer.once('error', () => this.outcome.fail('answer broke off'));
+    answer.once('close', () => this.outcome.fail('answer closed'));
+    return this.outcome.promise;
   }
 
   private take(chunk: Buffer): void {
     this.options.onBytes();
     this.size += chunk.length;
-    if (this.size > MAX_ANSWER_BYTES) return this.fail('answer too large');
+    if (this.size > MAX_ANSWER_BYTES)
+      return this.outcome.fail('answer too large');
     this.chunks.push(chunk);
   }
 
   private end(): void {
-    if (this.isSettled) return;
+    if (this.outcome.isSettled) return;
     const {answer, connection, onWhole} = this.options;
-    if (!isWhole(answer, connection)) return this.fail('answer broke off');
+    if (!isWhole(answer, connection))
+      return this.outcome.fail('answer broke off');
     onWhole();
-    this.isSettled = true;
     const {status} = this;
     const kind =
       status >= SERVER_ERROR ? AttemptKind.RUNNER_ERROR : AttemptKind.ANSWERED;
     const reason = `status ${status}`;
-    this.resolve({kind, reason, status, answer: this.toWhole()});
+    this.outcome.succeed({kind, reason, status, answer: this.toWhole()});
   }
 
   private toWhole(): WholeAnswer {
@@ -79,13 +79,4 @@
       isUnframed,
     };
   }
-
-  private fail(reason: string): void {
-    // Node closes an answer behind its end too; the connection is sound then.
-    if (this.isSettled) return;
-    this.isSettled = true;
-    const {connection, failureKind} = this.options;
-    connection.discard();
-    this.resolve({kind: failureKind(), reason, status: this.status});
-  }
 }
--- a/packages/gateway/src/calls/event_pump.ts
+++ b/packages/gateway/src/calls/event_pump.ts
@@ -8,6 +8,7 @@
 import type {CallerAnswer} from './caller_answer.js';
 import {isFramed} from './is_framed.js';
 import {isWhole} from './is_whole.js';
+import {PendingOutcome} from './pending_outcome.js';
 import type {StreamHead} from './stream_head.js';
 
 interface Options {
@@ -28,8 +29,7 @@
 export class EventPump {
   private readonly splitter = new EventSplitter();
   private readonly head: StreamHead;
-  private isSettled = false;
-  private resolve: (outcome: AttemptOutcome) => void = () => undefined;
+  private readonly outcome: PendingOutcome;
 
   constructor(private readonly options: Options) {
     const {answer} = options;
@@ -39,28 +39,28 @@
       statusText: answer.statusMessage ?? '',
       headers: answerHeaders(answer),
     };
+    const {status} = this.head;
+    this.outcome = new PendingOutcome({...options, status});
   }
 
   /** Passes events on until the stream ends or fails. */
   run(): Promise<AttemptOutcome> {
     const {answer} = this.options;
-    return new Promise(resolve => {
-      this.resolve = resolve;
-      answer.on('data', (chunk: Buffer) => this.take(chunk));
-      answer.once('end', () => this.end());
-      answer.once('error', () => this.fail('stream broke off'));
-      answer.once('close', () => this.fail('stream closed'));
-    });
+    answer.on('data', (chunk: Buffer) => this.take(chunk));
+    answer.once('end', () => this.end());
+    answer.once('error', () => this.outcome.fail('stream broke off'));
+    answer.once('close', () => this.outcome.fail('stream closed'));
+    return this.outcome.promise;
   }
 
   private take(chunk: Buffer): void {
     this.options.onBytes();
-    if (this.isSettled) return;
+    if (this.outcome.isSettled) return;
     const events = this.splitter.push(chunk);
-    if (this.splitter.isOversized) return this.fail('event too large');
+    if (this.splitter.isOversized) return this.outcome.fail('event too large');
     for (const event of events) {
       const place = this.placeOf(event);
-      if (place === 'gap') return this.fail('events out of order');
+      if (place === 'gap') return this.outcome.fail('events out of order');
       if (place === 'next') this.pass(event);
     }
   }
@@ -83,26 +83,15 @@
   }
 
   private end(): void {
-    if (this.isSettled) return;
+    if (this.outcome.isSettled) return;
     const {answer, connection, caller, confidence} = this.options;
     const {status, isUnframed} = this.head;
     if (!isWhole(answer, connection) || this.splitter.pendingBytes > 0)
-      return this.fail('stream broke off');
+      return this.outcome.fail('stream broke off');
     if (isUnframed && !caller.acceptsUnframed)
-      return this.fail('end of the stream is not certain');
-    this.isSettled = true;
+      return this.outcome.fail('end of the stream is not certain');
     if (!caller.isClosed) caller.finishStream(this.head);
     const kind = AttemptKind.ANSWERED;
-    this.resolve({kind, reason: 'whole', status, confidence});
-  }
-
-  private fail(reason: string): void {
-    // Node closes an answer behind its end too; the connection is sound then.
-    if (this.isSettled) return;
-    this.isSettled = true;
-    const {connection, confidence, failureKind} = this.options;
-    const {status} = this.head;
-    connection.discard();
-    this.resolve({kind: failureKind(), reason, status, confidence});
+    this.outcome.succeed({kind, reason: 'whole', status, confidence});
   }
 }
