A choice of a runner no longer lists all hosts for each runner

Cause: for every candidate the choice built the list of living hosts twice, once for the share of connections and once for lost places, ranked all runners to find the first, and built four sets of which one is used: work by hosts times runners on a request's path. Change: the count of hosts without a list, lost places once a choice, the first by hash alone, the sets as needed.

--- a/packages/decisions/src/calls/calls.test.ts
+++ b/packages/decisions/src/calls/calls.test.ts
@@ -6,6 +6,7 @@
 import {CascadeRule} from './cascade_rule.js';
 import {chooseService} from './choose_service.js';
 import {EventSplitter} from './event_splitter.js';
+import {firstByHash} from './first_by_hash.js';
 import {judgeVersion} from './judge_version.js';
 import {rankByHash} from './rank_by_hash.js';
 import {RetryBudget} from './retry_budget.js';
@@ -206,3 +207,13 @@
   assert.equal(health.ejectIfWorse(0.05, 0, 0), undefined);
   assert.notEqual(health.ejectIfWorse(0.05, 1, 4), undefined);
 });
+
+void test('the first by hash is the one that ranks first', () => {
+  const names = Array.from({length: 50}, (_, i) => `runner-${i}`);
+  for (let i = 0; i < 200; i++)
+    assert.equal(
+      firstByHash(`key-${i}`, names),
+      rankByHash(`key-${i}`, names)[0],
+    );
+  assert.equal(firstByHash('key', []), undefined);
+});
--- a/packages/gateway/src/parts/service_limits.ts
+++ b/packages/gateway/src/parts/service_limits.ts
@@ -32,7 +32,7 @@
     const all =
       this.options.belief.current?.services.get(service)?.maxConnections;
     if (all === undefined) return MIN_CONNECTIONS;
-    const share = (all * CONNECTION_PART) / this.options.roster.living().length;
+    const share = (all * CONNECTION_PART) / this.options.roster.livingCount;
     return Math.max(MIN_CONNECTIONS, Math.floor(share));
   }
 
@@ -46,7 +46,7 @@
       ratio: () => settings().retryRatio,
       extra: () => settings().retryExtra,
       windowMs: retryWindowMs,
-      hosts: () => roster.living().length,
+      hosts: () => roster.livingCount,
     });
     this.budgets.set(service, budget);
     return budget;
--- /dev/null
+++ b/packages/gateway/src/peers/roster.test.ts
@@ -0,0 +1,53 @@
+import assert from 'node:assert/strict';
+import {beforeEach, test} from 'node:test';
+import {VirtualClock} from '@bayspool/kernel';
+import {EventLog} from '../observability/event_log.js';
+import {Topic} from '../records/topic.js';
+import {TopicMirror} from '../records/topic_mirror.js';
+import type {HostEntry} from './host_entry.js';
+import {hostKey} from './host_key.js';
+import {Roster} from './roster.js';
+
+let clock: VirtualClock;
+let roster: Roster;
+
+function host(name: string, place: string): HostEntry {
+  return {name, place, address: '127.0.0.1:1', capacity: 1, boot: name};
+}
+
+beforeEach(() => {
+  clock = new VirtualClock();
+  const mirror = new TopicMirror(Topic.HOSTS);
+  const log = new EventLog({clock, host: 'a1', sink: {write: () => undefined}});
+  roster = new Roster({clock, log, mirror, self: host('a1', 'a')});
+  const others = [host('a2', 'a'), host('b1', 'b'), host('b2', 'b')];
+  const records = others.map((entry, offset) => ({
+    key: hostKey.of(entry.name),
+    value: JSON.stringify(entry),
+    offset,
+  }));
+  mirror.load({records, next: records.length, isWhole: true}, clock.now());
+});
+
+void test('hosts that nobody reached for long are not counted, until they answer', () => {
+  assert.equal(roster.livingCount, 4);
+  roster.noteFailure('b1', 'silent');
+  clock.advance(10_000);
+  assert.equal(roster.livingCount, 4);
+  clock.advance(10_000);
+  assert.equal(roster.livingCount, 3);
+  assert.equal(roster.living().length, roster.livingCount);
+  roster.noteAnswer('b1');
+  assert.equal(roster.livingCount, 4);
+});
+
+void test('a place is lost when none of its hosts answers, and never the own one', () => {
+  assert.deepEqual([...roster.lostPlaces()], []);
+  roster.noteFailure('b1', 'silent');
+  roster.noteFailure('a2', 'silent');
+  assert.deepEqual([...roster.lostPlaces()], []);
+  roster.noteFailure('b2', 'silent');
+  assert.deepEqual([...roster.lostPlaces()], ['b']);
+  roster.noteAnswer('b2');
+  assert.deepEqual([...roster.lostPlaces()], []);
+});
--- a/packages/gateway/src/peers/roster.ts
+++ b/packages/gateway/src/peers/roster.ts
@@ -16,6 +16,7 @@
 const SUSPECT_MS = 2_000;
 /** A host that nobody reached for so long is not counted, in ms. */
 const GONE_MS = 15_000;
+const NO_PLACES: ReadonlySet<string> = new Set();
 
 /** The hosts of the fleet, and which of them answer this host. */
 export class Roster {
@@ -37,12 +38,16 @@
 
   /** Hosts that are taken to live, this one included. */
   living(): HostEntry[] {
-    const {self, clock} = this.options;
-    const now = clock.now();
+    const gone = this.gone();
     const others = [...this.entries.values()].filter(
-      ({name}) => now - (this.lostSince.get(name) ?? now) < GONE_MS,
+      ({name}) => !gone.has(name),
     );
-    return [self, ...others];
+    return [this.options.self, ...others];
+  }
+
+  /** How many hosts are taken to live; asked for each runner of each choice, so without a list. */
+  get livingCount(): number {
+    return 1 + this.entries.size - this.gone().size;
   }
 
   /** Hosts of a place in the order in which they read the store for it; those in doubt are left out. */
@@ -73,13 +78,14 @@
     return [...places].sort();
   }
 
-  /** Whether no host of another place answers, so that its runners are probably out of reach too. */
-  isPlaceLost(place: string): boolean {
-    if (place === this.options.self.place) return false;
-    const hosts = this.living().filter(host => host.place === place);
-    return (
-      hosts.length > 0 && hosts.every(({name}) => this.lostSince.has(name))
-    );
+  /** Other places of which no host answers, so that their runners are probably out of reach too. */
+  lostPlaces(): ReadonlySet<string> {
+    if (this.lostSince.size === 0) return NO_PLACES;
+    const hosts = this.living();
+    const lost = new Set(hosts.map(({place}) => place));
+    for (const {name, place} of hosts)
+      if (!this.lostSince.has(name)) lost.delete(place);
+    return lost;
   }
 
   /** Notes that a host answered. */
@@ -98,6 +104,15 @@
     this.options.log.write('peer_lost', {peer: name, reason});
   }
 
+  /** Known hosts that nobody reached for so long that they are not counted. */
+  private gone(): Set<string> {
+    const now = this.options.clock.now();
+    const gone = new Set<string>();
+    for (const [name, since] of this.lostSince)
+      if (now - since >= GONE_MS && this.entries.has(name)) gone.add(name);
+    return gone;
+  }
+
   private take(key: string, value: string | undefined): void {
     const {log, self} = this.options;
     const name = key.slice(hostKey.of('').length);
--- a/packages/gateway/src/runners/runner_chooser.ts
+++ b/packages/gateway/src/runners/runner_chooser.ts
@@ -1,4 +1,4 @@
-import {rankByHash} from '@bayspool/decisions/calls';
+import {firstByHash} from '@bayspool/decisions/calls';
 import type {Prompt} from '@bayspool/decisions/calls';
 import type {RandomSource} from '@bayspool/kernel';
 import type {PrefixBook} from './prefix_book.js';
@@ -12,13 +12,19 @@
   readonly place: string;
   /** Hosts that choose among the same runners, this one included. */
   readonly hosts: () => number;
-  /** Whether the runners of a place are probably out of reach. */
-  readonly isPlaceLost: (place: string) => boolean;
+  /** Places whose runners are probably out of reach. */
+  readonly lostPlaces: () => ReadonlySet<string>;
   readonly random: RandomSource;
   readonly rates: ReadingRates;
   readonly prefixes: PrefixBook;
 }
 
+/** Runners of which one is chosen, and why these. */
+interface Pool {
+  readonly reason: string;
+  readonly runners: readonly Runner[];
+}
+
 interface Bid {
   readonly runner: Runner;
   readonly costMs: number;
@@ -49,27 +55,17 @@
   /** The runner for a call; undefined if the service has none. */
   choose(query: RunnerQuery): RunnerChoice | undefined {
     const {candidates, tried} = query;
-    const sound = candidates.filter(runner => this.isSound(runner));
+    const lost = this.options.lostPlaces();
+    const sound = candidates.filter(runner => isSound(runner, lost));
     const ejected = candidates.length - sound.length;
-    const pools: Array<[string, readonly Runner[]]> = [
-      ['least expected time', sound.filter(r => isOpen(r, tried))],
-      ['tried before', sound.filter(r => r.pool.hasRoom)],
-      ['all ejected', candidates.filter(r => isOpen(r, tried))],
-      ['all ejected and tried', candidates],
-    ];
-    const found = pools.find(([, runners]) => runners.length > 0);
-    if (!found) return undefined;
-    const [reason, runners] = found;
+    const pool = findPool(candidates, sound, tried);
+    if (!pool) return undefined;
+    const {reason, runners} = pool;
     const best = this.bestOf(runners, query);
     const {runner, workMs, waitMs, unreadTokens} = best;
     return {runner, workMs, waitMs, unreadTokens, ejected, reason};
   }
 
-  private isSound(runner: Runner): boolean {
-    if (runner.health.isEjected || runner.isQuiet) return false;
-    return !this.options.isPlaceLost(runner.entry.place);
-  }
-
   private bestOf(runners: readonly Runner[], query: RunnerQuery): Bid {
     const home = homeOf(runners, query);
     return this.sample(runners, home)
@@ -134,6 +130,27 @@
   }
 }
 
+function isSound(runner: Runner, lost: ReadonlySet<string>): boolean {
+  if (runner.health.isEjected || runner.isQuiet) return false;
+  return !lost.has(runner.entry.place);
+}
+
+/** The first set of runners, the best ones first, that is not empty. */
+function findPool(
+  candidates: readonly Runner[],
+  sound: readonly Runner[],
+  tried: ReadonlySet<string>,
+): Pool | undefined {
+  const open = sound.filter(runner => isOpen(runner, tried));
+  if (open.length > 0) return {reason: 'least expected time', runners: open};
+  const again = sound.filter(runner => runner.pool.hasRoom);
+  if (again.length > 0) return {reason: 'tried before', runners: again};
+  const unsound = candidates.filter(runner => isOpen(runner, tried));
+  if (unsound.length > 0) return {reason: 'all ejected', runners: unsound};
+  if (candidates.length === 0) return undefined;
+  return {reason: 'all ejected and tried', runners: candidates};
+}
+
 function isOpen(runner: Runner, tried: ReadonlySet<string>): boolean {
   return !tried.has(runner.entry.id) && runner.pool.hasRoom;
 }
@@ -154,7 +171,7 @@
   const deepest = prompt?.parts[prompt.parts.length - 2];
   if (!deepest) return undefined;
   const ids = runners.map(runner => runner.entry.id);
-  return rankByHash(`${model}|${deepest.id}`, ids)[0];
+  return firstByHash(`${model}|${deepest.id}`, ids);
 }
 
 function sharedTokens(prompt: Prompt): number {
