--- a/packages/gateway/src/calls/attempt_lessons.ts
+++ b/packages/gateway/src/calls/attempt_lessons.ts
@@ -115,12 +115,7 @@
     const others = directory
       .takersOf(entry.service)
       .filter(other => other !== runner);
-    const ok = sum(others, ({ownLoad, remote: far}) => ownLoad.ok + far.ok);
-    const failed = sum(
-      others,
-      ({ownLoad, remote: far}) => ownLoad.failed + far.failed,
-    );
-    const othersShare = failed / Math.max(1, ok + failed);
+    const othersShare = failureShare(others);
     const ownFailed = health.failedWeight;
     const forMs = health.ejectIfWorse(othersShare, remote.ok, remote.failed);
     if (forMs === undefined) return;
@@ -145,6 +140,13 @@
   return kind === AttemptKind.RUNNER_ERROR || kind === AttemptKind.BROKEN;
 }
 
-function sum(runners: Runner[], read: (runner: Runner) => number): number {
-  return runners.reduce((total, runner) => total + read(runner), 0);
+/** The share of failures among the outcomes at runners, as seen by all hosts; 0 to 1. */
+function failureShare(runners: readonly Runner[]): number {
+  let ok = 0;
+  let failed = 0;
+  for (const {health, remote} of runners) {
+    ok += health.okWeight + remote.ok;
+    failed += health.failedWeight + remote.failed;
+  }
+  return failed / Math.max(1, ok + failed);
 }
