Bytes of an unfinished event are looked at once

Cause: each chunk of a stream was scanned from the start of the unfinished event. Change: the scan goes on where it stopped. Result: no change of behaviour; the test that cuts a stream into 1 to 100 bytes passes.

--- a/packages/decisions/src/calls/event_splitter.ts
+++ b/packages/decisions/src/calls/event_splitter.ts
@@ -13,6 +13,8 @@
  */
 export class EventSplitter {
   private rest: Buffer = Buffer.alloc(0);
+  /** Where the last line of the rest starts; what stands before was looked at. */
+  private restLineStart = 0;
 
   /** Bytes of an event that has not ended yet. */
   get pendingBytes(): number {
@@ -30,8 +32,8 @@
       this.rest.length === 0 ? chunk : Buffer.concat([this.rest, chunk]);
     const events: StreamEvent[] = [];
     let start = 0;
-    let lineStart = 0;
-    for (let i = 0; i < bytes.length; i++) {
+    let lineStart = this.restLineStart;
+    for (let i = this.rest.length; i < bytes.length; i++) {
       if (bytes[i] !== LINE_FEED) continue;
       const isEmpty =
         i === lineStart ||
@@ -42,6 +44,7 @@
       start = lineStart;
     }
     this.rest = bytes.subarray(start);
+    this.restLineStart = lineStart - start;
     return events;
   }
 }
