--- a/packages/decisions/src/calls/prompt.ts
+++ b/packages/decisions/src/calls/prompt.ts
@@ -4,8 +4,6 @@
 export interface Prompt {
   /** Tokens to read. */
   readonly tokens: number;
-  /** The most tokens that the answer may hold. */
-  readonly maxTokensOut: number;
   /** In order; the last one is the call's own or its session's. */
   readonly parts: readonly PromptPart[];
 }
--- a/packages/decisions/src/calls/runner_entry.ts
+++ b/packages/decisions/src/calls/runner_entry.ts
@@ -12,6 +12,4 @@
   readonly slots: number;
   /** Whether it announced its end and takes no new requests. */
   readonly isDraining: boolean;
-  /** Models that it has loaded; none for plain services. */
-  readonly models: readonly string[];
 }
--- a/packages/gateway/src/calls/read_prompt.ts
+++ b/packages/gateway/src/calls/read_prompt.ts
@@ -11,11 +11,10 @@
   parts: string | undefined,
 ): Prompt | undefined {
   if (size === undefined) return undefined;
-  const [tokens, maxTokensOut] = size.split(',').map(Number);
+  const [tokens] = size.split(',').map(Number);
   if (!Number.isFinite(tokens)) return undefined;
   return {
     tokens,
-    maxTokensOut: Number.isFinite(maxTokensOut) ? maxTokensOut : 0,
     parts: (parts ?? '').split(',').flatMap(readPart),
   };
 }
--- a/packages/gateway/src/runners/runner_chooser.test.ts
+++ b/packages/gateway/src/runners/runner_chooser.test.ts
@@ -20,7 +20,6 @@
     version: 'v1',
     slots: 4,
     isDraining: false,
-    models: [],
   };
   const pool = new ConnectionPool({
     clock,
--- a/packages/gateway/src/testing/scripted_runner.ts
+++ b/packages/gateway/src/testing/scripted_runner.ts
@@ -59,7 +59,6 @@
       address: this.address,
       slots: 8,
       isDraining: false,
-      models: [],
     };
   }
 
