A host without the log no longer says "not run" of keys of a vacant place

A place that is cut off was also taken for one without hosts. Change: without the log the outcome of such a key is unknown; only places that were never heard of count as vacant, as before for all others.

--- a/packages/daemon/src/callers/tickets/keyed_answers.ts
+++ b/packages/daemon/src/callers/tickets/keyed_answers.ts
@@ -132,16 +132,11 @@
   ): Promise<StoredAnswer> {
     const {identity, store, membership} = this.options;
     const [place] = rendezvous(Object.keys(store.current.places), key, 1);
-    if (place === identity.place)
-      return this.claimAndAnswer(key, call, () =>
-        this.options.claims.claim(key),
-      );
-    const digest = membership.digests().find(one => one.place === place);
-    if (!digest)
-      return this.claimAndAnswer(key, call, () =>
-        this.options.vacantClaims.claim(place, key),
-      );
-    const {hosts} = digest;
+    if (place === identity.place) return this.claimAndAnswer(key, call);
+    if (!(place in membership.placeAges()))
+      return this.answerVacant(place, key, call);
+    const hosts =
+      membership.digests().find(digest => digest.place === place)?.hosts ?? [];
     const [target] = rendezvous(
       hosts.filter(host => !host.leaving).map(host => host.address),
       key,
@@ -154,11 +149,10 @@
   private async claimAndAnswer(
     key: string,
     call: CallerCall,
-    claim: () => Promise<Claim>,
   ): Promise<StoredAnswer> {
     let winner: Claim;
     try {
-      winner = await claim();
+      winner = await this.options.claims.claim(key);
     } catch (error) {
       throw (await this.isUnused(key))
         ? error
@@ -167,6 +161,24 @@
     return this.answerAt(winner, key, call);
   }
 
+  /**
+   * Of a place that no host was ever heard of, hosts of any place claim the keys. Which of them used a key
+   * is known from the log alone, so without it nobody can say that the key was not used.
+   */
+  private async answerVacant(
+    place: string,
+    key: string,
+    call: CallerCall,
+  ): Promise<StoredAnswer> {
+    let winner: Claim;
+    try {
+      winner = await this.options.vacantClaims.claim(place, key);
+    } catch (error) {
+      throw keyProblems.earlierUseUnknown(error);
+    }
+    return this.answerAt(winner, key, call);
+  }
+
   /**
    * Whether no host of the place can have run a call with this key. A host dispatches
    * only after it has read its claim back, so hosts that all answer have all been asked.
@@ -302,9 +314,9 @@
       ({key: asked}) => !this.knowsKey(asked),
     );
     methods.add(answerMethods.claim, params, ({key, call}) =>
-      this.claimAndAnswer(key, this.toCall(call), () =>
-        this.options.claims.claim(key),
-      ).catch(error => storeAnswer(errorAnswer(error, call.id))),
+      this.claimAndAnswer(key, this.toCall(call)).catch(error =>
+        storeAnswer(errorAnswer(error, call.id)),
+      ),
     );
   }
 
