--- a/packages/daemon/src/callers/callers_plugin.ts
+++ b/packages/daemon/src/callers/callers_plugin.ts
@@ -23,6 +23,7 @@
 import {ServiceCaller} from './services/service_caller.js';
 import {AnswerHome} from './tickets/answer_home.js';
 import {ClaimKeeper} from './tickets/claim_keeper.js';
+import {KeyClaims} from './tickets/key_claims.js';
 import {KeyedAnswers} from './tickets/keyed_answers.js';
 import {Successors} from './tickets/successors.js';
 import {VacantPlaceClaims} from './tickets/vacant_place_claims.js';
@@ -203,8 +204,14 @@
       client,
       methods,
       home,
-      claims,
-      vacantClaims,
+      claims: new KeyClaims({
+        identity,
+        membership,
+        client,
+        home,
+        claims,
+        vacantClaims,
+      }),
       successors,
       dispatcher,
       seal: seals.tickets,
--- a/packages/daemon/src/callers/tickets/keyed_answers.ts
+++ b/packages/daemon/src/callers/tickets/keyed_answers.ts
@@ -1,7 +1,6 @@
 import {createHash, randomUUID} from 'node:crypto';
 import {
   rendezvous,
-  type Claim,
   type Membership,
   type Ticket,
   type TicketSeal,
@@ -26,9 +25,8 @@
 import type {AnswerHome} from './answer_home.js';
 import {answerMethods} from './answer_methods.js';
 import {CallMessage} from './call_message.js';
-import type {ClaimKeeper} from './claim_keeper.js';
+import type {KeyClaims} from './key_claims.js';
 import {keyProblems} from './key_problems.js';
-import type {VacantPlaceClaims} from './vacant_place_claims.js';
 import type {Successors} from './successors.js';
 
 interface Options {
@@ -42,8 +40,7 @@
   readonly methods: PeerMethods;
   readonly seal: TicketSeal;
   readonly home: AnswerHome;
-  readonly claims: ClaimKeeper;
-  readonly vacantClaims: VacantPlaceClaims;
+  readonly claims: KeyClaims;
   readonly successors: Successors;
   readonly dispatcher: CallDispatcher;
   /** How long a ticket may be used, in ms. */
@@ -132,7 +129,7 @@
   ): Promise<StoredAnswer> {
     const {identity, store, membership} = this.options;
     const [place] = rendezvous(Object.keys(store.current.places), key, 1);
-    if (place === identity.place) return this.claimAndAnswer(key, call);
+    if (place === identity.place) return this.answerOwn(key, call);
     if (!(place in membership.placeAges()))
       return this.answerVacant(place, key, call);
     const hosts =
@@ -146,63 +143,20 @@
     return this.forward(target, answerMethods.claim, key, call);
   }
 
-  private async claimAndAnswer(
+  private async answerOwn(
     key: string,
     call: CallerCall,
   ): Promise<StoredAnswer> {
-    let winner: Claim;
-    try {
-      winner = await this.options.claims.claim(key);
-    } catch (error) {
-      throw (await this.isUnused(key))
-        ? error
-        : keyProblems.earlierUseUnknown(error);
-    }
-    return this.answerAt(winner, key, call);
+    return this.answerAt(await this.options.claims.claim(key), key, call);
   }
 
-  /**
-   * Of a place that no host was ever heard of, hosts of any place claim the keys. Which of them used a key
-   * is known from the log alone, so without it nobody can say that the key was not used.
-   */
   private async answerVacant(
     place: string,
     key: string,
     call: CallerCall,
   ): Promise<StoredAnswer> {
-    let winner: Claim;
-    try {
-      winner = await this.options.vacantClaims.claim(place, key);
-    } catch (error) {
-      throw keyProblems.earlierUseUnknown(error);
-    }
-    return this.answerAt(winner, key, call);
-  }
-
-  /**
-   * Whether no host of the place can have run a call with this key. A host dispatches
-   * only after it has read its claim back, so hosts that all answer have all been asked.
-   */
-  private async isUnused(key: string): Promise<boolean> {
-    const {membership, client, identity} = this.options;
-    if (this.knowsKey(key)) return false;
-    const others = membership.known().filter(entry => entry.id !== identity.id);
-    const replies = await Promise.all(
-      others.map(entry =>
-        client
-          .call(entry.address, answerMethods.unused, {key})
-          .catch(() => false),
-      ),
-    );
-    return replies.every(reply => reply === true);
-  }
-
-  private knowsKey(key: string): boolean {
-    return (
-      this.options.claims.knows(key) ||
-      this.options.vacantClaims.knows(key) ||
-      this.options.home.memory.knows(key)
-    );
+    const {claims} = this.options;
+    return this.answerAt(await claims.claimVacant(place, key), key, call);
   }
 
   private async answerRepeatable(
@@ -311,10 +265,10 @@
     methods.add(
       answerMethods.unused,
       z.strictObject({key: z.string()}),
-      ({key: asked}) => !this.knowsKey(asked),
+      ({key: asked}) => !this.options.claims.knows(asked),
     );
     methods.add(answerMethods.claim, params, ({key, call}) =>
-      this.claimAndAnswer(key, this.toCall(call)).catch(error =>
+      this.answerOwn(key, this.toCall(call)).catch(error =>
         storeAnswer(errorAnswer(error, call.id)),
       ),
     );
