Calls that end before they are sent, slow callers and broken bodies are told apart

A call whose time was over while its connection came up waited for the connection (up to 1.6 s), and its runner was counted as unreachable. A stream whose caller reads slowly is not read from its runner, which then looked silent, so the stream was moved to another runner. A call whose body broke off left no line. Change: attempts race the connection against the call's end and end as 'unsent', which says nothing of the runner; the connection goes to rest. Silence while the caller is full is excused. caller_left carries the reason, and is written for broken bodies too.

--- /dev/null
+++ b/packages/gateway/src/calls/attempt.test.ts
@@ -0,0 +1,107 @@
+import assert from 'node:assert/strict';
+import {test} from 'node:test';
+import {CallKind} from '@bayspool/decisions/calls';
+import {SystemClock} from '@bayspool/kernel';
+import type {ConnectionPool} from '../runners/connection_pool.js';
+import {Runner} from '../runners/runner.js';
+import {plainHeaderNames as names} from '../testing/plain_header_names.js';
+import {Attempt} from './attempt.js';
+import {AttemptKind} from './attempt_kind.js';
+import type {CallerAnswer} from './caller_answer.js';
+import {CallEnd} from './call_end.js';
+import {CallProgress} from './call_progress.js';
+import type {IncomingCall} from './incoming_call.js';
+import {RunnerHeaders} from './runner_headers.js';
+
+const clock = new SystemClock();
+
+/** Connections to a runner that never come up. */
+const deafPool = {
+  acquire: () => new Promise(() => undefined),
+} as unknown as ConnectionPool;
+
+function makeCall(): IncomingCall {
+  return {
+    id: 'r-1',
+    method: 'POST',
+    path: '/x/1',
+    rawHeaders: [],
+    body: Buffer.alloc(0),
+    route: {
+      name: 'r',
+      hostName: 'calls.example',
+      pathPrefix: '/x/',
+      kind: CallKind.UNSAFE,
+      timeLimitMs: 1_000,
+      latencyTargetMs: 500,
+      pauseTargetMs: 500,
+      priority: 1,
+      attempts: 3,
+      isPublic: true,
+      models: [],
+      targets: [{service: 'svc', weight: 1}],
+    },
+    service: 'svc',
+    priority: 1,
+    acceptedAt: clock.now(),
+    deadlineAt: clock.now() + 1_000,
+  };
+}
+
+function makeRunner(): Runner {
+  const entry = {
+    id: 'one',
+    service: 'svc',
+    address: '127.0.0.1:1',
+    place: 'a',
+    version: 'v1',
+    slots: 8,
+    isDraining: false,
+  };
+  return new Runner({clock, entry, pool: deafPool});
+}
+
+function makeAttempt(runner: Runner, signal: AbortSignal): Attempt {
+  const choice = {
+    runner,
+    workMs: 0,
+    waitMs: 0,
+    unreadTokens: 0,
+    ejected: 0,
+    reason: 'test',
+  };
+  return new Attempt({
+    clock,
+    names,
+    runnerHeaders: new RunnerHeaders(names),
+    call: makeCall(),
+    choice,
+    caller: {isFull: false, longestPauseMs: 0} as unknown as CallerAnswer,
+    signal,
+    isGoodEnough: () => true,
+    hasOtherRunner: () => false,
+  });
+}
+
+void test(
+  'a call that ends while its connection comes up is over at once, and unsent',
+  {timeout: 5_000},
+  async () => {
+    const runner = makeRunner();
+    const controller = new AbortController();
+    const attempt = makeAttempt(runner, controller.signal);
+    setTimeout(() => controller.abort(CallEnd.TIME_LIMIT), 30);
+    const startedAt = performance.now();
+    const outcome = await attempt.run();
+    assert.equal(outcome.kind, AttemptKind.UNSENT);
+    assert.ok(performance.now() - startedAt < 300);
+    assert.equal(runner.totalRunning, 0);
+  },
+);
+
+void test('an unsent attempt counts neither as run nor as sent', () => {
+  const progress = new CallProgress({call: makeCall()});
+  progress.note(makeRunner(), {kind: AttemptKind.UNSENT, reason: 'left'});
+  assert.equal(progress.mayHaveRun, false);
+  assert.equal(progress.sent, 0);
+});
--- a/packages/gateway/src/calls/attempt.ts
+++ b/packages/gateway/src/calls/attempt.ts
@@ -92,11 +92,8 @@
   private async exchange(): Promise<AttemptOutcome> {
     const {call, choice, clock, model, caller, runnerHeaders} = this.options;
     const {runner} = choice;
-    const connection = await runner.pool.acquire();
-    if (this.ended.signal.aborted) {
-      connection.discard();
-      return {kind: AttemptKind.NOT_RUN, reason: this.endReason()};
-    }
+    const connection = await this.connect();
+    if (!connection) return this.endUnsent();
     const headers = runnerHeaders.make({
       call,
       model,
@@ -115,6 +112,30 @@
     return this.read(answer, connection);
   }
 
+  /** A connection to the runner; undefined if the attempt ends before there is one. */
+  private connect(): Promise<PooledConnection | undefined> {
+    const {signal} = this.ended;
+    const {pool} = this.options.choice.runner;
+    return new Promise((resolve, reject) => {
+      const giveUp = () => resolve(undefined);
+      if (signal.aborted) return giveUp();
+      signal.addEventListener('abort', giveUp, {once: true});
+      pool.acquire().then(connection => {
+        signal.removeEventListener('abort', giveUp);
+        if (signal.aborted) connection.release();
+        else resolve(connection);
+      }, reject);
+    });
+  }
+
+  /** Only a call that goes on can blame the runner for the connection that did not come up. */
+  private endUnsent(): AttemptOutcome {
+    const kind = this.options.signal.aborted
+      ? AttemptKind.UNSENT
+      : AttemptKind.NOT_RUN;
+    return {kind, reason: this.endReason()};
+  }
+
   private read(
     answer: IncomingMessage,
     connection: PooledConnection,
@@ -221,12 +242,18 @@
   }
 
   private isSilent(): boolean {
-    const {clock, call, choice, hasOtherRunner} = this.options;
+    const {clock, call, caller, choice, hasOtherRunner} = this.options;
     const now = clock.now();
     const {runner} = choice;
+    if (caller.isFull) {
+      // Nothing is read of the runner while its caller takes nothing.
+      this.progressAt = now;
+      runner.excuseSilence();
+      return false;
+    }
     const isSilent = isTooSilent(call.route, runner, {
       quietMs: now - this.progressAt,
-      longestPauseMs: this.options.caller.longestPauseMs,
+      longestPauseMs: caller.longestPauseMs,
       hasEvents: this.eventCount > 0,
       expectedMs: choice.workMs + runner.totalPendingMs,
     });
--- a/packages/gateway/src/calls/attempt_kind.ts
+++ b/packages/gateway/src/calls/attempt_kind.ts
@@ -12,6 +12,8 @@
   WEAK: 'weak',
   /** The call ended first: its time limit, its caller or this host. */
   ENDED: 'ended',
+  /** The call ended before anything was sent: it has not run, and says nothing of the runner. */
+  UNSENT: 'unsent',
 } as const;
 type AttemptKind = (typeof AttemptKind)[keyof typeof AttemptKind];
 
--- a/packages/gateway/src/calls/attempt_lessons.ts
+++ b/packages/gateway/src/calls/attempt_lessons.ts
@@ -81,6 +81,7 @@
     {kind, reason, status}: AttemptOutcome,
     wasQuiet: boolean,
   ): void {
+    if (kind === AttemptKind.UNSENT) return;
     if (kind === AttemptKind.ENDED) {
       // A runner that sent nothing until the time limit is as good as gone.
       if (wasQuiet)
@@ -133,7 +134,11 @@
 
 /** Whether the outcome says something of the version that the runner has. */
 function tellsOfVersion(kind: AttemptKind): boolean {
-  return kind !== AttemptKind.ENDED && kind !== AttemptKind.NOT_RUN;
+  return (
+    kind !== AttemptKind.ENDED &&
+    kind !== AttemptKind.NOT_RUN &&
+    kind !== AttemptKind.UNSENT
+  );
 }
 
 function isFailure(kind: AttemptKind): boolean {
--- a/packages/gateway/src/calls/call_door.ts
+++ b/packages/gateway/src/calls/call_door.ts
@@ -41,6 +41,8 @@
 const TOO_LARGE = 413;
 /** Says that the request has not run. */
 const REQUEST_TIMEOUT = 408;
+/** Why a call ended whose caller left before its body was whole. */
+const BODY_BROKEN = 'body broke off';
 /** Room for headers over the largest configured bound, in bytes; above it Node refuses by itself. */
 const MAX_HEADER_BYTES = 65_536;
 /** Bodies accepted before a configuration is known, in bytes. */
@@ -176,7 +178,8 @@
       controller.signal,
     );
     bodyTimer.cancel();
-    if (body === 'broken') return;
+    if (body === 'broken' || caller.isClosed)
+      return this.noteBroken(request, acceptedAt);
     if (body === 'late') return this.refuseLate(request, response, caller);
     if (body === 'too-large')
       return this.refuse(request, caller, {
@@ -201,7 +204,6 @@
     response: ServerResponse,
     caller: CallerAnswer,
   ): void {
-    if (caller.isClosed) return;
     response.shouldKeepAlive = false;
     response.once('finish', () => request.destroy());
     this.refuse(request, caller, {
@@ -231,6 +233,19 @@
     });
   }
 
+  /** The caller left before its request was whole: nothing was sent to a runner. */
+  private noteBroken(request: IncomingMessage, acceptedAt: number): void {
+    const {clock, log, metrics, names} = this.options;
+    const id = String(request.headers[names.requestId] ?? '');
+    metrics.requests.inc({route: '', outcome: 'left', reason: BODY_BROKEN});
+    log.write('caller_left', {
+      request: id,
+      attempts: 0,
+      reason: BODY_BROKEN,
+      forMs: Math.round(clock.now() - acceptedAt),
+    });
+  }
+
   private noteAccepted(call: IncomingCall): void {
     const {log, belief} = this.options;
     log.write('request_accepted', {
--- a/packages/gateway/src/calls/call_progress.ts
+++ b/packages/gateway/src/calls/call_progress.ts
@@ -36,11 +36,9 @@
   /** Takes the outcome of one attempt into account. */
   note(runner: Runner, outcome: AttemptOutcome): void {
     this.tries += 1;
-    const wasSent =
-      outcome.kind !== AttemptKind.NOT_RUN || outcome.status !== undefined;
-    if (wasSent) this.sent += 1;
+    if (wasSent(outcome)) this.sent += 1;
     if (outcome.kind !== AttemptKind.WEAK) this.tried.add(runner.entry.id);
-    if (outcome.kind !== AttemptKind.NOT_RUN) this.mayHaveRun = true;
+    if (mayHaveRun(outcome)) this.mayHaveRun = true;
     if (outcome.kind === AttemptKind.RUNNER_ERROR) {
       this.lastError = outcome.answer;
       this.failedVersion = runner.entry.version;
@@ -48,3 +46,12 @@
     if (outcome.kind === AttemptKind.BROKEN) this.lastError = undefined;
   }
 }
+
+/** Whether the request reached the runner, also if it was turned away there. */
+function wasSent(outcome: AttemptOutcome): boolean {
+  return mayHaveRun(outcome) || outcome.status !== undefined;
+}
+
+function mayHaveRun({kind}: AttemptOutcome): boolean {
+  return kind !== AttemptKind.NOT_RUN && kind !== AttemptKind.UNSENT;
+}
--- a/packages/gateway/src/calls/caller_answer.ts
+++ b/packages/gateway/src/calls/caller_answer.ts
@@ -45,6 +45,11 @@
     return this.response.writableEnded || this.response.destroyed;
   }
 
+  /** Whether the caller has to read before more is sent to it. */
+  get isFull(): boolean {
+    return this.response.writableNeedDrain && !this.isClosed;
+  }
+
   /** The last whole event passed on, in this answer or before it. */
   get lastEventId(): number | undefined {
     return this.last;
--- a/packages/gateway/src/calls/final_answer.ts
+++ b/packages/gateway/src/calls/final_answer.ts
@@ -64,7 +64,7 @@
     const why = reasonLabel(reason);
     if (reason === CallEnd.CALLER_LEFT) {
       metrics.requests.inc({route, outcome: 'left', reason: why});
-      log.write('caller_left', {request, attempts, forMs});
+      log.write('caller_left', {request, attempts, reason, forMs});
       return;
     }
     if (caller.hasBegun) {
--- a/packages/gateway/src/calls/forwarding.test.ts
+++ b/packages/gateway/src/calls/forwarding.test.ts
@@ -290,3 +290,19 @@
   assert.equal(headers[names.promptSize], '100,20');
   assert.ok(headers[names.requestId]);
 });
+
+void test('a caller that leaves in the middle of its body is told in the log', async () => {
+  await serve(CallKind.UNSAFE, [first]);
+  await fixture
+    .call({
+      headers: {'content-length': '10', [names.requestId]: 'broken-body'},
+      holdsBody: true,
+      leaveAfterMs: 50,
+    })
+    .catch(() => undefined);
+  await fixture.waitFor(() => fixture.events('caller_left').length === 1);
+  const [line] = fixture.events('caller_left');
+  assert.equal(line.request, 'broken-body');
+  assert.equal(line.reason, 'body broke off');
+  assert.equal(first.received.length, 0);
+});
--- a/packages/gateway/src/observability/event_fields.ts
+++ b/packages/gateway/src/observability/event_fields.ts
@@ -94,7 +94,12 @@
     lastEvent?: number;
     forMs: number;
   };
-  caller_left: {request: string; attempts: number; forMs: number};
+  caller_left: {
+    request: string;
+    attempts: number;
+    reason: string;
+    forMs: number;
+  };
   configuration_in_force: {
     version: number;
     previous: number;
--- a/packages/gateway/src/observability/observability.test.ts
+++ b/packages/gateway/src/observability/observability.test.ts
@@ -15,7 +15,12 @@
   const sink = {write: (line: string) => void lines.push(line)};
   const log = new EventLog({clock, host: 'h', sink, detailPerSecond: 10});
   for (let i = 0; i < 50; i++) {
-    log.write('caller_left', {request: `${i}`, attempts: 1, forMs: 1});
+    log.write('caller_left', {
+      request: `${i}`,
+      attempts: 1,
+      reason: 'left',
+      forMs: 1,
+    });
     log.write('request_cut', {
       request: `${i}`,
       reason: 'x',
@@ -24,7 +29,12 @@
     });
   }
   clock.advance(1_000);
-  log.write('caller_left', {request: 'last', attempts: 1, forMs: 1});
+  log.write('caller_left', {
+    request: 'last',
+    attempts: 1,
+    reason: 'left',
+    forMs: 1,
+  });
   const events = lines.map(
     line => JSON.parse(line) as {event: string; count?: number},
   );
--- a/packages/gateway/src/runners/pooled_connection.ts
+++ b/packages/gateway/src/runners/pooled_connection.ts
@@ -57,6 +57,11 @@
     this.restMs = Math.max(0, seconds * 1_000 - REST_MARGIN_MS);
   }
 
+  /** Puts it back without having sent anything. */
+  release(): void {
+    this.rest();
+  }
+
   /** Closes it at once; it carries no other request. */
   discard(): void {
     this.socket.destroy();
--- a/packages/gateway/src/runners/runner.ts
+++ b/packages/gateway/src/runners/runner.ts
@@ -134,6 +134,11 @@
     this.lastHeard = now;
   }
 
+  /** Its silence up to now was not its own: nothing was read of what it sent. */
+  excuseSilence(): void {
+    this.lastHeard = this.options.clock.now();
+  }
+
   /** Notes a request on its way; the work counts until {@link noteFirst}. */
   noteSent(workMs: number): void {
     if (this.running === 0) this.lastHeard = this.options.clock.now();
--- a/packages/gateway/src/testing/gateway_fixture.ts
+++ b/packages/gateway/src/testing/gateway_fixture.ts
@@ -25,6 +25,8 @@
   readonly host?: number;
   /** Sends the headers only. */
   readonly holdsBody?: boolean;
+  /** Reads nothing of the answer's body for this time, in ms. */
+  readonly pausesForMs?: number;
 }
 
 interface Host {
@@ -169,6 +171,10 @@
       outgoing.once('response', answer => {
         const chunks: Buffer[] = [];
         answer.on('data', (chunk: Buffer) => chunks.push(chunk));
+        if (options.pausesForMs !== undefined) {
+          answer.pause();
+          setTimeout(() => answer.resume(), options.pausesForMs);
+        }
         answer.once('error', () => undefined);
         answer.once('close', () =>
           resolve({
