Copies of topics forget old removals; orders for the same version are told apart; short log writes

Cause: (1) a copy of a topic kept each removed key for ever, so memory grew with starts of runners. (2) States of roll-outs name the version only: a second order for a version took the phase of the first, and a second order of a service was neither noted nor announced. Change: (1) a copy remembers 500 removals; a host that is further behind gets all records as a replacement, and a removed key cannot come back with an old record. (2) The note of a start tells from which position states are about it; hosts that saw the order arrive know it without. (3) Log writes hold whole lines and at most 4 KiB, what a pipe takes at once.

--- a/packages/gateway/src/observability/line_writer.ts
+++ b/packages/gateway/src/observability/line_writer.ts
@@ -12,6 +12,8 @@
 const STANDARD_OUTPUT = 1;
 /** Some seconds of lines of a busy host. */
 const MAX_PENDING_BYTES = 262_144;
+/** A pipe takes writes up to this size whole or not at all (PIPE_BUF of Linux), in bytes. */
+const MAX_WRITE_BYTES = 4_096;
 /** Pause after the descriptor was not ready, in ms. */
 const RETRY_MS = 20;
 
@@ -64,10 +66,18 @@
   }
 
   private takePending(): void {
-    if (this.pending.length === 0) return;
-    this.rest = Buffer.from(this.pending.join('\n') + '\n');
-    this.pending = [];
-    this.pendingBytes = 0;
+    const lines: string[] = [];
+    let size = 0;
+    while (this.pending.length > 0) {
+      const [line] = this.pending;
+      const bytes = Buffer.byteLength(line) + 1;
+      if (size > 0 && size + bytes > MAX_WRITE_BYTES) break;
+      size += bytes;
+      lines.push(line);
+      this.pending.shift();
+      this.pendingBytes -= line.length + 1;
+    }
+    this.rest = Buffer.from(lines.map(line => `${line}\n`).join(''));
   }
 
   private advance(count: number): void {
--- a/packages/gateway/src/observability/observability.test.ts
+++ b/packages/gateway/src/observability/observability.test.ts
@@ -1,10 +1,10 @@
 import assert from 'node:assert/strict';
 import {execFileSync} from 'node:child_process';
-import {constants, openSync} from 'node:fs';
-import {mkdtempSync} from 'node:fs';
+import fs, {constants, mkdtempSync, openSync} from 'node:fs';
+import {syncBuiltinESMExports} from 'node:module';
 import {tmpdir} from 'node:os';
 import {join} from 'node:path';
-import {test} from 'node:test';
+import {mock, test} from 'node:test';
 import {VirtualClock} from '@bayspool/kernel';
 import {EventLog} from './event_log.js';
 import {LineWriter} from './line_writer.js';
@@ -57,3 +57,29 @@
   assert.ok(writer.dropped > 1_000, `${writer.dropped} dropped`);
   writer.stop();
 });
+
+void test('no write is longer than what a pipe takes at once, and none cuts a line', async () => {
+  const written: string[] = [];
+  mock.method(
+    fs,
+    'write',
+    (_: number, bytes: Buffer, done: (e: null, n: number) => void) => {
+      written.push(bytes.toString());
+      setImmediate(done, null, bytes.length);
+    },
+  );
+  syncBuiltinESMExports();
+  const writer = new LineWriter({descriptor: 1});
+  for (let i = 0; i < 200; i++) writer.write(`${i} ${'x'.repeat(150)}`);
+  writer.write('y'.repeat(6_000));
+  const until = performance.now() + 2_000;
+  while (!written.join('').includes('y\n') && performance.now() < until)
+    await new Promise(resolve => setImmediate(resolve));
+  mock.restoreAll();
+  syncBuiltinESMExports();
+  assert.equal(written.join('').split('\n').length, 202);
+  for (const bytes of written) {
+    assert.ok(bytes.endsWith('\n'));
+    assert.ok(bytes.length <= 4_096 || bytes.startsWith('y'));
+  }
+});
--- a/packages/gateway/src/parts/knowledge.ts
+++ b/packages/gateway/src/parts/knowledge.ts
@@ -9,13 +9,13 @@
 import {TopicMirror} from '../records/topic_mirror.js';
 import {Topic} from '../records/topic.js';
 import {RolloutBook} from '../rollouts/rollout_book.js';
+import {RolloutStarts} from '../rollouts/rollout_starts.js';
 import {ConnectPatience} from '../runners/connect_patience.js';
 import {ConnectionPool} from '../runners/connection_pool.js';
 import {PrefixBook} from '../runners/prefix_book.js';
 import {Runner} from '../runners/runner.js';
 import type {GatewayOptions} from './gateway_options.js';
 import {HostLoads} from './host_loads.js';
-import {RolloutStarts} from './rollout_starts.js';
 import {ServiceLimits} from './service_limits.js';
 
 interface Options extends GatewayOptions {
@@ -118,7 +118,7 @@
       states: mirrors[Topic.STATUS],
       isInTouch: () => clock.now() - freshness.provenAt < TOUCH_MS,
       sessionMemoryMs: settings.sessionKeptMs,
-      notedElapsedMs: order => this.starts.elapsedMs(order),
+      starts: this.starts,
     });
     const {directory, rollouts} = this;
     this.loads = new HostLoads({directory, rollouts});
--- a/packages/gateway/src/peers/seed_start.test.ts
+++ b/packages/gateway/src/peers/seed_start.test.ts
@@ -26,6 +26,19 @@
   return ['127.0.0.1:1', `127.0.0.1:${peerPort}`];
 }
 
+/** Whether the first host's copy of the hosts' topic has the entry of a host. */
+async function isEntered(name: string): Promise<boolean> {
+  const {peerPort, place} = fixture.hosts[0].settings;
+  const from = {name: 'test', place, address: '127.0.0.1:1', capacity: 1};
+  const digest = {runners: {}, rollouts: {}};
+  const params = {from, positions: {}, digest, waitMs: 0};
+  const answer = await fetch(`http://127.0.0.1:${peerPort}/`, {
+    method: 'POST',
+    body: JSON.stringify({jsonrpc: '2.0', id: 1, method: 'sync', params}),
+  });
+  return (await answer.text()).includes(`"key":"host/${name}"`);
+}
+
 void test('a host that the store turns off learns all it needs from a seed, and serves', async () => {
   const away = new MemoryRecordStore();
   away.isDown = true;
@@ -41,6 +54,7 @@
   await fixture.waitFor(() =>
     fixture.events('host_entered').some(({host}) => host === 'again'),
   );
+  await fixture.waitFor(() => isEntered('again'));
   const {peerPort} = fixture.hosts[1].settings;
   fixture.hosts[1].gateway.halt();
   const before = {...fixture.store.calls};
--- a/packages/gateway/src/peers/sync_answer.ts
+++ b/packages/gateway/src/peers/sync_answer.ts
@@ -1,10 +1,9 @@
-import type {KeyedRecord} from '../records/keyed_record.js';
 import type {Topic} from '../records/topic.js';
+import type {TopicNews} from '../records/topic_news.js';
 import type {LoadDigest} from './load_digest.js';
 
 /** What a host knows of a topic that the asking one does not. */
-interface TopicNews {
-  readonly records: readonly KeyedRecord[];
+interface CopyNews extends TopicNews {
   readonly next: number;
   /** How long ago its copy was known to be whole, in ms; absent if never. */
   readonly ageMs?: number;
@@ -12,7 +11,7 @@
 
 /** News for a host that asked. */
 export interface SyncAnswer {
-  readonly topics: Partial<Record<Topic, TopicNews>>;
+  readonly topics: Partial<Record<Topic, CopyNews>>;
   /** The place of the host that answers. */
   readonly place: string;
   /** The sum over all hosts for one of the same place, over the answering place for another. */
--- a/packages/gateway/src/peers/sync_desk.ts
+++ b/packages/gateway/src/peers/sync_desk.ts
@@ -74,10 +74,11 @@
     const news = answer.topics[mirror.topic];
     if (!news || news.ageMs === undefined) return;
     const asOf = sentAt - news.ageMs;
-    const {records, next} = news;
-    if (!mirror.isLoaded) mirror.load({records, next, isWhole: true}, asOf);
-    else if (next >= mirror.next)
-      mirror.extend({records, next, isWhole: true}, asOf);
+    const {records, next, isReplacement} = news;
+    if (mirror.isLoaded && next < mirror.next) return;
+    const page = {records, next, isWhole: true};
+    if (!mirror.isLoaded || isReplacement) mirror.load(page, asOf);
+    else mirror.extend(page, asOf);
   }
 
   private topicsFor(request: SyncRequest): SyncAnswer['topics'] {
@@ -87,7 +88,7 @@
       loaded.map(mirror => [
         mirror.topic,
         {
-          records: mirror.since(request.positions[mirror.topic] ?? 0),
+          ...mirror.newsSince(request.positions[mirror.topic] ?? 0),
           next: mirror.next,
           ageMs: Math.max(0, Math.round(clock.now() - mirror.provenAt)),
         },
--- a/packages/gateway/src/records/topic_mirror.ts
+++ b/packages/gateway/src/records/topic_mirror.ts
@@ -1,6 +1,7 @@
 import type {KeyedRecord} from './keyed_record.js';
 import type {MirrorUpdate} from './mirror_update.js';
 import type {Topic} from './topic.js';
+import type {TopicNews} from './topic_news.js';
 import type {TopicPage} from './topic_page.js';
 
 type Listener = (update: MirrorUpdate) => void;
@@ -11,12 +12,22 @@
  */
 const GAP_MS = 2_500;
 
+/**
+ * Removals that a copy remembers, for other hosts' copies: at 1,200 runners that are each replaced a few
+ * times a day, hours of them.
+ */
+const MAX_REMOVALS = 500;
+
 /** A host's copy of the newest record of each key of a topic, and how old that knowledge is. */
 export class TopicMirror {
   private readonly records = new Map<string, KeyedRecord>();
+  /** The removals among them, the oldest first. */
+  private readonly removals = new Map<string, KeyedRecord>();
   private readonly listeners: Listener[] = [];
   private readonly proofListeners: Array<() => void> = [];
   private position = 0;
+  /** Position up to which removals were forgotten. */
+  private horizon = 0;
   private loaded = false;
   private proof = -Infinity;
   private gapEnd = -Infinity;
@@ -70,11 +81,20 @@
     );
   }
 
-  /** Records at or behind a position, removals included, for another host's copy. */
-  since(position: number): KeyedRecord[] {
-    return [...this.records.values()].filter(
+  /** Records in memory, remembered removals included. */
+  get size(): number {
+    return this.records.size;
+  }
+
+  /** What another host's copy lacks that goes up to a position. */
+  newsSince(position: number): TopicNews {
+    // Removals that it lacks may be forgotten here: it gets all that there is instead.
+    if (position < this.horizon)
+      return {records: this.live(), isReplacement: true};
+    const records = [...this.records.values()].filter(
       record => record.offset >= position,
     );
+    return {records, isReplacement: false};
   }
 
   /** Replaces the copy by newest records; `asOf` is when the first page was asked for. */
@@ -110,14 +130,32 @@
     isReload: boolean,
   ): void {
     const changed = records.filter(record => this.isNews(record));
-    for (const record of changed) this.records.set(record.key, record);
+    for (const record of changed) this.put(record);
+    this.forgetRemovals();
     this.position = Math.max(this.position, next);
     if (changed.length === 0 && !isReload) return;
     for (const listener of this.listeners) listener({changed, isReload});
   }
 
+  private put(record: KeyedRecord): void {
+    this.records.set(record.key, record);
+    this.removals.delete(record.key);
+    if (record.value === undefined) this.removals.set(record.key, record);
+  }
+
+  private forgetRemovals(): void {
+    for (const [key, {offset}] of this.removals) {
+      if (this.removals.size <= MAX_REMOVALS) return;
+      this.removals.delete(key);
+      this.records.delete(key);
+      this.horizon = Math.max(this.horizon, offset + 1);
+    }
+  }
+
   private isNews(record: KeyedRecord): boolean {
     const known = this.records.get(record.key);
-    return known === undefined || known.offset < record.offset;
+    // A key that is not known below the horizon may be one whose removal was forgotten.
+    if (known === undefined) return record.offset >= this.horizon;
+    return known.offset < record.offset;
   }
 }
--- a/packages/gateway/src/rollouts/rollout.ts
+++ b/packages/gateway/src/rollouts/rollout.ts
@@ -16,6 +16,8 @@
   readonly order: RolloutOrder;
   /** Time since the order when this host learned of it, in ms. */
   readonly elapsedMs: number;
+  /** Position in the topic of states from which they are about this order. */
+  readonly statesFrom: number;
 }
 
 /** One roll-out as this host knows it. */
@@ -24,11 +26,14 @@
   phase: RolloutPhase = RolloutPhase.ACTIVE;
   /** What the other hosts told, summed. */
   remote: RolloutDigest | undefined;
+  /** Position in the topic of states from which they are about this order; earlier ones are not. */
+  statesFrom: number;
   private startedAt: number;
   private bad = false;
 
   constructor(private readonly options: Options) {
     this.startedAt = options.clock.now() - options.elapsedMs;
+    this.statesFrom = options.statesFrom;
   }
 
   /** The order that started it. */
--- a/packages/gateway/src/rollouts/rollout_book.ts
+++ b/packages/gateway/src/rollouts/rollout_book.ts
@@ -1,6 +1,5 @@
 import {hashText, RolloutPhase} from '@bayspool/decisions/calls';
 import type {
-  RolloutOrder,
   RolloutState,
   SessionVersions,
 } from '@bayspool/decisions/calls';
@@ -11,6 +10,7 @@
 import type {TopicMirror} from '../records/topic_mirror.js';
 import type {RolloutDigest} from './rollout_digest.js';
 import {Rollout} from './rollout.js';
+import type {RolloutStarts} from './rollout_starts.js';
 
 interface Options {
   readonly clock: Clock;
@@ -23,8 +23,8 @@
   readonly isInTouch: () => boolean;
   /** How long this host must have run to know the sessions that go on, in ms. */
   readonly sessionMemoryMs: number;
-  /** Time since an order as hosts noted it in the store, in ms; 0 if not noted. */
-  readonly notedElapsedMs: (order: RolloutOrder) => number;
+  /** What hosts noted in the store when an order was first seen. */
+  readonly starts: RolloutStarts;
 }
 
 /** A call that needs a version. */
@@ -52,8 +52,11 @@
 
   constructor(private readonly options: Options) {
     this.openedAt = options.clock.now();
-    options.orders.onUpdate(({changed}) => changed.forEach(r => this.order(r)));
+    options.orders.onUpdate(({changed, isReload}) =>
+      changed.forEach(record => this.order(record, isReload)),
+    );
     options.states.onUpdate(({changed}) => changed.forEach(r => this.state(r)));
+    options.starts.onNoted(() => this.takeNotes());
   }
 
   /** The newest roll-out of a service. */
@@ -66,6 +69,14 @@
     return [...this.rollouts.values()];
   }
 
+  /** What the store says of a roll-out, as this host knows it. */
+  stateOf(rollout: Rollout): RolloutState | undefined {
+    return this.options.states
+      .live()
+      .map(record => this.read(() => this.options.reader.readState(record)))
+      .find(state => state !== undefined && isAbout(state, rollout));
+  }
+
   /**
    * Which version a call of a service gets: a pure function of session, roll-out and time since the
    * order, so that all hosts agree; sessions that run keep theirs.
@@ -106,14 +117,22 @@
     return hashText(`${offset}|${session ?? key}`) < rollout.share;
   }
 
-  private order(record: KeyedRecord): void {
-    const {reader, log, notedElapsedMs} = this.options;
+  private order(record: KeyedRecord, isReload: boolean): void {
+    const {reader, log, states, starts} = this.options;
     const order = this.read(() => reader.readOrder(record));
     if (!order) return;
     const known = this.rollouts.get(order.service);
     if (known && known.order.offset >= order.offset) return;
-    const elapsedMs = notedElapsedMs(order);
-    const rollout = new Rollout({...this.options, order, elapsedMs});
+    const elapsedMs = starts.elapsedMs(order);
+    // What stands there when the order arrives is about an earlier one; at the start of this host the
+    // order may be old, and only a note tells.
+    const statesFrom = starts.statesFrom(order) ?? (isReload ? 0 : states.next);
+    const rollout = new Rollout({
+      ...this.options,
+      order,
+      elapsedMs,
+      statesFrom,
+    });
     this.rollouts.set(order.service, rollout);
     const {service, version, durationMs, offset} = order;
     log.write('rollout_ordered', {
@@ -126,6 +145,25 @@
     for (const state of this.options.states.live()) this.state(state);
   }
 
+  /** Notes may come later than the orders and states that they explain. */
+  private takeNotes(): void {
+    for (const rollout of this.rollouts.values()) {
+      const {order, phase} = rollout;
+      const statesFrom = this.options.starts.statesFrom(order);
+      if (statesFrom === undefined || statesFrom <= rollout.statesFrom)
+        continue;
+      rollout.statesFrom = statesFrom;
+      if (phase === RolloutPhase.ACTIVE || this.stateOf(rollout)) continue;
+      rollout.phase = RolloutPhase.ACTIVE;
+      const {service, version} = order;
+      this.options.log.write('rollout_phase', {
+        service,
+        version,
+        phase: RolloutPhase.ACTIVE,
+      });
+    }
+  }
+
   private state(record: KeyedRecord): void {
     const state = this.read(() => this.options.reader.readState(record));
     if (!state) return;
@@ -151,7 +189,8 @@
   }
 }
 
-/** States of an earlier roll-out to the same version are told apart by the version alone. */
+/** States of an earlier roll-out to the same version stand before the note of this one's start. */
 function isAbout(state: RolloutState, rollout: Rollout): boolean {
-  return state.version === rollout.order.version;
+  const {order, statesFrom} = rollout;
+  return state.version === order.version && state.offset >= statesFrom;
 }
--- /dev/null
+++ b/packages/gateway/src/rollouts/rollout_starts.ts
@@ -0,0 +1,65 @@
+import type {RolloutOrder} from '@bayspool/decisions/calls';
+import type {Clock} from '@bayspool/kernel';
+import type {RecordStore} from '../records/record_store.js';
+import {Topic} from '../records/topic.js';
+import type {TopicMirror} from '../records/topic_mirror.js';
+import type {Rollout} from './rollout.js';
+import {startKey} from './start_key.js';
+
+interface Options {
+  readonly clock: Clock;
+  readonly store: RecordStore;
+  /** The copy of the topic in which starts are noted. */
+  readonly mirror: TopicMirror;
+}
+
+/** What a host notes when it is the first to see an order. */
+interface StartNote {
+  /** Time of day of the order, in ms. */
+  readonly startedAtWall: number;
+  /** Position in the topic of states from which they are about the order. */
+  readonly statesFrom: number;
+}
+
+/** When roll-outs started, as hosts note it in the store. */
+export class RolloutStarts {
+  constructor(private readonly options: Options) {}
+
+  /** Tells the listener that there may be new notes. */
+  onNoted(listener: () => void): void {
+    this.options.mirror.onUpdate(listener);
+  }
+
+  /** Notes in the store when a roll-out started. */
+  async note(rollout: Rollout): Promise<void> {
+    const {clock, store} = this.options;
+    const note: StartNote = {
+      startedAtWall: Math.round(clock.wall() - rollout.elapsedMs),
+      statesFrom: rollout.statesFrom,
+    };
+    await store.append({
+      topic: Topic.HOSTS,
+      key: startKey(rollout.order),
+      value: JSON.stringify(note),
+    });
+  }
+
+  /** A time of day is only a hint: it helps after all hosts were restarted, and is bounded. */
+  elapsedMs(order: RolloutOrder): number {
+    const note = this.noteOf(order);
+    if (!note) return 0;
+    const elapsedMs = this.options.clock.wall() - note.startedAtWall;
+    return Math.min(order.durationMs, Math.max(0, elapsedMs));
+  }
+
+  /** Position in the topic of states from which they are about the order; undefined if not noted. */
+  statesFrom(order: RolloutOrder): number | undefined {
+    return this.noteOf(order)?.statesFrom;
+  }
+
+  private noteOf(order: RolloutOrder): StartNote | undefined {
+    const value = this.options.mirror.get(startKey(order))?.value;
+    if (value === undefined) return undefined;
+    return JSON.parse(value) as StartNote;
+  }
+}
--- a/packages/gateway/src/rollouts/rollout_writer.ts
+++ b/packages/gateway/src/rollouts/rollout_writer.ts
@@ -92,14 +92,7 @@
 
   private async announce(rollout: Rollout): Promise<void> {
     this.announced.add(rollout);
-    const {states, reader} = this.options;
-    const {service, version} = rollout.order;
-    const {key} = reader.writeState({
-      service,
-      version,
-      phase: RolloutPhase.ACTIVE,
-    });
-    if (states.get(key)) return;
+    if (this.options.book.stateOf(rollout)) return;
     try {
       await this.options.noteStart(rollout);
     } catch (error) {
--- a/packages/gateway/src/rollouts/rollouts.test.ts
+++ b/packages/gateway/src/rollouts/rollouts.test.ts
@@ -94,6 +94,28 @@
   assert.equal(phases().filter(phase => phase !== 'active').length, 1);
 });
 
+void test('a second order for a version that was reverted is carried out', async () => {
+  order(20_000);
+  await fixture.startHost({sessionKeptMs: 10});
+  await fixture.waitReady();
+  const answerWhole = fresh.script;
+  fresh.script = ({id}, response) =>
+    response.writeHead(500, {[names.requestId]: id}).end();
+  for (let i = 0; i < 300 && phases().at(-1) !== 'reverted'; i++)
+    await fixture.call();
+  await fixture.waitFor(() => phases().includes('reverted'));
+  fresh.script = answerWhole;
+  order(3_000);
+  await fixture.waitFor(() => phases().length === 3);
+  await fixture.startHost({sessionKeptMs: 10});
+  await fixture.waitReady(1);
+  await fixture.waitFor(() => phases().includes('complete'));
+  assert.deepEqual(phases(), ['active', 'reverted', 'active', 'complete']);
+  const before = fresh.received.length;
+  await fixture.call({host: 1});
+  assert.equal(fresh.received.length, before + 1);
+});
+
 void test('a phase whose answer was lost is not written a second time', async () => {
   order(1_000);
   await fixture.startHost({sessionKeptMs: 10});
