bayspool check: faults of settings and of the deploy file, by field and remedy

Cause: only a host's settings could be checked, one fault at a time, and the deploy file not at all. Change: 'bayspool check FILE...' checks a daemon's settings (.ini, as the daemon does), the deploy file (.toml) and a host's settings (.json); all faults are told at once.

--- a/packages/client/src/commands.ts
+++ b/packages/client/src/commands.ts
@@ -1,4 +1,5 @@
 import type {Command} from './command.js';
+import {checkCommand} from './commands/check_command.js';
 import {configCommand} from './commands/config_command.js';
 import {confirmCommand} from './commands/confirm_command.js';
 import {explainCommand} from './commands/explain_command.js';
@@ -17,5 +18,6 @@
   intentsCommand,
   configCommand,
   explainCommand,
+  checkCommand,
   hashKeyCommand,
 ];
--- /dev/null
+++ b/packages/client/src/commands/check_command.ts
@@ -0,0 +1,54 @@
+import {access} from 'node:fs/promises';
+import {ClientFailure} from '../client_failure.js';
+import {loadCheckers} from '../check/load_checkers.js';
+import type {Command} from '../command.js';
+import {ExitCode} from '../exit_code.js';
+
+/** `bayspool check`. */
+export const checkCommand: Command = {
+  name: 'check',
+  summary: 'check settings and the deploy file before they are used',
+  help: `
+  Usage
+    bayspool check FILE ...
+
+  Finds the faults of a daemon's settings (.ini), of the file by which the platform deploys the
+  programs (.toml), and of the settings that it gives a host (.json). Each line names the field and
+  the remedy. Starts nothing and calls nobody.
+
+  Exit codes
+    0 all in order   2 a file is missing or of no known kind   3 faults were found
+`,
+  async run({words, print}) {
+    if (words.length === 0)
+      throw new ClientFailure(
+        'no file named; give the files to check',
+        ExitCode.USAGE,
+      );
+    let hasFaults = false;
+    for (const path of words) {
+      const faults = await findFaults(path);
+      if (faults.length === 0) print(`${path}: in order`);
+      for (const fault of faults) print(`${path}: ${fault}`);
+      hasFaults ||= faults.length > 0;
+    }
+    return hasFaults ? ExitCode.REJECTED : ExitCode.OK;
+  },
+};
+
+async function findFaults(path: string): Promise<readonly string[]> {
+  await access(path).catch(() => {
+    throw new ClientFailure(
+      `${path} cannot be read; check the path`,
+      ExitCode.USAGE,
+    );
+  });
+  const checkers = await loadCheckers();
+  const checker = checkers.find(candidate => candidate.accepts(path));
+  if (!checker)
+    throw new ClientFailure(
+      `${path} is of no kind that can be checked; name an .ini, .toml or .json file`,
+      ExitCode.USAGE,
+    );
+  return checker.findFaults(path);
+}
--- a/packages/kernel/src/index.ts
+++ b/packages/kernel/src/index.ts
@@ -15,6 +15,7 @@
 export type {Section} from './settings/section.js';
 export {Settings} from './settings/settings.js';
 export {SourceText} from './settings/source_text.js';
+export type {FileChecker} from './settings/file_checker.js';
 export {loadSettings} from './settings/load_settings.js';
 export {token} from './plugins/token.js';
 export {tokens} from './plugins/tokens.js';
