Silence is looked for when it can be found, and log lines are gathered

Each attempt looked every 50 ms whether its runner was silent, also for calls that are never moved, and each log line was a write of its own, which wakes a thread. Change: the next look is when the shortest silence that counts could be over; none for calls that may run once. Lines are gathered for 50 ms, and written out before the process ends.

--- a/packages/gateway/src/calls/attempt.ts
+++ b/packages/gateway/src/calls/attempt.ts
@@ -14,7 +14,7 @@
 import type {IncomingCall} from './incoming_call.js';
 import {readKeepAlive} from './read_keep_alive.js';
 import type {RunnerHeaders} from './runner_headers.js';
-import {isTooSilent} from './silence_rule.js';
+import {silenceRule} from './silence_rule.js';
 
 interface Options {
   readonly clock: Clock;
@@ -38,7 +38,7 @@
 /** Statuses from this one up to {@link REDIRECT} are successes. */
 const OK = 200;
 const REDIRECT = 300;
-/** Pause between two looks at whether the runner has fallen silent, in ms. */
+/** Least pause between two looks at whether the runner has fallen silent, in ms. */
 const WATCH_MS = 50;
 
 /** One try of a call at one runner. */
@@ -234,8 +234,11 @@
   }
 
   private watchSilence(): void {
-    const {clock} = this.options;
-    this.watch = clock.after(WATCH_MS, () => {
+    const {clock, call} = this.options;
+    const shortestMs = silenceRule.shortestMs(call.route);
+    if (shortestMs === Infinity) return;
+    const dueMs = this.progressAt + shortestMs - clock.now();
+    this.watch = clock.after(Math.max(WATCH_MS, dueMs), () => {
       if (this.isSilent()) this.ended.abort('silent');
       else this.watchSilence();
     });
@@ -251,7 +254,7 @@
       runner.excuseSilence();
       return false;
     }
-    const isSilent = isTooSilent(call.route, runner, {
+    const isSilent = silenceRule.isTooSilent(call.route, runner, {
       quietMs: now - this.progressAt,
       longestPauseMs: caller.longestPauseMs,
       hasEvents: this.eventCount > 0,
--- /dev/null
+++ b/packages/gateway/src/calls/silence_rule.test.ts
@@ -0,0 +1,42 @@
+import assert from 'node:assert/strict';
+import {test} from 'node:test';
+import {CallKind} from '@bayspool/decisions/calls';
+import type {CallRoute} from '@bayspool/decisions/calls';
+import type {Runner} from '../runners/runner.js';
+import {silenceRule} from './silence_rule.js';
+
+const KINDS = [
+  CallKind.SAFE,
+  CallKind.RESUMABLE,
+  CallKind.UNSAFE,
+  CallKind.STREAM,
+];
+
+function routeOf(kind: CallKind): CallRoute {
+  return {kind, latencyTargetMs: 200, pauseTargetMs: 1_000} as CallRoute;
+}
+
+void test('no silence under the shortest one is too long, whatever else holds', () => {
+  const runner = {isQuiet: true, usualFirstMs: 0} as Runner;
+  for (const kind of KINDS) {
+    const route = routeOf(kind);
+    const shortestMs = silenceRule.shortestMs(route);
+    const at = (quietMs: number, hasEvents: boolean) =>
+      silenceRule.isTooSilent(route, runner, {
+        quietMs,
+        hasEvents,
+        longestPauseMs: 0,
+        expectedMs: 0,
+      });
+    for (const hasEvents of [false, true]) {
+      assert.equal(at(Math.min(shortestMs, 1e9), hasEvents), false, kind);
+      if (shortestMs < Infinity)
+        assert.equal(at(shortestMs + 1, hasEvents), true, kind);
+    }
+  }
+});
+
+void test('calls that may run once are not watched', () => {
+  assert.equal(silenceRule.shortestMs(routeOf(CallKind.UNSAFE)), Infinity);
+  assert.equal(silenceRule.shortestMs(routeOf(CallKind.STREAM)), Infinity);
+});
--- a/packages/gateway/src/calls/silence_rule.ts
+++ b/packages/gateway/src/calls/silence_rule.ts
@@ -30,11 +30,19 @@
 /** How many times its own longest pause a stream may rest before that. */
 const OWN_PAUSE_TIMES = 2;
 
+/** The shortest silence that can be too long, in ms; Infinity if none is. Nobody has to look before. */
+function shortestMs(route: CallRoute): number {
+  if (route.kind === CallKind.SAFE) return route.latencyTargetMs * SAFE_PART;
+  if (!isStreamed(route.kind) || route.kind === CallKind.STREAM)
+    return Infinity;
+  return longestPauseOf(route) * QUIET_PAUSE_PART;
+}
+
 /**
  * Whether an attempt has been without progress for so long that the call is better served by another
  * runner. Never for calls that may run once only.
  */
-export function isTooSilent(
+function isTooSilent(
   route: CallRoute,
   runner: Runner,
   progress: Progress,
@@ -49,7 +57,7 @@
       )
     );
   if (!isStreamed(route.kind) || route.kind === CallKind.STREAM) return false;
-  const pauseMs = Math.max(MIN_PAUSE_MS, route.pauseTargetMs);
+  const pauseMs = longestPauseOf(route);
   if (hasEvents && quietMs > pauseMs * PAUSE_PART) return true;
   if (!runner.isQuiet) return false;
   const allowedMs = hasEvents
@@ -57,3 +65,10 @@
     : expectedMs * EXPECTED_TIMES;
   return quietMs > Math.max(pauseMs * QUIET_PAUSE_PART, allowedMs);
 }
+
+function longestPauseOf({pauseTargetMs}: CallRoute): number {
+  return Math.max(MIN_PAUSE_MS, pauseTargetMs);
+}
+
+/** When a runner that sends nothing is given up for another one. */
+export const silenceRule = {shortestMs, isTooSilent};
--- a/packages/gateway/src/observability/line_writer.ts
+++ b/packages/gateway/src/observability/line_writer.ts
@@ -14,6 +14,10 @@
 const MAX_PENDING_BYTES = 262_144;
 /** A pipe takes writes up to this size whole or not at all (PIPE_BUF of Linux), in bytes. */
 const MAX_WRITE_BYTES = 4_096;
+/** Lines are gathered for so long before they are written, in ms: each write wakes a thread. */
+const GATHER_MS = 50;
+/** Longest wait for the reader when the process ends, in ms. */
+const DRAIN_MS = 300;
 /** Pause after the descriptor was not ready, in ms. */
 const RETRY_MS = 20;
 
@@ -26,6 +30,7 @@
   private pendingBytes = 0;
   private rest: Buffer = Buffer.alloc(0);
   private isWriting = false;
+  private gathering: NodeJS.Timeout | undefined;
   private droppedLines = 0;
   private isStopped = false;
 
@@ -44,7 +49,16 @@
     }
     this.pending.push(line);
     this.pendingBytes += line.length + 1;
-    if (!this.isWriting) this.flush();
+    if (!this.isWriting) this.gather();
+  }
+
+  /** Writes what is pending, before the process ends; gives up on a reader that does not read. */
+  async drain(): Promise<void> {
+    const until = performance.now() + DRAIN_MS;
+    clearTimeout(this.gathering);
+    this.flush();
+    while (this.isBusy && performance.now() < until)
+      await new Promise(resolve => setTimeout(resolve, RETRY_MS));
   }
 
   /** Writes nothing any more. */
@@ -52,8 +66,17 @@
     this.isStopped = true;
   }
 
+  private get isBusy(): boolean {
+    return this.isWriting || this.pending.length > 0;
+  }
+
+  private gather(): void {
+    this.gathering ??= setTimeout(() => this.flush(), GATHER_MS);
+  }
+
   private flush(): void {
-    if (this.isStopped) return;
+    this.gathering = undefined;
+    if (this.isStopped || this.isWriting) return;
     if (this.rest.length === 0) this.takePending();
     if (this.rest.length === 0) return;
     const {descriptor = STANDARD_OUTPUT} = this.options;
--- a/packages/gateway/src/observability/observability.test.ts
+++ b/packages/gateway/src/observability/observability.test.ts
@@ -1,6 +1,6 @@
 import assert from 'node:assert/strict';
 import {execFileSync} from 'node:child_process';
-import fs, {constants, mkdtempSync, openSync} from 'node:fs';
+import fs, {constants, mkdtempSync, openSync, readFileSync} from 'node:fs';
 import {syncBuiltinESMExports} from 'node:module';
 import {tmpdir} from 'node:os';
 import {join} from 'node:path';
@@ -58,6 +58,24 @@
   writer.stop();
 });
 
+void test('lines are gathered into few writes, and none is left at the end', async () => {
+  const path = join(mkdtempSync(join(tmpdir(), 'bayspool-')), 'log');
+  const descriptor = openSync(path, 'w');
+  const write = mock.method(fs, 'write');
+  syncBuiltinESMExports();
+  const writer = new LineWriter({descriptor});
+  for (let i = 0; i < 50; i++) {
+    writer.write(`line ${i}`);
+    await new Promise(resolve => setImmediate(resolve));
+  }
+  await writer.drain();
+  const writes = write.mock.callCount();
+  mock.restoreAll();
+  syncBuiltinESMExports();
+  assert.equal(readFileSync(path, 'utf8').split('\n').length, 51);
+  assert.ok(writes <= 5, `${writes} writes`);
+});
+
 void test('no write is longer than what a pipe takes at once, and none cuts a line', async () => {
   const written: string[] = [];
   mock.method(
