Metrics of kinds, runners by state, budgets, roll-out evidence, store times, loop lag and dropped lines

Two faults of the change before: a host that wrote the end of a roll-out and had not read it yet took it for the state of the next order, and a phase was announced twice. Change: gauges with labels that are read when the page is fetched; requests carry their kind. The end of a roll-out is remembered with its position. Idle hosts look less often whether they have to read a topic.

--- a/packages/gateway/src/calls/call_door.ts
+++ b/packages/gateway/src/calls/call_door.ts
@@ -41,6 +41,8 @@
 const TOO_LARGE = 413;
 /** Says that the request has not run. */
 const REQUEST_TIMEOUT = 408;
+/** Labels of requests that no route is counted for. */
+const NO_ROUTE = {route: '', kind: ''};
 /** Why a call ended whose caller left before its body was whole. */
 const BODY_BROKEN = 'body broke off';
 /** Room for headers over the largest configured bound, in bytes; above it Node refuses by itself. */
@@ -222,7 +224,7 @@
     request.resume();
     if (!caller.isClosed) caller.sendOwn(refusal);
     const {status, reason, retryAfterMs} = refusal;
-    metrics.requests.inc({route: '', outcome: 'refused', reason});
+    metrics.requests.inc({...NO_ROUTE, outcome: 'refused', reason});
     log.write('request_refused', {
       request: String(request.headers[names.requestId] ?? ''),
       status,
@@ -237,7 +239,7 @@
   private noteBroken(request: IncomingMessage, acceptedAt: number): void {
     const {clock, log, metrics, names} = this.options;
     const id = String(request.headers[names.requestId] ?? '');
-    metrics.requests.inc({route: '', outcome: 'left', reason: BODY_BROKEN});
+    metrics.requests.inc({...NO_ROUTE, outcome: 'left', reason: BODY_BROKEN});
     log.write('caller_left', {
       request: id,
       attempts: 0,
--- a/packages/gateway/src/calls/final_answer.ts
+++ b/packages/gateway/src/calls/final_answer.ts
@@ -33,10 +33,10 @@
     const {clock, log, metrics} = this.options;
     const {call} = progress;
     if (outcome.answer && !caller.isClosed) caller.sendWhole(outcome.answer);
-    const route = call.route.name;
+    const {name: route, kind} = call.route;
     const firstAt = caller.firstByteAt ?? clock.now();
     const forMs = clock.now() - call.acceptedAt;
-    metrics.requests.inc({route, outcome: 'answered', reason: ''});
+    metrics.requests.inc({route, kind, outcome: 'answered', reason: ''});
     metrics.firstSeconds.observe({route}, (firstAt - call.acceptedAt) / 1000);
     metrics.totalSeconds.observe({route}, forMs / 1000);
     log.write('request_answered', {
@@ -60,16 +60,16 @@
     const forMs = Math.round(clock.now() - call.acceptedAt);
     const attempts = progress.tries;
     const request = call.id;
-    const route = call.route.name;
+    const {name: route, kind} = call.route;
     const why = reasonLabel(reason);
     if (reason === CallEnd.CALLER_LEFT) {
-      metrics.requests.inc({route, outcome: 'left', reason: why});
+      metrics.requests.inc({route, kind, outcome: 'left', reason: why});
       log.write('caller_left', {request, attempts, reason, forMs});
       return;
     }
     if (caller.hasBegun) {
       caller.cut();
-      metrics.requests.inc({route, outcome: 'cut', reason: why});
+      metrics.requests.inc({route, kind, outcome: 'cut', reason: why});
       const lastEvent = caller.lastEventId;
       log.write('request_cut', {request, reason, attempts, lastEvent, forMs});
       return;
@@ -78,7 +78,7 @@
     if (failed && !caller.isClosed) caller.sendWhole(failed);
     const own = this.ownAnswer(progress, reason);
     if (!failed && !caller.isClosed) caller.sendOwn(own);
-    metrics.requests.inc({route, outcome: 'failed', reason: why});
+    metrics.requests.inc({route, kind, outcome: 'failed', reason: why});
     log.write('request_failed', {
       request,
       status: failed?.status ?? own.status,
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -7,6 +7,7 @@
 import {MetricsServer} from './lifecycle/metrics_server.js';
 import {ReadinessServer} from './lifecycle/readiness_server.js';
 import {GatewayMetrics} from './observability/gateway_metrics.js';
+import {LoopLag} from './observability/loop_lag.js';
 import {Exchange} from './parts/exchange.js';
 import type {GatewayOptions} from './parts/gateway_options.js';
 import {HostRegistration} from './parts/host_registration.js';
@@ -27,6 +28,7 @@
   readonly metrics = new GatewayMetrics();
   private readonly knowledge: Knowledge;
   private readonly exchange: Exchange;
+  private readonly lag: LoopLag;
   private readonly writer: RolloutWriter;
   private readonly door: CallDoor;
   private readonly readiness: ReadinessServer;
@@ -46,8 +48,9 @@
       metrics: this.metrics,
       liveSettings: () => this.settings,
     });
+    this.lag = new LoopLag({clock});
     this.exchange = new Exchange(options, this.knowledge);
-    const {belief, directory, roster} = this.knowledge;
+    const {roster} = this.knowledge;
     this.registration = new HostRegistration({
       clock,
       log,
@@ -76,10 +79,10 @@
       registry: this.metrics.registry,
     });
     observeParts({
-      belief,
-      directory,
-      roster,
+      ...this.knowledge,
+      log,
       metrics: this.metrics,
+      lag: this.lag,
       door: this.door,
       news: this.exchange.news,
     });
@@ -96,6 +99,7 @@
     });
     void this.exchange.follow().then(() => this.registration.run());
     this.writer.start();
+    this.lag.start();
     this.sweep();
     log.write('process_started', {
       host: settings.host,
@@ -134,6 +138,7 @@
     this.exchange.unfollow();
     this.writer.stop();
     this.sweepTimer?.cancel();
+    this.lag.stop();
     this.exchange.close();
     this.readiness.stop();
     this.metricsServer.stop();
--- a/packages/gateway/src/observability/event_log.ts
+++ b/packages/gateway/src/observability/event_log.ts
@@ -31,9 +31,15 @@
   private second = 0;
   private written = 0;
   private dropped = 0;
+  private sampledOut = 0;
 
   constructor(private readonly options: Options) {}
 
+  /** Lines that were left out since the start, by sampling or because the reader was too slow. */
+  get droppedLines(): number {
+    return this.sampledOut + (this.options.sink.dropped ?? 0);
+  }
+
   /** Writes an event with the time and this host. */
   write<N extends EventName>(event: N, fields: EventFields[N]): void {
     if (DETAIL.has(event) && !this.hasRoom()) return;
@@ -54,6 +60,7 @@
     this.written += 1;
     if (this.written <= detailPerSecond) return true;
     this.dropped += 1;
+    this.sampledOut += 1;
     return false;
   }
 
--- a/packages/gateway/src/observability/events.test.ts
+++ b/packages/gateway/src/observability/events.test.ts
@@ -138,3 +138,36 @@
   await gateway.leave('test');
   await expectEvents('process_stopping', 'process_stopped');
 });
+
+void test('the metrics tell requests, runners, budgets, roll-outs and the process', async () => {
+  fixture.configure([{kind: CallKind.SAFE}]);
+  await fixture.addRunner(first);
+  await fixture.addRunner(second);
+  await fixture.startHost();
+  await fixture.waitReady();
+  fixture.store.put(Topic.OPERATOR, 'rollout/svc', {
+    service: 'svc',
+    version: 'v2',
+    durationMs: 60_000,
+  });
+  await expectEvents('rollout_ordered');
+  fixture.store.put(Topic.RUNNERS, 'one', {...first.entry, isDraining: true});
+  await expectEvents('runner_leaving');
+  await fixture.call();
+  const {metricsPort} = fixture.hosts[0].settings;
+  const answer = await fetch(`http://127.0.0.1:${metricsPort}/metrics`);
+  const text = await answer.text();
+  for (const line of [
+    /^bayspool_requests_total\{route="r",kind="safe",outcome="answered",reason=""\} 1$/m,
+    /^bayspool_runners\{service="svc",state="leaving"\} 1$/m,
+    /^bayspool_runners\{service="svc",state="ready"\} 1$/m,
+    /^bayspool_retry_budget\{service="svc"\} \d/m,
+    /^bayspool_rollout_share\{service="svc",phase="active"\} 0\.08$/m,
+    /^bayspool_rollout_answers\{service="svc",version="new",result="ended"\} 1$/m,
+    /^bayspool_loop_lag_seconds \d/m,
+    /^bayspool_log_lines_dropped 0$/m,
+    /^bayspool_open_requests 0$/m,
+    /^bayspool_configuration_age_seconds \d/m,
+  ])
+    assert.match(text, line);
+});
--- a/packages/gateway/src/observability/gateway_metrics.ts
+++ b/packages/gateway/src/observability/gateway_metrics.ts
@@ -1,4 +1,5 @@
 import {Counter, Gauge, Histogram, Registry} from 'prom-client';
+import type {MetricSample} from './metric_sample.js';
 
 /** Upper bounds of latencies, in seconds. */
 const SECONDS = [0.005, 0.02, 0.05, 0.1, 0.2, 0.5, 1, 2, 4, 8, 16];
@@ -9,6 +10,7 @@
   /** Requests by route, and how they ended. */
   readonly requests = this.counter('requests_total', 'Requests by outcome', [
     'route',
+    'kind',
     'outcome',
     'reason',
   ]);
@@ -31,6 +33,11 @@
     'Calls to the store',
     ['call', 'outcome'],
   );
+  readonly storeSeconds = this.histogram(
+    'store_call_seconds',
+    'Time to the answer of the store, the wait for a record included',
+    'call',
+  );
   readonly peerCalls = this.counter(
     'peer_calls_total',
     'Calls to other hosts',
@@ -55,6 +62,25 @@
     });
   }
 
+  /** A gauge of several series that are read when the metrics are fetched; series that end are dropped. */
+  observeEach(
+    name: string,
+    help: string,
+    labelNames: readonly string[],
+    read: () => readonly MetricSample[],
+  ): void {
+    const gauge: Gauge = new Gauge({
+      name: `bayspool_${name}`,
+      help,
+      labelNames,
+      registers: [this.registry],
+      collect: () => {
+        gauge.reset();
+        for (const {labels, value} of read()) gauge.set(labels, value);
+      },
+    });
+  }
+
   private counter(name: string, help: string, labelNames: string[]): Counter {
     return new Counter({
       name: `bayspool_${name}`,
@@ -64,11 +90,11 @@
     });
   }
 
-  private histogram(name: string, help: string): Histogram {
+  private histogram(name: string, help: string, label = 'route'): Histogram {
     return new Histogram({
       name: `bayspool_${name}`,
       help,
-      labelNames: ['route'],
+      labelNames: [label],
       buckets: SECONDS,
       registers: [this.registry],
     });
--- a/packages/gateway/src/parts/exchange.ts
+++ b/packages/gateway/src/parts/exchange.ts
@@ -15,6 +15,11 @@
 /** The same for topics whose age does not matter; a record ends the wait at once. */
 const OTHER_WAIT_MS = 10_000;
 
+/** How soon a host begins to read the operator's topic once it has to, in ms. */
+const OPERATOR_IDLE_MS = 150;
+/** The same for the other topics: each look wakes an idle process. */
+const OTHER_IDLE_MS = 300;
+
 /** What keeps a host's knowledge current: the store's followers and the exchange with other hosts. */
 export class Exchange {
   /** Decides which hosts read the store. */
@@ -79,8 +84,7 @@
           mirror,
           log,
           health: storeHealth,
-          waitMs:
-            mirror.topic === Topic.OPERATOR ? OPERATOR_WAIT_MS : OTHER_WAIT_MS,
+          ...pausesOf(mirror.topic),
           isWanted: () => this.isWanted(mirror),
         }),
     );
@@ -121,3 +125,9 @@
     return topic === Topic.OPERATOR ? news.readsStore : news.readsAll;
   }
 }
+
+function pausesOf(topic: Topic): {waitMs: number; idleMs: number} {
+  return topic === Topic.OPERATOR
+    ? {waitMs: OPERATOR_WAIT_MS, idleMs: OPERATOR_IDLE_MS}
+    : {waitMs: OTHER_WAIT_MS, idleMs: OTHER_IDLE_MS};
+}
--- a/packages/gateway/src/parts/observe_parts.ts
+++ b/packages/gateway/src/parts/observe_parts.ts
@@ -1,33 +1,59 @@
 import type {ConfigurationBelief} from '../beliefs/configuration_belief.js';
 import type {RunnerDirectory} from '../beliefs/runner_directory.js';
 import type {CallDoor} from '../calls/call_door.js';
+import type {EventLog} from '../observability/event_log.js';
 import type {GatewayMetrics} from '../observability/gateway_metrics.js';
+import type {LoopLag} from '../observability/loop_lag.js';
 import type {NewsLoop} from '../peers/news_loop.js';
 import type {Roster} from '../peers/roster.js';
+import type {RolloutBook} from '../rollouts/rollout_book.js';
+import {countRunners} from './count_runners.js';
+import type {ServiceLimits} from './service_limits.js';
+import {tellEvidence} from './tell_evidence.js';
 
 interface Options {
   readonly metrics: GatewayMetrics;
+  readonly log: EventLog;
+  readonly lag: LoopLag;
   readonly belief: ConfigurationBelief;
   readonly directory: RunnerDirectory;
   readonly door: CallDoor;
   readonly news: NewsLoop;
   readonly roster: Roster;
+  readonly limits: ServiceLimits;
+  readonly rollouts: RolloutBook;
 }
 
 /** Registers the figures that are read from a host's parts when the metrics are asked for. */
-export function observeParts({
-  metrics,
-  belief,
-  directory,
-  door,
-  news,
-  roster,
-}: Options): void {
+export function observeParts(options: Options): void {
+  observeProcess(options);
+  observeBeliefs(options);
+  observeRunners(options);
+  observeRollouts(options);
+}
+
+function observeProcess({metrics, log, lag, door}: Options): void {
   metrics.observe(
     'open_requests',
     'Requests not answered yet',
     () => door.openCalls,
   );
+  metrics.observe('resident_bytes', 'Memory of the process', () =>
+    process.memoryUsage.rss(),
+  );
+  metrics.observe(
+    'loop_lag_seconds',
+    'Worst lag of a timer since the metrics were last fetched',
+    () => lag.takeWorstSeconds(),
+  );
+  metrics.observe(
+    'log_lines_dropped',
+    'Log lines left out since the start',
+    () => log.droppedLines,
+  );
+}
+
+function observeBeliefs({metrics, belief, roster, news}: Options): void {
   metrics.observe(
     'configuration_version',
     'Configuration in force',
@@ -38,17 +64,52 @@
     'Time since it was known to be the newest',
     () => belief.ageMs / 1000,
   );
-  metrics.observe('runners', 'Runners known', () => directory.all().length);
-  metrics.observe(
-    'runners_ejected',
-    'Runners left alone for a time',
-    () => directory.all().filter(r => r.health.isEjected).length,
-  );
   metrics.observe('hosts', 'Hosts known to live', () => roster.living().length);
   metrics.observe('reads_store', 'Whether this host reads the store', () =>
     Number(news.readsStore),
   );
-  metrics.observe('resident_bytes', 'Memory of the process', () =>
-    process.memoryUsage.rss(),
+}
+
+function observeRunners({metrics, directory, limits}: Options): void {
+  metrics.observeEach(
+    'runners',
+    'Runners known, by what holds of them first',
+    ['service', 'state'],
+    () => countRunners(directory.all()),
+  );
+  metrics.observeEach(
+    'runner_pending_seconds',
+    'Reading of prompts that this host waits for at runners',
+    ['service'],
+    () =>
+      directory.all().map(({entry: {service}, ownLoad}) => ({
+        labels: {service},
+        value: ownLoad.pendingMs / 1000,
+      })),
+  );
+  metrics.observeEach(
+    'retry_budget',
+    'Repeats that this host may still send now',
+    ['service'],
+    () => limits.budgetsLeft(),
+  );
+}
+
+function observeRollouts({metrics, rollouts}: Options): void {
+  metrics.observeEach(
+    'rollout_share',
+    'Share of sessions that the new version gets now',
+    ['service', 'phase'],
+    () =>
+      rollouts.all().map(({order, phase, share}) => ({
+        labels: {service: order.service, phase},
+        value: share,
+      })),
+  );
+  metrics.observeEach(
+    'rollout_answers',
+    'What all hosts saw of the versions of a roll-out',
+    ['service', 'version', 'result'],
+    () => rollouts.all().flatMap(tellEvidence),
   );
 }
--- a/packages/gateway/src/parts/service_limits.ts
+++ b/packages/gateway/src/parts/service_limits.ts
@@ -2,6 +2,7 @@
 import type {Clock} from '@bayspool/kernel';
 import type {ConfigurationBelief} from '../beliefs/configuration_belief.js';
 import type {GatewaySettings} from '../gateway_settings.js';
+import type {MetricSample} from '../observability/metric_sample.js';
 import type {Roster} from '../peers/roster.js';
 
 interface Options {
@@ -52,6 +53,14 @@
     return budget;
   }
 
+  /** Repeats that this host may still send, by service. */
+  budgetsLeft(): MetricSample[] {
+    return [...this.budgets].map(([service, {left}]) => ({
+      labels: {service},
+      value: left,
+    }));
+  }
+
   /** The shortest latency target of a service's routes, in ms. */
   targetOf(service: string): number {
     const routes = this.options.belief.current?.routes ?? [];
--- a/packages/gateway/src/records/topic_follower.ts
+++ b/packages/gateway/src/records/topic_follower.ts
@@ -16,12 +16,12 @@
   readonly log: EventLog;
   /** How long one call may wait for a record, in ms. */
   readonly waitMs: number;
+  /** Pause between looks at whether the topic is wanted, in ms; no call is made for it. */
+  readonly idleMs: number;
   /** Whether this host reads the topic now. */
   readonly isWanted: () => boolean;
 }
 
-/** Pause between looks at whether the topic is wanted, in ms; no call is made for it. */
-const IDLE_MS = 150;
 /** Pause after a failed call, in ms; doubled with each one in a row. */
 const RETRY_MS = 120;
 /** Longest such pause, in ms. */
@@ -47,10 +47,10 @@
   }
 
   private async run(): Promise<void> {
-    const {clock, isWanted} = this.options;
+    const {clock, idleMs, isWanted} = this.options;
     while (!this.stopped) {
       if (!isWanted()) {
-        await sleep(clock, IDLE_MS);
+        await sleep(clock, idleMs);
         continue;
       }
       await this.readOnce();
--- a/packages/gateway/src/rollouts/rollout.ts
+++ b/packages/gateway/src/rollouts/rollout.ts
@@ -24,6 +24,8 @@
 export class Rollout {
   readonly evidence = new RolloutEvidence();
   phase: RolloutPhase = RolloutPhase.ACTIVE;
+  /** Position behind the state that ended it, in the topic of states; 0 while it is active. */
+  endedAt = 0;
   /** What the other hosts told, summed. */
   remote: RolloutDigest | undefined;
   /** Position in the topic of states from which they are about this order; earlier ones are not. */
@@ -64,6 +66,12 @@
     return this.elapsedMs > this.order.durationMs / 2;
   }
 
+  /** Takes over how it ended, and where the state that says so stands. */
+  end(phase: RolloutPhase, offset: number): void {
+    this.phase = phase;
+    this.endedAt = offset + 1;
+  }
+
   /** Takes over how long ago the order was made, if others know of a longer time. */
   noteElapsed(elapsedMs: number): void {
     const startedAt = this.options.clock.now() - elapsedMs;
@@ -82,11 +90,19 @@
     };
   }
 
+  /** What all hosts saw of the two versions, on all routes together. */
+  get tallies(): {readonly fresh: VersionTally; readonly old: VersionTally} {
+    const {fresh, old} = this.pooled();
+    return {
+      fresh: sumOf(fresh, Object.keys(fresh)),
+      old: sumOf(old, Object.keys(old)),
+    };
+  }
+
   /** Judges the new version by the evidence of all hosts, on all routes and on each one. */
   judge(): void {
     if (this.bad || this.phase !== RolloutPhase.ACTIVE) return;
-    const own = this.digest(0);
-    const all = this.remote ? mergeRollouts(own, this.remote) : own;
+    const all = this.pooled();
     if (all.isBad) return this.convict('told by another host', all);
     const names = Object.keys(all.fresh);
     for (const chosen of [names, ...names.map(name => [name])]) {
@@ -97,6 +113,12 @@
     }
   }
 
+  /** The evidence of all hosts. */
+  private pooled(): RolloutDigest {
+    const own = this.digest(0);
+    return this.remote ? mergeRollouts(own, this.remote) : own;
+  }
+
   private convict(
     where: string,
     all: RolloutDigest,
--- a/packages/gateway/src/rollouts/rollout_book.ts
+++ b/packages/gateway/src/rollouts/rollout_book.ts
@@ -126,7 +126,12 @@
     const elapsedMs = starts.elapsedMs(order);
     // What stands there when the order arrives is about an earlier one; at the start of this host the
     // order may be old, and only a note tells.
-    const statesFrom = starts.statesFrom(order) ?? (isReload ? 0 : states.next);
+    const seenBefore = isReload ? 0 : states.next;
+    const statesFrom = Math.max(
+      starts.statesFrom(order) ?? seenBefore,
+      // This host may have written the end of the last one, and not read it yet.
+      known?.endedAt ?? 0,
+    );
     const rollout = new Rollout({
       ...this.options,
       order,
@@ -171,7 +176,7 @@
     if (!rollout || !isAbout(state, rollout)) return;
     if (rollout.phase !== RolloutPhase.ACTIVE) return;
     if (state.phase === RolloutPhase.ACTIVE) return;
-    rollout.phase = state.phase;
+    rollout.end(state.phase, state.offset);
     const {service, version, phase} = state;
     this.options.log.write('rollout_phase', {service, version, phase});
   }
--- a/packages/gateway/src/rollouts/rollout_writer.ts
+++ b/packages/gateway/src/rollouts/rollout_writer.ts
@@ -113,11 +113,14 @@
     try {
       const isOpen = await this.refreshState(rollout);
       if (!isOpen) return;
+      // Another host announced it a moment ago.
+      if (phase === RolloutPhase.ACTIVE && this.options.book.stateOf(rollout))
+        return;
       const {key, value} = reader.writeState({service, version, phase});
       const expectedEnd = this.options.states.next;
       await store.append({topic: Topic.STATUS, key, value, expectedEnd});
       log.write('rollout_written', {service, version, phase});
-      if (phase !== RolloutPhase.ACTIVE) rollout.phase = phase;
+      if (phase !== RolloutPhase.ACTIVE) rollout.end(phase, expectedEnd);
     } catch (error) {
       const reason = String(error);
       log.write('rollout_write_failed', {service, version, phase, reason});
