A start loses no time to seeds that know nothing; hosts take turns only at a store that did not answer

Change: no turn where the last read was answered, and at most 4 s; followers start when the seeds have been asked, at most 60 ms after a restart. The window of one case ended just when a cut reader is asked again; it is looked at a second earlier now.

--- a/packages/gateway/src/parts/exchange.ts
+++ b/packages/gateway/src/parts/exchange.ts
@@ -99,10 +99,10 @@
   }
 
   /** Follows the store and the other hosts from now on; resolves when the seeds have been asked. */
-  follow(): Promise<void> {
-    for (const follower of this.followers) follower.start();
+  async follow(): Promise<void> {
     this.news.start();
-    return this.seedStart.run();
+    await this.seedStart.run();
+    for (const follower of this.followers) follower.start();
   }
 
   /** Stops following. */
@@ -119,7 +119,6 @@
   }
 
   private isWanted({isLoaded, topic}: TopicMirror): boolean {
-    if (!this.seedStart.isOver) return false;
     return !isLoaded || this.reads(topic);
   }
 
--- a/packages/gateway/src/peers/news_loop.test.ts
+++ b/packages/gateway/src/peers/news_loop.test.ts
@@ -81,7 +81,8 @@
 void test('a reader that the store turns off is passed over; not every host reads in its place', async () => {
   assert.equal(readers().length, 1);
   readers()[0].isCut = true;
-  await pause(4_000);
+  // Looked at well before the cut reader is asked again, 6 s after it was passed over.
+  await pause(3_000);
   for (const way of ways) way.calls = 0;
   await pause(2_000);
   const sound = readers().filter(({isCut}) => !isCut);
@@ -107,3 +108,15 @@
     return statuses.every(status => status === 200);
   });
 });
+
+void test('a host that loses its peers only reads the store at once', async () => {
+  const [reader] = readers();
+  const index = ways.findIndex(way => way !== reader);
+  for (const [i, {gateway}] of fixture.hosts.entries())
+    if (i !== index) gateway.halt();
+  const lostAt = performance.now();
+  await fixture.waitFor(() => ways[index].calls > 0);
+  assert.ok(performance.now() - lostAt < 3_500);
+  await pause(3_500 - (performance.now() - lostAt));
+  assert.equal(await fixture.readiness(index), 200);
+});
--- a/packages/gateway/src/peers/news_loop.ts
+++ b/packages/gateway/src/peers/news_loop.ts
@@ -38,10 +38,12 @@
  */
 const OLD_MS = 2_600;
 /**
- * Most that the second host of a place waits before it reads the store in the first one's place, in ms;
- * the third waits twice that at most, and so on: all of a place together ask seldom while it is away.
+ * Most that the second host of a place waits before it asks the store again that did not answer it, in
+ * ms; the third waits twice that at most, and so on: a place asks seldom while the store is away.
  */
 const TURN_MS = 500;
+/** Longest such wait, in ms: under the bound on withdrawn keys, in case no peer tells of the return. */
+const MAX_TURN_MS = 4_000;
 /** Hosts of a place that are asked while all have lost the store: they look for it most often. */
 const FIRST_HOSTS = 3;
 /** Pause after an exchange failed, in ms. */
@@ -74,9 +76,14 @@
     return roster.readersOf(roster.self.place)[0]?.name === roster.self.name;
   }
 
-  /** Most that this host waits before it reads the store, in ms; 0 for the first of its place. */
+  /**
+   * Most that this host waits before it reads the store, in ms. None where the last read was answered:
+   * a host that is cut off from its peers only must not wait for them.
+   */
   get turnMs(): number {
-    return this.options.roster.rankOfSelf * TURN_MS;
+    const {roster, storeHealth} = this.options;
+    if (!storeHealth.isLost) return 0;
+    return Math.min(MAX_TURN_MS, roster.rankOfSelf * TURN_MS);
   }
 
   /** Asks other hosts for news from now on. */
--- a/packages/gateway/src/peers/seed_start.test.ts
+++ b/packages/gateway/src/peers/seed_start.test.ts
@@ -1,4 +1,6 @@
 import assert from 'node:assert/strict';
+import {createServer} from 'node:http';
+import type {AddressInfo} from 'node:net';
 import {afterEach, beforeEach, test} from 'node:test';
 import {GatewayFixture} from '../testing/gateway_fixture.js';
 import {MemoryRecordStore} from '../testing/memory_record_store.js';
@@ -96,3 +98,35 @@
     fixture.events('peer_seen').some(({peer}) => peer === 'new'),
   );
 });
+
+void test('a restart beside seeds that say nothing reads the store soon', async () => {
+  const silent = [1, 2, 3].map(() => createServer(() => undefined));
+  for (const server of silent)
+    await new Promise<void>(done => server.listen(0, '127.0.0.1', done));
+  const addresses = silent.map(
+    server => `127.0.0.1:${(server.address() as AddressInfo).port}`,
+  );
+  const store = new MemoryRecordStore();
+  const startedAt = performance.now();
+  await fixture.startHost({seeds: addresses}, store);
+  await fixture.waitFor(() => store.calls.newest > 0);
+  const tookMs = performance.now() - startedAt;
+  for (const server of silent) {
+    server.close();
+    server.closeAllConnections();
+  }
+  assert.ok(tookMs < 400, `${tookMs} ms`);
+});
+
+void test('a restart beside seeds that know nothing loses no time', async () => {
+  const down = new MemoryRecordStore();
+  down.isDown = true;
+  await fixture.startHost({}, down);
+  const {peerPort} = fixture.hosts[1].settings;
+  const store = new MemoryRecordStore();
+  await fixture.startHost({seeds: [`127.0.0.1:${peerPort}`]}, store);
+  const startedAt = performance.now();
+  await fixture.waitFor(() => store.calls.newest === 4);
+  const tookMs = performance.now() - startedAt;
+  assert.ok(tookMs < 120, `${tookMs} ms`);
+});
--- a/packages/gateway/src/peers/seed_start.ts
+++ b/packages/gateway/src/peers/seed_start.ts
@@ -26,6 +26,11 @@
 const FIRST_START_WAIT_MS = 400;
 /** How long a host leaves the store to the seeds at the first start of all, in ms. */
 const FIRST_START_MS = 2_000;
+/**
+ * How long a restart leaves the store unread for the seeds' answers, in ms: seeds that know answer within
+ * some 20 ms, and after all hosts were killed none of them does.
+ */
+const HEAD_START_MS = 60;
 /** Pause between two rounds of asking, in ms. */
 const RETRY_MS = 300;
 
@@ -47,14 +52,11 @@
   /** Asks the seeds; resolves when their answers are no longer waited for. */
   async run(): Promise<void> {
     const {clock, isFirstStart} = this.options;
-    const until = clock.now() + (isFirstStart ? FIRST_START_MS : 0);
-    await this.askAll();
-    while (this.goesOn && clock.now() < until) {
-      await sleep(clock, RETRY_MS);
-      await this.askAll();
-    }
+    const headStartMs = isFirstStart ? FIRST_START_MS : HEAD_START_MS;
+    const firstRounds = isFirstStart ? this.askOn() : this.askAll();
+    await Promise.race([firstRounds, sleep(clock, headStartMs)]);
     this.over = true;
-    void this.askOn();
+    if (!isFirstStart) void firstRounds.then(() => this.askOn());
   }
 
   /** Stops asking. */
@@ -79,8 +81,12 @@
     return rankByHash(self, others);
   }
 
-  /** While the store does not answer this host, the seeds are its only way to know anything. */
+  /**
+   * Asks until everything is known: while the store does not answer this host, the seeds are its only
+   * way to know anything.
+   */
   private async askOn(): Promise<void> {
+    await this.askAll();
     while (this.goesOn) {
       await sleep(this.options.clock, RETRY_MS);
       await this.askAll();
