The watch for silence is a module of its own

Change: SilenceWatch keeps the time of the last progress and the timer; Attempt starts and stops it. No change of behaviour.

--- a/packages/gateway/src/calls/attempt.ts
+++ b/packages/gateway/src/calls/attempt.ts
@@ -1,6 +1,6 @@
 import type {IncomingMessage} from 'node:http';
 import {isStreamed} from '@bayspool/decisions/calls';
-import type {Clock, Timer} from '@bayspool/kernel';
+import type {Clock} from '@bayspool/kernel';
 import {ConnectFailure} from '../runners/connect_failure.js';
 import type {PooledConnection} from '../runners/pooled_connection.js';
 import type {RunnerChoice} from '../runners/runner_choice.js';
@@ -14,7 +14,7 @@
 import type {IncomingCall} from './incoming_call.js';
 import {readKeepAlive} from './read_keep_alive.js';
 import type {RunnerHeaders} from './runner_headers.js';
-import {silenceRule} from './silence_rule.js';
+import {SilenceWatch} from './silence_watch.js';
 
 interface Options {
   readonly clock: Clock;
@@ -38,15 +38,12 @@
 /** Statuses from this one up to {@link REDIRECT} are successes. */
 const OK = 200;
 const REDIRECT = 300;
-/** Least pause between two looks at whether the runner has fallen silent, in ms. */
-const WATCH_MS = 50;
 
 /** One try of a call at one runner. */
 export class Attempt {
   private readonly ended = new AbortController();
   private readonly startedAt: number;
-  private progressAt: number;
-  private watch: Timer | undefined;
+  private readonly watch: SilenceWatch;
   private isFirstNoted = false;
   private eventCount = 0;
   private firstByteAt: number | undefined;
@@ -54,7 +51,11 @@
 
   constructor(private readonly options: Options) {
     this.startedAt = options.clock.now();
-    this.progressAt = this.startedAt;
+    this.watch = new SilenceWatch({
+      ...options,
+      hasEvents: () => this.eventCount > 0,
+      onSilent: () => this.ended.abort('silent'),
+    });
   }
 
   /** When the first event, or the whole answer, came, on this host's clock. */
@@ -75,13 +76,13 @@
     if (signal.aborted) follow();
     signal.addEventListener('abort', follow, {once: true});
     runner.noteSent(workMs);
-    this.watchSilence();
+    this.watch.start();
     try {
       return await this.exchange();
     } catch (error) {
       return this.toOutcome(error);
     } finally {
-      this.watch?.cancel();
+      this.watch.stop();
       this.noteFirst();
       this.endedQuiet = runner.isQuiet;
       runner.noteEnded(this.options.clock.now() - this.startedAt);
@@ -107,7 +108,7 @@
       request: {method, path, headers, body},
       signal: this.ended.signal,
     });
-    this.noteProgress();
+    this.watch.noteProgress();
     connection.noteKeepAlive(readKeepAlive(answer));
     return this.read(answer, connection);
   }
@@ -206,9 +207,9 @@
       answer,
       connection,
       failureKind: () => this.failureKind(),
-      onBytes: () => this.noteProgress(),
+      onBytes: () => this.watch.noteProgress(),
       onWhole: () => {
-        this.firstByteAt = this.progressAt;
+        this.firstByteAt = this.watch.lastProgressAt;
       },
     }).run();
   }
@@ -233,44 +234,9 @@
     return String(this.ended.signal.reason);
   }
 
-  private watchSilence(): void {
-    const {clock, call} = this.options;
-    const shortestMs = silenceRule.shortestMs(call.route);
-    if (shortestMs === Infinity) return;
-    const dueMs = this.progressAt + shortestMs - clock.now();
-    this.watch = clock.after(Math.max(WATCH_MS, dueMs), () => {
-      if (this.isSilent()) this.ended.abort('silent');
-      else this.watchSilence();
-    });
-  }
-
-  private isSilent(): boolean {
-    const {clock, call, caller, choice, hasOtherRunner} = this.options;
-    const now = clock.now();
-    const {runner} = choice;
-    if (caller.isFull) {
-      // Nothing is read of the runner while its caller takes nothing.
-      this.progressAt = now;
-      runner.excuseSilence();
-      return false;
-    }
-    const isSilent = silenceRule.isTooSilent(call.route, runner, {
-      quietMs: now - this.progressAt,
-      longestPauseMs: caller.longestPauseMs,
-      hasEvents: this.eventCount > 0,
-      expectedMs: choice.workMs + runner.totalPendingMs,
-    });
-    return isSilent && hasOtherRunner();
-  }
-
-  private noteProgress(): void {
-    this.progressAt = this.options.clock.now();
-    this.options.choice.runner.noteHeard();
-  }
-
   private noteStreamBytes(): void {
-    this.noteProgress();
-    this.firstByteAt ??= this.progressAt;
+    this.watch.noteProgress();
+    this.firstByteAt ??= this.watch.lastProgressAt;
     this.noteFirst();
   }
 
--- /dev/null
+++ b/packages/gateway/src/calls/silence_watch.ts
@@ -0,0 +1,79 @@
+import type {Clock, Timer} from '@bayspool/kernel';
+import type {RunnerChoice} from '../runners/runner_choice.js';
+import type {CallerAnswer} from './caller_answer.js';
+import type {IncomingCall} from './incoming_call.js';
+import {silenceRule} from './silence_rule.js';
+
+interface Options {
+  readonly clock: Clock;
+  readonly call: IncomingCall;
+  readonly choice: RunnerChoice;
+  readonly caller: CallerAnswer;
+  /** Whether the attempt has passed on an event. */
+  readonly hasEvents: () => boolean;
+  /** Whether the call could be sent to another runner if this one falls silent. */
+  readonly hasOtherRunner: () => boolean;
+  /** Called once, when the runner has been silent for too long. */
+  readonly onSilent: () => void;
+}
+
+/** Least pause between two looks at whether the runner has fallen silent, in ms. */
+const WATCH_MS = 50;
+
+/** Follows the progress of one attempt, and tells when its runner has fallen silent. */
+export class SilenceWatch {
+  private timer: Timer | undefined;
+  private progressAt: number;
+
+  constructor(private readonly options: Options) {
+    this.progressAt = options.clock.now();
+  }
+
+  /** When the attempt last got anything, or else when it began, on this host's clock. */
+  get lastProgressAt(): number {
+    return this.progressAt;
+  }
+
+  /** Looks from now on. */
+  start(): void {
+    const {clock, call, onSilent} = this.options;
+    const shortestMs = silenceRule.shortestMs(call.route);
+    if (shortestMs === Infinity) return;
+    const dueMs = this.progressAt + shortestMs - clock.now();
+    this.timer = clock.after(Math.max(WATCH_MS, dueMs), () => {
+      if (this.isSilent()) onSilent();
+      else this.start();
+    });
+  }
+
+  /** Looks no more. */
+  stop(): void {
+    this.timer?.cancel();
+  }
+
+  /** Notes that the runner sent something. */
+  noteProgress(): void {
+    this.progressAt = this.options.clock.now();
+    this.options.choice.runner.noteHeard();
+  }
+
+  private isSilent(): boolean {
+    const {clock, call, caller, choice, hasEvents, hasOtherRunner} =
+      this.options;
+    const now = clock.now();
+    const {runner} = choice;
+    if (caller.isFull) {
+      // Nothing is read of the runner while its caller takes nothing.
+      this.progressAt = now;
+      runner.excuseSilence();
+      return false;
+    }
+    const isSilent = silenceRule.isTooSilent(call.route, runner, {
+      quietMs: now - this.progressAt,
+      longestPauseMs: caller.longestPauseMs,
+      hasEvents: hasEvents(),
+      expectedMs: choice.workMs + runner.totalPendingMs,
+    });
+    return isSilent && hasOtherRunner();
+  }
+}
