Taking in an order of a roll-out is split by its steps

Change: the position from which states count, and both log entries, are methods of their own. No change of behaviour.

--- a/packages/gateway/src/rollouts/rollout_book.ts
+++ b/packages/gateway/src/rollouts/rollout_book.ts
@@ -1,5 +1,6 @@
 import {hashText, RolloutPhase} from '@bayspool/decisions/calls';
 import type {
+  RolloutOrder,
   RolloutState,
   SessionVersions,
 } from '@bayspool/decisions/calls';
@@ -118,20 +119,13 @@
   }
 
   private order(record: KeyedRecord, isReload: boolean): void {
-    const {reader, log, states, starts} = this.options;
+    const {reader, starts, states} = this.options;
     const order = this.read(() => reader.readOrder(record));
     if (!order) return;
     const known = this.rollouts.get(order.service);
     if (known && known.order.offset >= order.offset) return;
     const elapsedMs = starts.elapsedMs(order);
-    // What stands there when the order arrives is about an earlier one; at the start of this host the
-    // order may be old, and only a note tells.
-    const seenBefore = isReload ? 0 : states.next;
-    const statesFrom = Math.max(
-      starts.statesFrom(order) ?? seenBefore,
-      // This host may have written the end of the last one, and not read it yet.
-      known?.endedAt ?? 0,
-    );
+    const statesFrom = this.statesFrom(order, known, isReload);
     const rollout = new Rollout({
       ...this.options,
       order,
@@ -139,15 +133,25 @@
       statesFrom,
     });
     this.rollouts.set(order.service, rollout);
-    const {service, version, durationMs, offset} = order;
-    log.write('rollout_ordered', {
-      service,
-      version,
-      durationMs,
-      elapsedMs,
-      offset,
-    });
-    for (const state of this.options.states.live()) this.state(state);
+    this.logOrder(order, elapsedMs);
+    for (const state of states.live()) this.state(state);
+  }
+
+  /** Position from which states are about an order, as far as this host can tell when it arrives. */
+  private statesFrom(
+    order: RolloutOrder,
+    last: Rollout | undefined,
+    isReload: boolean,
+  ): number {
+    const {starts, states} = this.options;
+    // What stands there when the order arrives is about an earlier one; at the start of this host the
+    // order may be old, and only a note tells.
+    const seenBefore = isReload ? 0 : states.next;
+    return Math.max(
+      starts.statesFrom(order) ?? seenBefore,
+      // This host may have written the end of the last one, and not read it yet.
+      last?.endedAt ?? 0,
+    );
   }
 
   /** Notes may come later than the orders and states that they explain. */
@@ -160,12 +164,7 @@
       rollout.statesFrom = statesFrom;
       if (phase === RolloutPhase.ACTIVE || this.stateOf(rollout)) continue;
       rollout.phase = RolloutPhase.ACTIVE;
-      const {service, version} = order;
-      this.options.log.write('rollout_phase', {
-        service,
-        version,
-        phase: RolloutPhase.ACTIVE,
-      });
+      this.logPhase(rollout);
     }
   }
 
@@ -177,7 +176,22 @@
     if (rollout.phase !== RolloutPhase.ACTIVE) return;
     if (state.phase === RolloutPhase.ACTIVE) return;
     rollout.end(state.phase, state.offset);
-    const {service, version, phase} = state;
+    this.logPhase(rollout);
+  }
+
+  private logOrder(order: RolloutOrder, elapsedMs: number): void {
+    const {service, version, durationMs, offset} = order;
+    this.options.log.write('rollout_ordered', {
+      service,
+      version,
+      durationMs,
+      elapsedMs,
+      offset,
+    });
+  }
+
+  private logPhase({order, phase}: Rollout): void {
+    const {service, version} = order;
     this.options.log.write('rollout_phase', {service, version, phase});
   }
 
