What the door records of requests is a module of its own

Change: DoorRecord writes the log entries and metrics; the door reads a body and forwards a call in methods of their own, which share the timer of the time limit. No change of behaviour.

--- a/packages/gateway/src/calls/call_door.ts
+++ b/packages/gateway/src/calls/call_door.ts
@@ -2,16 +2,18 @@
 import type {IncomingMessage, Server, ServerResponse} from 'node:http';
 import type {Socket} from 'node:net';
 import type {CallConfiguration} from '@bayspool/decisions/calls';
-import type {Clock, RandomSource} from '@bayspool/kernel';
+import type {Clock, RandomSource, Timer} from '@bayspool/kernel';
 import type {ConfigurationBelief} from '../beliefs/configuration_belief.js';
 import type {EventLog} from '../observability/event_log.js';
 import type {GatewayMetrics} from '../observability/gateway_metrics.js';
+import type {Admission} from './admission.js';
 import {CallerAnswer} from './caller_answer.js';
 import {CallEnd} from './call_end.js';
 import type {CallForwarder} from './call_forwarder.js';
+import {DoorRecord} from './door_record.js';
 import type {HeaderNames} from './header_names.js';
-import type {IncomingCall} from './incoming_call.js';
 import type {OwnAnswer} from './own_answer.js';
+import type {IncomingCall} from './incoming_call.js';
 import {readBody} from './read_body.js';
 import {readNumber} from './read_number.js';
 import {RequestCheck} from './request_check.js';
@@ -41,10 +43,6 @@
 const TOO_LARGE = 413;
 /** Says that the request has not run. */
 const REQUEST_TIMEOUT = 408;
-/** Labels of requests that no route is counted for. */
-const NO_ROUTE = {route: '', kind: ''};
-/** Why a call ended whose caller left before its body was whole. */
-const BODY_BROKEN = 'body broke off';
 /** Room for headers over the largest configured bound, in bytes; above it Node refuses by itself. */
 const MAX_HEADER_BYTES = 65_536;
 /** Bodies accepted before a configuration is known, in bytes. */
@@ -54,6 +52,7 @@
 export class CallDoor {
   private readonly server: Server;
   private readonly checks: RequestCheck;
+  private readonly record: DoorRecord;
   private readonly open = new Map<ServerResponse, AbortController>();
   /** Connections that take no further request. */
   private readonly ended = new WeakSet<Socket>();
@@ -67,6 +66,7 @@
       maxKeyAgeMs,
       maxDenialAgeMs,
     });
+    this.record = new DoorRecord(options);
     this.server = createServer(
       {maxHeaderSize: MAX_HEADER_BYTES, noDelay: true},
       (request, response) => this.take(request, response),
@@ -160,7 +160,7 @@
     response: ServerResponse,
     controller: AbortController,
   ): Promise<void> {
-    const {clock, names, belief, forwarder} = this.options;
+    const {clock, names} = this.options;
     const acceptedAt = clock.now();
     const caller = new CallerAnswer({
       clock,
@@ -168,31 +168,43 @@
       lastEventId: readNumber(request, names.lastEventId),
       closesAfter: this.options.isClosing,
     });
-    const verdict = this.checks.check(request);
-    if (!('route' in verdict)) return this.refuse(request, caller, verdict);
-    const limits = belief.current?.limits;
-    const bodyTimer = clock.after(verdict.route.timeLimitMs, () =>
-      controller.abort(CallEnd.TIME_LIMIT),
-    );
-    const body = await readBody(
-      request,
-      limits?.bodyBytes ?? DEFAULT_BODY_BYTES,
-      controller.signal,
-    );
-    bodyTimer.cancel();
+    const admission = this.checks.check(request);
+    if (!('route' in admission)) return this.refuse(request, caller, admission);
+    const body = await this.readBody(request, admission, controller);
     if (body === 'broken' || caller.isClosed)
-      return this.noteBroken(request, acceptedAt);
+      return this.record.noteBroken(request, acceptedAt);
     if (body === 'late') return this.refuseLate(request, response, caller);
     if (body === 'too-large')
       return this.refuse(request, caller, {
         status: TOO_LARGE,
         reason: 'body over the limit of the configuration',
       });
-    const call = toCall({request, body, admission: verdict, names, acceptedAt});
-    this.noteAccepted(call);
-    const timer = clock.after(call.deadlineAt - clock.now(), () =>
-      controller.abort(CallEnd.TIME_LIMIT),
-    );
+    const call = toCall({request, body, admission, names, acceptedAt});
+    this.record.noteAccepted(call);
+    await this.forward(call, caller, controller);
+  }
+
+  /** Reads the body within the bounds of the configuration and the time limit of the route. */
+  private async readBody(
+    request: IncomingMessage,
+    {route}: Admission,
+    controller: AbortController,
+  ): ReturnType<typeof readBody> {
+    const {belief} = this.options;
+    const maxBytes = belief.current?.limits.bodyBytes ?? DEFAULT_BODY_BYTES;
+    const timer = this.endAfter(route.timeLimitMs, controller);
+    const body = await readBody(request, maxBytes, controller.signal);
+    timer.cancel();
+    return body;
+  }
+
+  private async forward(
+    call: IncomingCall,
+    caller: CallerAnswer,
+    controller: AbortController,
+  ): Promise<void> {
+    const {clock, forwarder} = this.options;
+    const timer = this.endAfter(call.deadlineAt - clock.now(), controller);
     try {
       await forwarder.forward(call, caller, controller.signal);
     } finally {
@@ -200,6 +212,12 @@
     }
   }
 
+  private endAfter(delayMs: number, controller: AbortController): Timer {
+    return this.options.clock.after(delayMs, () =>
+      controller.abort(CallEnd.TIME_LIMIT),
+    );
+  }
+
   /** The rest of a body that comes too late is not waited for: the connection ends. */
   private refuseLate(
     request: IncomingMessage,
@@ -219,47 +237,9 @@
     caller: CallerAnswer,
     refusal: OwnAnswer,
   ): void {
-    const {log, belief, names, metrics} = this.options;
     // The rest of a body that nobody reads would be taken for the next request.
     request.resume();
     if (!caller.isClosed) caller.sendOwn(refusal);
-    const {status, reason, retryAfterMs} = refusal;
-    metrics.requests.inc({...NO_ROUTE, outcome: 'refused', reason});
-    log.write('request_refused', {
-      request: String(request.headers[names.requestId] ?? ''),
-      status,
-      reason,
-      retryAfterMs,
-      configuration: belief.current?.version,
-      configurationAgeMs: Math.round(belief.ageMs),
-    });
-  }
-
-  /** The caller left before its request was whole: nothing was sent to a runner. */
-  private noteBroken(request: IncomingMessage, acceptedAt: number): void {
-    const {clock, log, metrics, names} = this.options;
-    const id = String(request.headers[names.requestId] ?? '');
-    metrics.requests.inc({...NO_ROUTE, outcome: 'left', reason: BODY_BROKEN});
-    log.write('caller_left', {
-      request: id,
-      attempts: 0,
-      reason: BODY_BROKEN,
-      forMs: Math.round(clock.now() - acceptedAt),
-    });
-  }
-
-  private noteAccepted(call: IncomingCall): void {
-    const {log, belief} = this.options;
-    log.write('request_accepted', {
-      request: call.id,
-      route: call.route.name,
-      kind: call.route.kind,
-      workspace: call.workspace,
-      session: call.session,
-      tokens: call.prompt?.tokens,
-      configuration: belief.current?.version ?? 0,
-      configurationAgeMs: Math.round(belief.ageMs),
-      deadlineMs: Math.round(call.deadlineAt - call.acceptedAt),
-    });
+    this.record.noteRefused(request, refusal);
   }
 }
--- /dev/null
+++ b/packages/gateway/src/calls/door_record.ts
@@ -0,0 +1,75 @@
+import type {IncomingMessage} from 'node:http';
+import type {Clock} from '@bayspool/kernel';
+import type {ConfigurationBelief} from '../beliefs/configuration_belief.js';
+import type {EventLog} from '../observability/event_log.js';
+import type {GatewayMetrics} from '../observability/gateway_metrics.js';
+import type {HeaderNames} from './header_names.js';
+import type {IncomingCall} from './incoming_call.js';
+import type {OwnAnswer} from './own_answer.js';
+
+interface Options {
+  readonly clock: Clock;
+  readonly log: EventLog;
+  readonly metrics: GatewayMetrics;
+  readonly names: HeaderNames;
+  readonly belief: ConfigurationBelief;
+}
+
+/** Labels of requests that no route is counted for. */
+const NO_ROUTE = {route: '', kind: ''};
+/** Why a call ended whose caller left before its body was whole. */
+const BODY_BROKEN = 'body broke off';
+
+/** Log entries and metrics of requests that come in: accepted, refused or broken off. */
+export class DoorRecord {
+  constructor(private readonly options: Options) {}
+
+  /** Records a request that is handed on. */
+  noteAccepted(call: IncomingCall): void {
+    const {log, belief} = this.options;
+    log.write('request_accepted', {
+      request: call.id,
+      route: call.route.name,
+      kind: call.route.kind,
+      workspace: call.workspace,
+      session: call.session,
+      tokens: call.prompt?.tokens,
+      configuration: belief.current?.version ?? 0,
+      configurationAgeMs: Math.round(belief.ageMs),
+      deadlineMs: Math.round(call.deadlineAt - call.acceptedAt),
+    });
+  }
+
+  /** Records a request that was answered by a refusal. */
+  noteRefused(
+    request: IncomingMessage,
+    {status, reason, retryAfterMs}: OwnAnswer,
+  ): void {
+    const {log, belief, metrics} = this.options;
+    metrics.requests.inc({...NO_ROUTE, outcome: 'refused', reason});
+    log.write('request_refused', {
+      request: this.idOf(request),
+      status,
+      reason,
+      retryAfterMs,
+      configuration: belief.current?.version,
+      configurationAgeMs: Math.round(belief.ageMs),
+    });
+  }
+
+  /** Records that the caller left before its request was whole: nothing was sent to a runner. */
+  noteBroken(request: IncomingMessage, acceptedAt: number): void {
+    const {clock, log, metrics} = this.options;
+    metrics.requests.inc({...NO_ROUTE, outcome: 'left', reason: BODY_BROKEN});
+    log.write('caller_left', {
+      request: this.idOf(request),
+      attempts: 0,
+      reason: BODY_BROKEN,
+      forMs: Math.round(clock.now() - acceptedAt),
+    });
+  }
+
+  private idOf({headers}: IncomingMessage): string {
+    return String(headers[this.options.names.requestId] ?? '');
+  }
+}
