The silence rule's terms and the sums of a roll-out are named once

Cause: the rule for silence wrote two of its terms twice, and a roll-out summed over all routes in four places. Change: safeTimeOf, isContinued, pauseTargetOf (so called as it is a target) and sumOfAll; doc comments on public members that had none. No change of behaviour.

--- a/packages/gateway/src/calls/silence_rule.ts
+++ b/packages/gateway/src/calls/silence_rule.ts
@@ -32,10 +32,9 @@
 
 /** The shortest silence that can be too long, in ms; Infinity if none is. Nobody has to look before. */
 function shortestMs(route: CallRoute): number {
-  if (route.kind === CallKind.SAFE) return route.latencyTargetMs * SAFE_PART;
-  if (!isStreamed(route.kind) || route.kind === CallKind.STREAM)
-    return Infinity;
-  return longestPauseOf(route) * QUIET_PAUSE_PART;
+  if (route.kind === CallKind.SAFE) return safeTimeOf(route);
+  if (!isContinued(route)) return Infinity;
+  return pauseTargetOf(route) * QUIET_PAUSE_PART;
 }
 
 /**
@@ -50,14 +49,10 @@
   const {quietMs, longestPauseMs, hasEvents, expectedMs} = progress;
   if (route.kind === CallKind.SAFE)
     return (
-      quietMs >
-      Math.max(
-        route.latencyTargetMs * SAFE_PART,
-        runner.usualFirstMs * USUAL_TIMES,
-      )
+      quietMs > Math.max(safeTimeOf(route), runner.usualFirstMs * USUAL_TIMES)
     );
-  if (!isStreamed(route.kind) || route.kind === CallKind.STREAM) return false;
-  const pauseMs = longestPauseOf(route);
+  if (!isContinued(route)) return false;
+  const pauseMs = pauseTargetOf(route);
   if (hasEvents && quietMs > pauseMs * PAUSE_PART) return true;
   if (!runner.isQuiet) return false;
   const allowedMs = hasEvents
@@ -66,7 +61,18 @@
   return quietMs > Math.max(pauseMs * QUIET_PAUSE_PART, allowedMs);
 }
 
-function longestPauseOf({pauseTargetMs}: CallRoute): number {
+/** Time after which a safe call is better asked of another runner, in ms. */
+function safeTimeOf({latencyTargetMs}: CallRoute): number {
+  return latencyTargetMs * SAFE_PART;
+}
+
+/** Whether calls of the route are streams that another runner can continue. */
+function isContinued({kind}: CallRoute): boolean {
+  return isStreamed(kind) && kind !== CallKind.STREAM;
+}
+
+/** The pause target that is reckoned with, in ms. */
+function pauseTargetOf({pauseTargetMs}: CallRoute): number {
   return Math.max(MIN_PAUSE_MS, pauseTargetMs);
 }
 
--- a/packages/gateway/src/observability/line_writer.ts
+++ b/packages/gateway/src/observability/line_writer.ts
@@ -10,7 +10,7 @@
 
 /** File descriptor of the standard output. */
 const STANDARD_OUTPUT = 1;
-/** Some seconds of lines of a busy host. */
+/** Some seconds of lines of a busy host, in bytes. */
 const MAX_PENDING_BYTES = 262_144;
 /** A pipe takes writes up to this size whole or not at all (PIPE_BUF of Linux), in bytes. */
 const MAX_WRITE_BYTES = 4_096;
@@ -41,6 +41,7 @@
     return this.droppedLines;
   }
 
+  /** Takes a line without its end; it is written a little later, or dropped and counted. */
   write(line: string): void {
     const {maxPendingBytes = MAX_PENDING_BYTES} = this.options;
     if (this.pendingBytes + line.length > maxPendingBytes) {
--- a/packages/gateway/src/rollouts/rollout.ts
+++ b/packages/gateway/src/rollouts/rollout.ts
@@ -22,7 +22,9 @@
 
 /** One roll-out as this host knows it. */
 export class Rollout {
+  /** What this host itself saw of the two versions. */
   readonly evidence = new RolloutEvidence();
+  /** Whether it goes on, and else how it ended. */
   phase: RolloutPhase = RolloutPhase.ACTIVE;
   /** Position behind the state that ended it, in the topic of states; 0 while it is active. */
   endedAt = 0;
@@ -94,8 +96,8 @@
   get tallies(): {readonly fresh: VersionTally; readonly old: VersionTally} {
     const {fresh, old} = this.pooled();
     return {
-      fresh: sumOf(fresh, Object.keys(fresh)),
-      old: sumOf(old, Object.keys(old)),
+      fresh: sumOfAll(fresh),
+      old: sumOfAll(old),
     };
   }
 
@@ -122,8 +124,8 @@
   private convict(
     where: string,
     all: RolloutDigest,
-    fresh = sumOf(all.fresh, Object.keys(all.fresh)),
-    old = sumOf(all.old, Object.keys(all.old)),
+    fresh = sumOfAll(all.fresh),
+    old = sumOfAll(all.old),
   ): void {
     this.bad = true;
     const {service, version} = this.order;
@@ -153,6 +155,10 @@
   );
 }
 
+function sumOfAll(cells: RolloutDigest['fresh']): VersionTally {
+  return sumOf(cells, Object.keys(cells));
+}
+
 function sumOf(cells: RolloutDigest['fresh'], names: string[]): VersionTally {
   const sum = {ended: 0, failed: 0, slow: 0};
   for (const name of names) {
