The hosts of a place are listed in one place of the roster

Cause: four methods of Roster filtered the living hosts by their place, each in its own words; a pause of NewsLoop had no name. Change: livingIn and IDLE_MS. No change of behaviour.

--- a/packages/gateway/src/peers/news_loop.ts
+++ b/packages/gateway/src/peers/news_loop.ts
@@ -44,6 +44,8 @@
 const TURN_MS = 500;
 /** Hosts of a place that are asked while all have lost the store: they look for it most often. */
 const FIRST_HOSTS = 3;
+/** Pause between two looks for a host to ask while there is none, in ms. */
+const IDLE_MS = WAIT_MS / 2;
 /** Pause after an exchange failed, in ms. */
 const RETRY_MS = 60;
 
@@ -101,7 +103,7 @@
       const first = this.findSource();
       this.noteSource(first);
       if (!first) {
-        await sleep(clock, WAIT_MS / 2);
+        await sleep(clock, IDLE_MS);
         continue;
       }
       const hosts = roster.sizeOf(roster.self.place);
@@ -150,6 +152,7 @@
     }
   }
 
+  /** The first sound host of a place answers for it. */
   private async askPlace(place: string): Promise<void> {
     const [first] = this.options.roster.readersOf(place);
     if (first) await this.ask(first, 0);
--- a/packages/gateway/src/peers/roster.ts
+++ b/packages/gateway/src/peers/roster.ts
@@ -18,6 +18,7 @@
 const CUT_OFF_MS = 6_000;
 /** A host that nobody reached for so long is not counted, in ms. */
 const GONE_MS = 15_000;
+/** Given out while no host is lost, so that nothing is made for each choice of a runner. */
 const NO_PLACES: ReadonlySet<string> = new Set();
 
 /** The hosts of the fleet, and which of them answer this host. */
@@ -55,18 +56,16 @@
   /** Hosts of a place in the order in which they read the store for it; those in doubt are left out. */
   readersOf(place: string): HostEntry[] {
     const now = this.options.clock.now();
-    const sound = this.living().filter(
-      host =>
-        host.place === place &&
-        now >= (this.suspectedUntil.get(host.name) ?? 0),
+    const sound = this.livingIn(place).filter(
+      ({name}) => now >= (this.suspectedUntil.get(name) ?? 0),
     );
     return order(place, sound);
   }
 
   /** The other hosts of a place in the same order, those in doubt included. */
   othersOf(place: string): HostEntry[] {
-    const others = this.living().filter(
-      host => host.place === place && host.name !== this.self.name,
+    const others = this.livingIn(place).filter(
+      ({name}) => name !== this.self.name,
     );
     return order(place, others);
   }
@@ -74,13 +73,13 @@
   /** How many hosts of its place stand before this one in the order of readers, those in doubt included. */
   get rankOfSelf(): number {
     const {name, place} = this.self;
-    const hosts = this.living().filter(host => host.place === place);
-    return order(place, hosts).findIndex(host => host.name === name);
+    const hosts = order(place, this.livingIn(place));
+    return hosts.findIndex(host => host.name === name);
   }
 
   /** How many hosts of a place are taken to live. */
   sizeOf(place: string): number {
-    return this.living().filter(host => host.place === place).length;
+    return this.livingIn(place).length;
   }
 
   /** Places other than this host's that have hosts. */
@@ -130,6 +129,10 @@
     this.options.log.write('peer_lost', {peer: name, reason});
   }
 
+  private livingIn(place: string): HostEntry[] {
+    return this.living().filter(host => host.place === place);
+  }
+
   /** Known hosts that nobody reached for so long that they are not counted. */
   private gone(): Set<string> {
     const now = this.options.clock.now();
