--- a/packages/gateway/src/calls/call_door.ts
+++ b/packages/gateway/src/calls/call_door.ts
@@ -128,11 +128,10 @@
     socket.end(
       `HTTP/1.1 ${status}\r\nconnection: close\r\ncontent-length: 0\r\n\r\n`,
     );
-    this.options.log.write('request_refused', {
-      request: '',
-      status: Number(status.slice(0, 3)),
-      reason: `request not understood: ${error.code ?? error.message}`,
-    });
+    this.record.noteUnread(
+      Number(status.slice(0, 3)),
+      error.code ?? error.message,
+    );
   }
 
   private take(request: IncomingMessage, response: ServerResponse): void {
--- a/packages/gateway/src/calls/door_record.ts
+++ b/packages/gateway/src/calls/door_record.ts
@@ -17,6 +17,8 @@
 
 /** Labels of requests that no route is counted for. */
 const NO_ROUTE = {route: '', kind: ''};
+/** Why bytes were refused that are no request. */
+const UNREAD = 'request not understood';
 /** Why a call ended whose caller left before its body was whole. */
 const BODY_BROKEN = 'body broke off';
 
@@ -57,6 +59,17 @@
     });
   }
 
+  /** Records bytes that are no request, and were refused as such. */
+  noteUnread(status: number, cause: string): void {
+    const {log, metrics} = this.options;
+    metrics.requests.inc({...NO_ROUTE, outcome: 'refused', reason: UNREAD});
+    log.write('request_refused', {
+      request: '',
+      status,
+      reason: `${UNREAD}: ${cause}`,
+    });
+  }
+
   /** Records that the caller left before its request was whole: nothing was sent to a runner. */
   noteBroken(request: IncomingMessage, acceptedAt: number): void {
     const {clock, log, metrics} = this.options;
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -1,3 +1,4 @@
+import {isDeepStrictEqual} from 'node:util';
 import {CascadeRule} from '@bayspool/decisions/calls';
 import type {Timer} from '@bayspool/kernel';
 import {CallDoor} from './calls/call_door.js';
@@ -117,7 +118,10 @@
    */
   applySettings(next: GatewaySettings, reason: string): void {
     const changed = Object.entries(next)
-      .filter(([name, value]) => this.settings[name as never] !== value)
+      .filter(
+        ([name, value]) =>
+          !isDeepStrictEqual(this.settings[name as never], value),
+      )
       .map(([name]) => name);
     this.settings = next;
     this.options.log.write('settings_reloaded', {
--- a/packages/gateway/src/observability/events.test.ts
+++ b/packages/gateway/src/observability/events.test.ts
@@ -133,7 +133,8 @@
   for (let i = 0; i < 300; i++) await fixture.call();
   await expectEvents('rollout_judged', 'rollout_phase');
   const {gateway, settings} = fixture.hosts[0];
-  gateway.applySettings({...settings, retryExtra: 3}, 'test');
+  const changed = {...settings, retryExtra: 3, seeds: [...settings.seeds]};
+  gateway.applySettings(changed, 'test');
   assert.equal(fixture.events('settings_reloaded')[0].changed, 'retryExtra');
   await gateway.leave('test');
   await expectEvents('process_stopping', 'process_stopped');
--- a/packages/gateway/src/parts/knowledge.ts
+++ b/packages/gateway/src/parts/knowledge.ts
@@ -102,6 +102,7 @@
     });
     this.starts = new RolloutStarts({
       clock,
+      log,
       store,
       mirror: mirrors[Topic.HOSTS],
     });
--- a/packages/gateway/src/rollouts/rollout_starts.ts
+++ b/packages/gateway/src/rollouts/rollout_starts.ts
@@ -1,5 +1,6 @@
 import type {RolloutOrder} from '@bayspool/decisions/calls';
 import type {Clock} from '@bayspool/kernel';
+import type {EventLog} from '../observability/event_log.js';
 import type {RecordStore} from '../records/record_store.js';
 import {Topic} from '../records/topic.js';
 import type {TopicMirror} from '../records/topic_mirror.js';
@@ -8,6 +9,7 @@
 
 interface Options {
   readonly clock: Clock;
+  readonly log: EventLog;
   readonly store: RecordStore;
   /** The copy of the topic in which starts are noted. */
   readonly mirror: TopicMirror;
@@ -60,6 +62,15 @@
   private noteOf(order: RolloutOrder): StartNote | undefined {
     const value = this.options.mirror.get(startKey(order))?.value;
     if (value === undefined) return undefined;
-    return JSON.parse(value) as StartNote;
+    try {
+      return JSON.parse(value) as StartNote;
+    } catch (error) {
+      // Without the note, times and states count from what this host saw itself.
+      this.options.log.write('unexpected', {
+        where: 'note of the start of a roll-out',
+        message: String(error),
+      });
+      return undefined;
+    }
   }
 }
--- a/packages/gateway/src/rollouts/rollouts.test.ts
+++ b/packages/gateway/src/rollouts/rollouts.test.ts
@@ -167,3 +167,18 @@
   assert.deepEqual([...statuses], [200]);
   other.stop();
 });
+
+void test('a note of a start that cannot be read does not stop the order', async () => {
+  await fixture.startHost({sessionKeptMs: 10});
+  await fixture.waitReady();
+  order(60_000);
+  const {offset} = fixture.store.records(Topic.OPERATOR).at(-1)!;
+  await fixture.store.append({
+    topic: Topic.HOSTS,
+    key: `rollout/svc/${offset}`,
+    value: '{broken',
+  });
+  await fixture.waitFor(() => fixture.events('unexpected').length > 0);
+  await fixture.waitFor(() => fixture.events('rollout_ordered').length === 1);
+  assert.equal((await fixture.call()).status, 200);
+});
