A getter of the start that nothing reads is gone

Cause: followers start when the seeds have been asked, so nobody asks whether that is over. Change: the getter is removed; no behaviour.

--- a/packages/gateway/src/peers/seed_start.ts
+++ b/packages/gateway/src/peers/seed_start.ts
@@ -39,16 +39,12 @@
  * and works while the store is away or turns this host off.
  */
 export class SeedStart {
+  /** Whether the answers are no longer waited for. */
   private over = false;
   private stopped = false;
 
   constructor(private readonly options: Options) {}
 
-  /** Whether the store is read from now on for what this host does not know. */
-  get isOver(): boolean {
-    return this.over;
-  }
-
   /** Asks the seeds; resolves when their answers are no longer waited for. */
   async run(): Promise<void> {
     const {clock, isFirstStart} = this.options;
