--- a/packages/gateway/src/peers/roster.ts
+++ b/packages/gateway/src/peers/roster.ts
@@ -94,7 +94,7 @@
   noteHeard(host: HostEntry): void {
     if (host.name === this.options.self.name) return;
     if (this.entries.get(host.name)?.address !== host.address) this.put(host);
-    // Asking says nothing of whether it still reaches the store.
+    // Only a host that was lost is taken back: one in doubt answers for itself.
     else if (this.lostSince.has(host.name)) this.noteAnswer(host.name);
   }
 
