Keys go on being honoured while the store is away, where the platform allows it

Cause: hosts refused everybody 4 to 5 s into an outage of the store, also on deployments that don't ask for it; the platform's strict-revoke was not read. Change: the settings say whether stale keys are honoured; readiness and the check of keys follow.

--- a/packages/gateway/src/beliefs/beliefs.test.ts
+++ b/packages/gateway/src/beliefs/beliefs.test.ts
@@ -78,6 +78,21 @@
   );
 });
 
+void test('where keys may be honoured, callers are served while the store is away', async () => {
+  fixture.configure([keyed], {'key-1': {workspace: 'ws'}});
+  await fixture.addRunner(runner);
+  await fixture.startHost({keyBoundMs: 1_800, honoursStaleKeys: true});
+  await fixture.waitReady();
+  await fixture.waitFor(() => fixture.events('freshness_regained').length > 0);
+  fixture.store.isDown = true;
+  await fixture.waitFor(() => fixture.events('freshness_lost').length > 0);
+  assert.equal((await fixture.call(withKey)).status, 200);
+  assert.equal(await fixture.readiness(), 200);
+  // An unknown key may be a new one.
+  const unknown = {headers: {[names.apiKey]: 'key-2'}};
+  assert.equal((await fixture.call(unknown)).status, 503);
+});
+
 void test('a draining runner gets no new calls', async () => {
   const other = new ScriptedRunner({id: 'two'});
   fixture.configure([{kind: CallKind.SAFE}]);
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -155,7 +155,7 @@
       !this.leaving.hasBegun &&
       belief.current !== undefined &&
       directory.all().length > 0 &&
-      belief.ageMs < this.settings.keyBoundMs - KEY_MARGIN_MS;
+      belief.ageMs < this.maxKeyAgeMs();
     if (isReady !== this.wasReady) {
       this.wasReady = isReady;
       const reason = this.leaving.hasBegun
@@ -166,6 +166,17 @@
     return isReady;
   }
 
+  /** Age of the configuration up to which keys are accepted, in ms. */
+  private maxKeyAgeMs(): number {
+    const {honoursStaleKeys} = this.settings;
+    return honoursStaleKeys ? Infinity : this.freshnessBoundMs;
+  }
+
+  /** Age from which a key may have been withdrawn for longer than the platform allows, in ms. */
+  private get freshnessBoundMs(): number {
+    return this.settings.keyBoundMs - KEY_MARGIN_MS;
+  }
+
   private createWriter(): RolloutWriter {
     const {clock, log, store, reader, settings} = this.options;
     const {mirrors, roster, rollouts, loads, starts} = this.knowledge;
@@ -196,7 +207,7 @@
       forwarder: this.createForwarder(),
       ip: settings.ip,
       port: settings.callerPort,
-      maxKeyAgeMs: () => this.settings.keyBoundMs - KEY_MARGIN_MS,
+      maxKeyAgeMs: () => this.maxKeyAgeMs(),
       maxDenialAgeMs: () => this.settings.configurationBoundMs,
       isClosing: () => this.leaving.hasBegun,
     });
@@ -238,11 +249,16 @@
     this.sweepTimer = clock.after(SWEEP_MS, () => this.sweep());
     for (const {pool} of directory.all()) pool.sweep();
     const ageMs = Math.round(belief.ageMs);
-    const boundMs = this.settings.keyBoundMs - KEY_MARGIN_MS;
+    const boundMs = this.freshnessBoundMs;
     const isFresh = ageMs <= boundMs;
     if (isFresh === this.wasFresh) return;
     this.wasFresh = isFresh;
     if (isFresh) log.write('freshness_regained', {ageMs});
-    else log.write('freshness_lost', {ageMs, boundMs});
+    else
+      log.write('freshness_lost', {
+        ageMs,
+        boundMs,
+        keys: this.settings.honoursStaleKeys ? 'honoured' : 'refused',
+      });
   }
 }
--- a/packages/gateway/src/gateway_settings.ts
+++ b/packages/gateway/src/gateway_settings.ts
@@ -19,6 +19,11 @@
   readonly graceMs: number;
   /** Time after which a withdrawn key must not be served. */
   readonly keyBoundMs: number;
+  /**
+   * Whether keys go on being accepted when nothing newer is known for longer than that: callers are
+   * then served while the store is away, a key withdrawn meanwhile with them.
+   */
+  readonly honoursStaleKeys: boolean;
   /** Time after which a new configuration must be in force. */
   readonly configurationBoundMs: number;
   /** Time after a session's last call for which it keeps its version. */
--- a/packages/gateway/src/observability/event_fields.ts
+++ b/packages/gateway/src/observability/event_fields.ts
@@ -110,7 +110,7 @@
   };
   configuration_refused: {offset: number; reason: string};
   key_withdrawn: {workspace: string; version: number};
-  freshness_lost: {ageMs: number; boundMs: number};
+  freshness_lost: {ageMs: number; boundMs: number; keys: string};
   freshness_regained: {ageMs: number};
   runner_seen: {
     runner: string;
--- a/packages/gateway/src/testing/gateway_fixture.ts
+++ b/packages/gateway/src/testing/gateway_fixture.ts
@@ -73,6 +73,7 @@
       metricsPath: '/metrics',
       graceMs: 3_000,
       keyBoundMs: 5_000,
+      honoursStaleKeys: false,
       configurationBoundMs: 2_000,
       sessionKeptMs: 2_000,
       retryRatio: 0.9,
