--- a/packages/client/src/commands.ts
+++ b/packages/client/src/commands.ts
@@ -6,6 +6,7 @@
 import {hashKeyCommand} from './commands/hash_key_command.js';
 import {intentCommand} from './commands/intent_command.js';
 import {intentsCommand} from './commands/intents_command.js';
+import {lossesCommand} from './commands/losses_command.js';
 import {statusCommand} from './commands/status_command.js';
 import {watchCommand} from './commands/watch_command.js';
 
@@ -18,6 +19,7 @@
   intentsCommand,
   configCommand,
   explainCommand,
+  lossesCommand,
   checkCommand,
   hashKeyCommand,
 ];
--- /dev/null
+++ b/packages/client/src/losses/call_end.ts
@@ -0,0 +1,16 @@
+/** How a request ended, as its caller sees it. */
+const CallEnd = {
+  IN_TIME: 'in time',
+  /** Answered, the first event or the whole answer after the latency target. */
+  LATE: 'late',
+  /** Refused before any runner was asked. */
+  REFUSED: 'refused',
+  FAILED: 'failed',
+  /** Broken off in the middle of its answer. */
+  CUT: 'cut',
+  /** The caller left first. */
+  LEFT: 'left',
+} as const;
+type CallEnd = (typeof CallEnd)[keyof typeof CallEnd];
+
+export {CallEnd};
--- /dev/null
+++ b/packages/client/src/losses/read_calls.ts
@@ -0,0 +1,83 @@
+import type {LogLine} from '../explain/log_line.js';
+import {CallEnd} from './call_end.js';
+import type {CallRecord} from './call_record.js';
+import {explainDelay} from './explain_delay.js';
+
+/** The events that end a request, and what they mean. */
+const ENDS: Readonly<Record<string, CallEnd>> = {
+  request_answered: CallEnd.IN_TIME,
+  request_refused: CallEnd.REFUSED,
+  request_failed: CallEnd.FAILED,
+  request_cut: CallEnd.CUT,
+  caller_left: CallEnd.LEFT,
+};
+/** Statuses that tell the caller that the request itself is wrong. */
+const DENIALS: ReadonlySet<unknown> = new Set([400, 401, 403, 404, 413, 431]);
+const UNKNOWN = '?';
+const MS_PER_SECOND = 1_000;
+
+/** Makes a record of each request that ended; denials are left out, as they are not losses. */
+export function readCalls(lines: Iterable<LogLine>): CallRecord[] {
+  const places = new Map<string, string>();
+  const open = new Map<string, LogLine[]>();
+  const calls: CallRecord[] = [];
+  for (const line of lines) {
+    if (line.event === 'process_started')
+      places.set(line.host, String(line.place));
+    if (line.request === undefined) continue;
+    const own = open.get(line.request) ?? [];
+    own.push(line);
+    open.set(line.request, own);
+    if (!(line.event in ENDS)) continue;
+    open.delete(line.request);
+    if (!DENIALS.has(line.status))
+      calls.push(toRecord(own, line, places.get(line.host) ?? UNKNOWN));
+  }
+  return calls;
+}
+
+function toRecord(
+  lines: readonly LogLine[],
+  last: LogLine,
+  place: string,
+): CallRecord {
+  const [first] = lines;
+  const end = toEnd(first, last);
+  const dropped = lines.filter(line => line.outcome === 'weak');
+  return {
+    place,
+    end,
+    request: String(last.request),
+    route: String(first.route ?? UNKNOWN),
+    second: Math.floor(Date.parse(first.time) / MS_PER_SECOND),
+    reason: toReason(lines, last, end),
+    droppedAnswers: dropped.length,
+    droppedMs: dropped.reduce((sum, line) => sum + workOf(lines, line), 0),
+  };
+}
+
+function toEnd(first: LogLine, last: LogLine): CallEnd {
+  const end = ENDS[last.event];
+  if (end !== CallEnd.IN_TIME) return end;
+  const isLate = Number(last.firstMs) > Number(first.targetMs);
+  return isLate ? CallEnd.LATE : CallEnd.IN_TIME;
+}
+
+function toReason(
+  lines: readonly LogLine[],
+  last: LogLine,
+  end: CallEnd,
+): string {
+  if (end === CallEnd.IN_TIME) return '';
+  if (end === CallEnd.LATE) return explainDelay(lines);
+  return String(last.reason ?? UNKNOWN);
+}
+
+/** Engine time that the attempt was expected to take for reading, in ms. */
+function workOf(lines: readonly LogLine[], ended: LogLine): number {
+  const chosen = lines.find(
+    ({event, attempt}) =>
+      event === 'runner_chosen' && attempt === ended.attempt,
+  );
+  return Number(chosen?.workMs ?? 0);
+}
--- /dev/null
+++ b/packages/client/src/losses/sum_losses.ts
@@ -0,0 +1,62 @@
+import {CallEnd} from './call_end.js';
+import type {CallRecord} from './call_record.js';
+import type {LossRow} from './loss_row.js';
+import type {LossSummary} from './loss_summary.js';
+
+/** Sums the records up by route, place, second and reason. */
+export function sumLosses(calls: readonly CallRecord[]): LossSummary {
+  const from = calls.reduce(
+    (least, {second}) => Math.min(least, second),
+    Infinity,
+  );
+  const lost = calls.filter(({end}) => end !== CallEnd.IN_TIME);
+  const reasons = group(lost, ({end, reason}) => `${end}: ${reason}`);
+  return {
+    byRoute: group(calls, ({route}) => route),
+    byPlace: group(calls, ({place}) => place),
+    bySecond: group(calls, ({second}) => String(second - from)).sort(
+      (a, b) => Number(a.name) - Number(b.name),
+    ),
+    byReason: reasons.sort((a, b) => b.calls - a.calls),
+    droppedAnswers: sum(calls, ({droppedAnswers}) => droppedAnswers),
+    droppedMs: sum(calls, ({droppedMs}) => droppedMs),
+  };
+}
+
+function group(
+  calls: readonly CallRecord[],
+  nameOf: (call: CallRecord) => string,
+): LossRow[] {
+  const groups = new Map<string, CallRecord[]>();
+  for (const call of calls) {
+    const name = nameOf(call);
+    const known = groups.get(name);
+    if (known) known.push(call);
+    else groups.set(name, [call]);
+  }
+  return [...groups]
+    .sort(([a], [b]) => (a < b ? -1 : 1))
+    .map(([name, own]) => toRow(name, own));
+}
+
+function toRow(name: string, calls: readonly CallRecord[]): LossRow {
+  const count = (wanted: CallEnd) =>
+    calls.filter(({end}) => end === wanted).length;
+  return {
+    name,
+    calls: calls.length,
+    inTime: count(CallEnd.IN_TIME),
+    late: count(CallEnd.LATE),
+    refused: count(CallEnd.REFUSED),
+    failed: count(CallEnd.FAILED),
+    cut: count(CallEnd.CUT),
+    left: count(CallEnd.LEFT),
+  };
+}
+
+function sum(
+  calls: readonly CallRecord[],
+  valueOf: (call: CallRecord) => number,
+): number {
+  return calls.reduce((total, call) => total + valueOf(call), 0);
+}
--- a/packages/gateway/src/calls/door_record.ts
+++ b/packages/gateway/src/calls/door_record.ts
@@ -39,6 +39,7 @@
       configuration: belief.current?.version ?? 0,
       configurationAgeMs: Math.round(belief.ageMs),
       deadlineMs: Math.round(call.deadlineAt - call.acceptedAt),
+      targetMs: call.route.latencyTargetMs,
     });
   }
 
--- a/packages/gateway/src/observability/event_fields.ts
+++ b/packages/gateway/src/observability/event_fields.ts
@@ -26,6 +26,7 @@
     configuration: number;
     configurationAgeMs: number;
     deadlineMs: number;
+    targetMs: number;
   };
   request_refused: {
     request: string;
