--- a/packages/decisions/src/calls/cascade_rule.test.ts
+++ b/packages/decisions/src/calls/cascade_rule.test.ts
@@ -21,7 +21,13 @@
   targets: [{service: 'svc', weight: 1}],
 };
 const calm = {expectedMs: 300, workMs: 250, pressure: 0};
-const answer = {route, model: 'small', elapsedMs: 100, largest: calm};
+const answer = {
+  route,
+  model: 'small',
+  tokens: 1_000,
+  elapsedMs: 100,
+  largest: calm,
+};
 
 void test('in calm times an answer has to be probably good to be used', () => {
   const rule = new CascadeRule();
@@ -36,7 +42,7 @@
 void test('the more reading waits at the runners, the less good an answer has to be', () => {
   const rule = new CascadeRule();
   const unsure = {...answer, confidence: 45};
-  const loaded = {...calm, workMs: 400, pressure: 0.5};
+  const loaded = {...calm, workMs: 400, pressure: 0.8};
   assert.equal(rule.weigh(unsure).isUsed, false);
   assert.equal(rule.weigh({...unsure, largest: loaded}).isUsed, true);
   const short = {...loaded, workMs: 5};
--- a/packages/decisions/src/calls/cascade_rule.ts
+++ b/packages/decisions/src/calls/cascade_rule.ts
@@ -8,6 +8,8 @@
   readonly model: string;
   /** The model's opinion of its answer, 0 to 100; absent counts as good. */
   readonly confidence?: number;
+  /** Tokens of the prompt. */
+  readonly tokens: number;
   /** Time since the request was taken, in ms. */
   readonly elapsedMs: number;
   readonly largest: LargestOutlook;
@@ -25,7 +27,11 @@
  * What engine time costs the others, per target and unit of pressure: measured, see
  * docs/design/deciding-well.md.
  */
-const CROWDING = 10;
+const CROWDING = 4;
+
+/** Part of an answer's worth that does not grow with its prompt, and the most that it grows to. */
+const FIXED_SHARE = 0.3;
+const MAX_SHARE = 4;
 
 /** Weight of one answer in the learned share of small answers that are used. */
 const LEARNING_RATE = 0.03;
@@ -44,6 +50,7 @@
   /** What models' opinions are worth. */
   readonly opinions = new OpinionScale();
   private readonly passShares = new Map<string, number>();
+  private readonly meanTokens = new Map<string, number>();
   private started = 0;
 
   /** The model that a call of the route starts with. */
@@ -72,10 +79,24 @@
     const leftMs = latencyTargetMs - answer.elapsedMs;
     const quality = goodShare + (1 - goodShare) * POOR_PART;
     const worthNow = quality * (leftMs > 0 ? 1 : LATE_PART);
-    const worthLarge = worthOfLargest(answer.largest, latencyTargetMs, leftMs);
+    const size = this.noteSize(route, answer.tokens);
+    const share = worthShare(size);
+    const worthLarge = worthOfLargest(
+      {...answer.largest, workMs: answer.largest.workMs / share},
+      latencyTargetMs,
+      leftMs,
+    );
     return {isUsed: worthNow >= worthLarge, goodShare, worthNow, worthLarge};
   }
 
+  /** @returns the prompt's size over the mean of its route */
+  private noteSize(route: CallRoute, tokens: number): number {
+    const before = this.meanTokens.get(route.name) ?? tokens;
+    const mean = before + LEARNING_RATE * (tokens - before);
+    this.meanTokens.set(route.name, mean);
+    return tokens / Math.max(1, mean);
+  }
+
   private learnShare(route: CallRoute, goodShare: number): void {
     const before = this.passShares.get(route.name) ?? 1;
     const passed = goodShare >= PASSED ? 1 : 0;
@@ -84,6 +105,11 @@
   }
 }
 
+/** What an answer to a prompt of this size, over the mean, is worth over the mean's. */
+function worthShare(size: number): number {
+  return Math.min(MAX_SHARE, FIXED_SHARE + (1 - FIXED_SHARE) * size);
+}
+
 /** The worth of the largest model's answer, less its price and what the others lose by its reading. */
 function worthOfLargest(
   {expectedMs, workMs, pressure}: LargestOutlook,
--- a/packages/gateway/src/calls/call_forwarder.ts
+++ b/packages/gateway/src/calls/call_forwarder.ts
@@ -202,7 +202,8 @@
     const largest = this.outlook(progress);
     if (!largest) return true;
     const elapsedMs = clock.now() - call.acceptedAt;
-    const answer = {route, model, confidence, elapsedMs, largest};
+    const tokens = call.prompt?.tokens ?? 0;
+    const answer = {route, model, confidence, tokens, elapsedMs, largest};
     const weighing = cascade.weigh(answer);
     const {isUsed, goodShare, worthNow, worthLarge} = weighing;
     metrics.weighedAnswers.inc({route: route.name, isUsed: String(isUsed)});
--- a/packages/gateway/src/calls/silence_rule.test.ts
+++ b/packages/gateway/src/calls/silence_rule.test.ts
@@ -40,3 +40,13 @@
   assert.equal(silenceRule.shortestMs(routeOf(CallKind.UNSAFE)), Infinity);
   assert.equal(silenceRule.shortestMs(routeOf(CallKind.STREAM)), Infinity);
 });
+
+void test('a first event may take a part of the latency target, for prompts not heard of yet', () => {
+  const runner = {isQuiet: true, usualFirstMs: 0} as Runner;
+  const route = {...routeOf(CallKind.RESUMABLE), latencyTargetMs: 4_000};
+  const quiet = {quietMs: 1_000, longestPauseMs: 0, expectedMs: 20};
+  const isTooSilent = (hasEvents: boolean) =>
+    silenceRule.isTooSilent(route, runner, {...quiet, hasEvents});
+  assert.equal(isTooSilent(true), true);
+  assert.equal(isTooSilent(false), false);
+});
--- a/packages/gateway/src/calls/silence_rule.ts
+++ b/packages/gateway/src/calls/silence_rule.ts
@@ -27,6 +27,11 @@
  * a new connection and for reading the prompt.
  */
 const QUIET_PAUSE_PART = 0.45;
+/**
+ * Part of the latency target that may pass before the first event: prompts that other hosts sent a
+ * moment ago may have to be read first, which this host has not been told yet.
+ */
+const FIRST_PART = 0.35;
 /** How many times its own longest pause a stream may rest before that. */
 const OWN_PAUSE_TIMES = 2;
 
@@ -58,7 +63,9 @@
   const allowedMs = hasEvents
     ? longestPauseMs * OWN_PAUSE_TIMES
     : expectedMs * EXPECTED_TIMES;
-  return quietMs > Math.max(pauseMs * QUIET_PAUSE_PART, allowedMs);
+  const firstMs = hasEvents ? 0 : route.latencyTargetMs * FIRST_PART;
+  const leastMs = Math.max(pauseMs * QUIET_PAUSE_PART, firstMs);
+  return quietMs > Math.max(leastMs, allowedMs);
 }
 
 /** Time after which a safe call is better asked of another runner, in ms. */
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -217,7 +217,9 @@
     const {clock, random, log, headerNames, settings} = this.options;
     const {directory, limits, prefixes, rollouts, roster, sessions} =
       this.knowledge;
-    const rates = new ReadingRates({costOf: model => limits.costOf(model)});
+    const rates = new ReadingRates({
+      costFactorOf: model => limits.costFactorOf(model),
+    });
     return new CallForwarder({
       clock,
       random,
--- a/packages/gateway/src/parts/service_limits.ts
+++ b/packages/gateway/src/parts/service_limits.ts
@@ -61,12 +61,12 @@
     }));
   }
 
-  /** What 1,000 tokens made by a model cost; undefined if no engine tells. */
-  costOf(model: string): number | undefined {
+  /** What a model costs over the cheapest one of its engine; undefined if no engine tells. */
+  costFactorOf(model: string): number | undefined {
     const services = this.options.belief.current?.services.values() ?? [];
     for (const {engine} of services) {
       const cost = engine?.costs.get(model);
-      if (cost !== undefined) return cost;
+      if (engine && cost) return cost / Math.min(...engine.costs.values());
     }
     return undefined;
   }
--- a/packages/gateway/src/peers/news_loop.ts
+++ b/packages/gateway/src/peers/news_loop.ts
@@ -115,7 +115,8 @@
     const {clock, client, desk, roster, metrics, onNews} = this.options;
     const sentAt = clock.now();
     try {
-      const answer = await client.sync(peer.address, desk.request(waitMs));
+      const request = desk.request(waitMs, peer.place);
+      const answer = await client.sync(peer.address, request);
       desk.adopt(answer, sentAt);
       roster.noteAnswer(peer.name);
       metrics.peerCalls.inc({outcome: 'answered'});
--- a/packages/gateway/src/peers/sync_desk.ts
+++ b/packages/gateway/src/peers/sync_desk.ts
@@ -32,9 +32,9 @@
   async answer(request: SyncRequest): Promise<SyncAnswer> {
     const {board, roster} = this.options;
     const {self} = roster;
-    roster.noteHeard(request.from);
-    if (request.from.place === self.place)
-      board.noteHost(request.from.name, request.digest);
+    const {from, digest} = request;
+    roster.noteHeard(from);
+    if (digest && from.place === self.place) board.noteHost(from.name, digest);
     if (request.waitMs > 0 && !this.hasNews(request))
       await this.waitForNews(request.waitMs);
     return {
@@ -44,16 +44,20 @@
     };
   }
 
-  /** The request that this host sends. */
-  request(waitMs: number): SyncRequest {
+  /**
+   * The request that this host sends to one of a place; undefined where the place is not known. Other
+   * places are told of this one by its reader, so what this host has is left out there.
+   */
+  request(waitMs: number, place?: string): SyncRequest {
     const {mirrors, board, roster} = this.options;
+    const isInside = place === roster.self.place;
     const loaded = mirrors.filter(mirror => mirror.isLoaded);
     return {
       from: roster.self,
       positions: Object.fromEntries(
         loaded.map(({topic, next}) => [topic, next]),
       ),
-      digest: board.own(),
+      digest: isInside ? board.own() : undefined,
       waitMs,
     };
   }
--- a/packages/gateway/src/runners/reading_rates.test.ts
+++ b/packages/gateway/src/runners/reading_rates.test.ts
@@ -16,3 +16,23 @@
   for (let i = 0; i < 20; i++) rates.learn('large', 1_000, 2_000, false);
   assert.equal(rates.of('large'), known);
 });
+
+void test('measurements that other work made longer, or a kept part shorter, do not decide', () => {
+  const rates = new ReadingRates();
+  for (let i = 0; i < 300; i++) {
+    const disturbed = i % 5 === 0 ? 900 : i % 7 === 0 ? 5 : 120;
+    rates.learn('small', 1_000, disturbed, true);
+  }
+  const rate = rates.of('small');
+  assert.ok(rate > 0.08 && rate < 0.13, `${rate}`);
+});
+
+void test('a model that was not measured is guessed from one that was, by their costs', () => {
+  const costs = new Map([
+    ['small', 1],
+    ['large', 10],
+  ]);
+  const rates = new ReadingRates({costFactorOf: model => costs.get(model)});
+  rates.learn('small', 1_000, 120, true);
+  assert.ok(Math.abs(rates.of('large') - 10 * rates.of('small')) < 1e-9);
+});
--- a/packages/gateway/src/runners/reading_rates.ts
+++ b/packages/gateway/src/runners/reading_rates.ts
@@ -1,10 +1,10 @@
 interface Options {
-  /** What a model costs in relation to others, from the configuration; undefined if unknown. */
-  readonly costOf?: (model: string) => number | undefined;
+  /** What a model costs over the cheapest one of its engine; undefined if unknown. */
+  readonly costFactorOf?: (model: string) => number | undefined;
 }
 
-/** Time to read a prompt token on an idle engine before anything is known, in ms. */
-const FIRST_GUESS_MS = 0.02;
+/** Time in which the cheapest model reads a prompt token, in ms, before anything is measured. */
+const FIRST_GUESS_MS = 0.012;
 /** Bounds of a learned time, in ms a token. */
 const MIN_MS = 0.001;
 const MAX_MS = 1;
@@ -46,7 +46,8 @@
     const measured = clamp((forMs - FIXED_MS) / tokens);
     const before = this.byModel.get(model);
     if (before === undefined) {
-      if (wasUnloaded) this.byModel.set(model, measured);
+      if (wasUnloaded || measured < this.guess(model))
+        this.byModel.set(model, measured);
       return;
     }
     if (measured < before) this.move(model, before, -STEP * (1 - QUANTILE));
@@ -59,14 +60,14 @@
 
   /** From a model that is known, by what the two cost: a model that costs more reads more slowly. */
   private guess(model: string): number {
-    const {costOf} = this.options;
-    const cost = costOf?.(model);
-    if (!costOf || !cost) return FIRST_GUESS_MS;
+    const {costFactorOf} = this.options;
+    const factor = costFactorOf?.(model);
+    if (!costFactorOf || !factor) return FIRST_GUESS_MS;
     for (const [known, rate] of this.byModel) {
-      const knownCost = costOf(known);
-      if (knownCost) return clamp((rate * cost) / knownCost);
+      const knownFactor = costFactorOf(known);
+      if (knownFactor) return clamp((rate * factor) / knownFactor);
     }
-    return FIRST_GUESS_MS;
+    return clamp(FIRST_GUESS_MS * factor);
   }
 }
 
--- a/packages/gateway/src/runners/runner_chooser.test.ts
+++ b/packages/gateway/src/runners/runner_chooser.test.ts
@@ -30,6 +30,62 @@
   return new Runner({clock, entry, pool});
 }
 
+/** A chooser of a host in place a that reads a token in 0.1 ms, and what it knows. */
+function createChooser() {
+  const rates = new ReadingRates();
+  const prefixes = new PrefixBook({clock});
+  for (let i = 0; i < 200; i++) rates.learn('small', 1_000, 120, true);
+  const chooser = new RunnerChooser({
+    random: new SeededRandom(1),
+    rates,
+    prefixes,
+    place: 'a',
+    hosts: () => 1,
+    lostPlaces: () => new Set(),
+  });
+  return {chooser, prefixes};
+}
+
+const prompt = {
+  tokens: 10_000,
+  parts: [
+    {id: 'shared', tokens: 9_000},
+    {id: 'own', tokens: 1_000},
+  ],
+};
+
+void test('work is reckoned with what a runner is known to keep, not with what it should', () => {
+  const {chooser, prefixes} = createChooser();
+  const candidates = [createRunner('one', 'a'), createRunner('two', 'a')];
+  const query = {candidates, tried: new Set<string>(), bodyBytes: 0};
+  const first = chooser.choose({...query, model: 'small', prompt});
+  assert.equal(first?.unreadTokens, 10_000);
+  prefixes.note(first!.runner.entry.id, 'small', prompt);
+  const second = chooser.choose({...query, model: 'small', prompt});
+  assert.equal(second?.runner.entry.id, first?.runner.entry.id);
+  assert.ok(second!.unreadTokens <= 1);
+});
+
+void test('a request crosses to another place for reading that it saves, not for little', () => {
+  const {chooser, prefixes} = createChooser();
+  const far = createRunner('far', 'b');
+  const candidates = [createRunner('near', 'a'), far];
+  const query = {candidates, tried: new Set<string>(), bodyBytes: 17_000};
+  const small = {
+    tokens: 1_500,
+    parts: [
+      {id: 'p', tokens: 1_000},
+      {id: 'own', tokens: 500},
+    ],
+  };
+  prefixes.note('far', 'small', small);
+  prefixes.note('far', 'small', prompt);
+  const near = chooser.choose({...query, model: 'small', prompt: small});
+  assert.equal(near?.runner.entry.id, 'near');
+  const crossing = chooser.choose({...query, model: 'small', prompt});
+  assert.equal(crossing?.runner.entry.id, 'far');
+});
+
 void test('a choice asks for lost places once, and passes their runners over', () => {
   let asked = 0;
   const chooser = new RunnerChooser({
