--- a/packages/gateway/src/runners/runner.ts
+++ b/packages/gateway/src/runners/runner.ts
@@ -2,6 +2,7 @@
 import type {RunnerEntry} from '@bayspool/decisions/calls';
 import type {Clock} from '@bayspool/kernel';
 import type {ConnectionPool} from './connection_pool.js';
+import {ReadingBacklog} from './reading_backlog.js';
 import type {RunnerLoad} from './runner_load.js';
 
 interface Options {
@@ -37,7 +38,7 @@
   remote: RunnerLoad = NO_LOAD;
   private current: RunnerEntry;
   private running = 0;
-  private pendingMs = 0;
+  private readonly backlog: ReadingBacklog;
   private replaced = false;
   private lastHeard: number;
   private slownessMean = 1;
@@ -50,6 +51,10 @@
     this.pool = options.pool;
     this.health = new RunnerHealth({clock: options.clock});
     this.lastHeard = options.clock.now();
+    this.backlog = new ReadingBacklog({
+      clock: options.clock,
+      othersMs: () => this.remote.pendingMs,
+    });
   }
 
   /** Its newest entry. */
@@ -75,7 +80,7 @@
   /** Whether it has work of this host and has sent nothing for much longer than it usually takes. */
   get isQuiet(): boolean {
     const quietMs = this.options.clock.now() - this.lastHeardAt;
-    const expectedMs = this.gapMs * GAP_TIMES + this.pendingMs * PENDING_TIMES;
+    const expectedMs = this.gapMs * GAP_TIMES + this.backlog.atSendingMs * PENDING_TIMES;
     return quietMs > MIN_QUIET_MS + expectedMs;
   }
 
@@ -83,7 +88,7 @@
   get ownLoad(): RunnerLoad {
     return {
       running: this.running,
-      pendingMs: this.pendingMs,
+      pendingMs: this.backlog.ms,
       ok: this.health.okWeight,
       failed: this.health.failedWeight,
     };
@@ -96,7 +101,12 @@
 
   /** Reading that all hosts have there, in ms. */
   get totalPendingMs(): number {
-    return this.pendingMs + this.remote.pendingMs;
+    return this.backlog.ms + this.remote.pendingMs;
+  }
+
+  /** The longest that its first events may be delayed by reading, in ms: nothing is taken as done. */
+  get longestPendingMs(): number {
+    return this.backlog.atSendingMs + this.remote.pendingMs;
   }
 
   /** Expected wait for a slot, in ms: the runner ends one request in every mean duration over its slots. */
@@ -143,12 +153,12 @@
   noteSent(workMs: number): void {
     if (this.running === 0) this.lastHeard = this.options.clock.now();
     this.running += 1;
-    this.pendingMs += workMs;
+    this.backlog.add(workMs);
   }
 
   /** Notes that the work of a request is done: its first byte came, or it ended. */
   noteFirst(workMs: number): void {
-    this.pendingMs = Math.max(0, this.pendingMs - workMs);
+    this.backlog.remove(workMs);
   }
 
   /** @param forMs how long the request was there */
