What runners say of themselves goes before what hosts told of them, for half a second

Cause: Server-Load came with answers and was not read. Its second number counts requests whose prompts are not read yet; believed pending reading was up to 2 s where it said none. Change: OthersLoad keeps what hosts told and what the runner said last; used for running requests and pending reading, of engines and of plain services.

--- a/packages/gateway/src/calls/attempt.ts
+++ b/packages/gateway/src/calls/attempt.ts
@@ -13,6 +13,7 @@
 import type {HeaderNames} from './header_names.js';
 import type {IncomingCall} from './incoming_call.js';
 import {readKeepAlive} from './read_keep_alive.js';
+import {readReport} from './read_report.js';
 import type {RunnerHeaders} from './runner_headers.js';
 import {SilenceWatch} from './silence_watch.js';
 
@@ -109,6 +110,8 @@
       signal: this.ended.signal,
     });
     this.watch.noteProgress();
+    const report = readReport(answer, this.options.names.load);
+    if (report) runner.noteReport(report);
     connection.noteKeepAlive(readKeepAlive(answer));
     return this.read(answer, connection);
   }
--- a/packages/gateway/src/calls/attempt_lessons.ts
+++ b/packages/gateway/src/calls/attempt_lessons.ts
@@ -111,7 +111,8 @@
 
   private countFailure(runner: Runner, reason: string, weight: number): void {
     const {directory, log} = this.options;
-    const {health, remote, entry} = runner;
+    const {health, others: remoteHosts, entry} = runner;
+    const remote = remoteHosts.load;
     health.countFailure(weight);
     const others = directory
       .takersOf(entry.service)
@@ -149,9 +150,9 @@
 function failureShare(runners: readonly Runner[]): number {
   let ok = 0;
   let failed = 0;
-  for (const {health, remote} of runners) {
-    ok += health.okWeight + remote.ok;
-    failed += health.failedWeight + remote.failed;
+  for (const {health, others} of runners) {
+    ok += health.okWeight + others.load.ok;
+    failed += health.failedWeight + others.load.failed;
   }
   return failed / Math.max(1, ok + failed);
 }
--- a/packages/gateway/src/calls/header_names.ts
+++ b/packages/gateway/src/calls/header_names.ts
@@ -21,6 +21,8 @@
   readonly lastEventId: string;
   /** The model's opinion of its own answer, 0 to 100. */
   readonly confidence: string;
+  /** What a runner says of itself: requests running, waiting, and its slots, with commas between them. */
+  readonly load: string;
   /** Urgency at the runner, 0 first to 9. */
   readonly priority: string;
   /** Headers that only the gateway may send to runners, besides those above that it sets. */
--- /dev/null
+++ b/packages/gateway/src/calls/read_report.ts
@@ -0,0 +1,17 @@
+import type {IncomingMessage} from 'node:http';
+import type {RunnerReport} from '../runners/runner_report.js';
+
+/**
+ * Reads what a runner says of itself with an answer: requests running, waiting, and its slots, with
+ * commas between them; undefined where it says nothing or something else.
+ */
+export function readReport(
+  answer: IncomingMessage,
+  header: string,
+): RunnerReport | undefined {
+  const text = answer.headers[header];
+  if (typeof text !== 'string') return undefined;
+  const [running, waiting] = text.split(',').map(Number);
+  if (!(running >= 0) || !(waiting >= 0)) return undefined;
+  return {running, waiting};
+}
--- a/packages/gateway/src/parts/host_loads.ts
+++ b/packages/gateway/src/parts/host_loads.ts
@@ -48,7 +48,7 @@
       const [running, pendingMs, ok, failed] = runners[runner.entry.id] ?? [
         0, 0, 0, 0,
       ];
-      runner.remote = {running, pendingMs, ok, failed};
+      runner.others.take({running, pendingMs, ok, failed});
     }
     this.options.rollouts.noteRemote(rollouts);
   }
--- a/packages/gateway/src/runners/runner.ts
+++ b/packages/gateway/src/runners/runner.ts
@@ -2,8 +2,10 @@
 import type {RunnerEntry} from '@bayspool/decisions/calls';
 import type {Clock} from '@bayspool/kernel';
 import type {ConnectionPool} from './connection_pool.js';
+import {OthersLoad} from './others_load.js';
 import {ReadingBacklog} from './reading_backlog.js';
 import type {RunnerLoad} from './runner_load.js';
+import type {RunnerReport} from './runner_report.js';
 
 interface Options {
   readonly clock: Clock;
@@ -28,14 +30,15 @@
 const GAP_RATE = 0.05;
 /** Weight of one measurement of slowness. */
 const SLOWNESS_RATE = 0.08;
-const NO_LOAD: RunnerLoad = {running: 0, pendingMs: 0, ok: 0, failed: 0};
+/** Weight of one request's reading in the mean. */
+const WORK_RATE = 0.1;
 
 /** One start of a runner as this host knows it: its entry, connections, load and outcomes. */
 export class Runner {
   readonly health: RunnerHealth;
   readonly pool: ConnectionPool;
-  /** Load and outcomes that other hosts told. */
-  remote: RunnerLoad = NO_LOAD;
+  /** What other hosts have there. */
+  readonly others: OthersLoad;
   private current: RunnerEntry;
   private running = 0;
   private readonly backlog: ReadingBacklog;
@@ -45,15 +48,18 @@
   private usualMs = 0;
   private gapMs = 0;
   private durationMs = 0;
+  private unread = 0;
+  private workMs = 0;
 
   constructor(private readonly options: Options) {
     this.current = options.entry;
     this.pool = options.pool;
     this.health = new RunnerHealth({clock: options.clock});
     this.lastHeard = options.clock.now();
+    this.others = new OthersLoad(options);
     this.backlog = new ReadingBacklog({
       clock: options.clock,
-      othersMs: () => this.remote.pendingMs,
+      othersMs: () => this.othersPendingMs,
     });
   }
 
@@ -80,7 +86,8 @@
   /** Whether it has work of this host and has sent nothing for much longer than it usually takes. */
   get isQuiet(): boolean {
     const quietMs = this.options.clock.now() - this.lastHeardAt;
-    const expectedMs = this.gapMs * GAP_TIMES + this.backlog.atSendingMs * PENDING_TIMES;
+    const expectedMs =
+      this.gapMs * GAP_TIMES + this.backlog.atSendingMs * PENDING_TIMES;
     return quietMs > MIN_QUIET_MS + expectedMs;
   }
 
@@ -96,17 +103,17 @@
 
   /** Requests that all hosts have there. */
   get totalRunning(): number {
-    return this.running + this.remote.running;
+    return this.running + this.others.running;
   }
 
   /** Reading that all hosts have there, in ms. */
   get totalPendingMs(): number {
-    return this.backlog.ms + this.remote.pendingMs;
+    return this.backlog.ms + this.othersPendingMs;
   }
 
   /** The longest that its first events may be delayed by reading, in ms: nothing is taken as done. */
   get longestPendingMs(): number {
-    return this.backlog.atSendingMs + this.remote.pendingMs;
+    return this.backlog.atSendingMs + this.othersPendingMs;
   }
 
   /** Expected wait for a slot, in ms: the runner ends one request in every mean duration over its slots. */
@@ -149,8 +156,21 @@
     this.lastHeard = this.options.clock.now();
   }
 
+  /** Notes what it said of itself with an answer of this host. */
+  noteReport(report: RunnerReport): void {
+    // The request whose answer this is waits no more.
+    const waiting = this.unread - 1;
+    this.others.noteReport(report, {running: this.running, waiting});
+  }
+
+  private get othersPendingMs(): number {
+    return this.others.pendingMs(this.workMs);
+  }
+
   /** Notes a request on its way; the work counts until {@link noteFirst}. */
   noteSent(workMs: number): void {
+    this.unread += 1;
+    this.workMs += WORK_RATE * (workMs - this.workMs);
     if (this.running === 0) this.lastHeard = this.options.clock.now();
     this.running += 1;
     this.backlog.add(workMs);
@@ -158,6 +178,7 @@
 
   /** Notes that the work of a request is done: its first byte came, or it ended. */
   noteFirst(workMs: number): void {
+    this.unread -= 1;
     this.backlog.remove(workMs);
   }
 
--- /dev/null
+++ b/packages/gateway/src/runners/runner_report.ts
@@ -0,0 +1,7 @@
+/** What a runner said of itself with an answer. */
+export interface RunnerReport {
+  /** Requests that it works on. */
+  readonly running: number;
+  /** Requests that wait: on an engine, those whose prompts are not read yet. */
+  readonly waiting: number;
+}
--- a/packages/gateway/src/testing/plain_header_names.ts
+++ b/packages/gateway/src/testing/plain_header_names.ts
@@ -15,6 +15,7 @@
   session: 'x-session',
   lastEventId: 'last-event-id',
   confidence: 'x-confidence',
+  load: 'x-load',
   priority: 'x-priority',
   reserved: ['x-hold'],
 };
