--- a/packages/gateway/src/calls/silence_watch.ts
+++ b/packages/gateway/src/calls/silence_watch.ts
@@ -72,7 +72,7 @@
       quietMs: now - this.progressAt,
       longestPauseMs: caller.longestPauseMs,
       hasEvents: hasEvents(),
-      expectedMs: choice.workMs + runner.longestPendingMs,
+      expectedMs: choice.workMs + runner.totalPendingMs,
     });
     return isSilent && hasOtherRunner();
   }
--- a/packages/gateway/src/runners/runner.ts
+++ b/packages/gateway/src/runners/runner.ts
@@ -3,7 +3,6 @@
 import type {Clock} from '@bayspool/kernel';
 import type {ConnectionPool} from './connection_pool.js';
 import {OthersLoad} from './others_load.js';
-import {ReadingBacklog} from './reading_backlog.js';
 import type {RunnerLoad} from './runner_load.js';
 import type {RunnerReport} from './runner_report.js';
 
@@ -41,7 +40,7 @@
   readonly others: OthersLoad;
   private current: RunnerEntry;
   private running = 0;
-  private readonly backlog: ReadingBacklog;
+  private pendingMs = 0;
   private replaced = false;
   private lastHeard: number;
   private slownessMean = 1;
@@ -57,10 +56,6 @@
     this.health = new RunnerHealth({clock: options.clock});
     this.lastHeard = options.clock.now();
     this.others = new OthersLoad(options);
-    this.backlog = new ReadingBacklog({
-      clock: options.clock,
-      othersMs: () => this.othersPendingMs,
-    });
   }
 
   /** Its newest entry. */
@@ -87,7 +82,7 @@
   get isQuiet(): boolean {
     const quietMs = this.options.clock.now() - this.lastHeardAt;
     const expectedMs =
-      this.gapMs * GAP_TIMES + this.backlog.atSendingMs * PENDING_TIMES;
+      this.gapMs * GAP_TIMES + this.pendingMs * PENDING_TIMES;
     return quietMs > MIN_QUIET_MS + expectedMs;
   }
 
@@ -95,7 +90,7 @@
   get ownLoad(): RunnerLoad {
     return {
       running: this.running,
-      pendingMs: this.backlog.ms,
+      pendingMs: this.pendingMs,
       ok: this.health.okWeight,
       failed: this.health.failedWeight,
     };
@@ -108,12 +103,7 @@
 
   /** Reading that all hosts have there, in ms. */
   get totalPendingMs(): number {
-    return this.backlog.ms + this.othersPendingMs;
-  }
-
-  /** The longest that its first events may be delayed by reading, in ms: nothing is taken as done. */
-  get longestPendingMs(): number {
-    return this.backlog.atSendingMs + this.othersPendingMs;
+    return this.pendingMs + this.othersPendingMs;
   }
 
   /** Expected wait for a slot, in ms: the runner ends one request in every mean duration over its slots. */
@@ -173,13 +163,13 @@
     this.workMs += WORK_RATE * (workMs - this.workMs);
     if (this.running === 0) this.lastHeard = this.options.clock.now();
     this.running += 1;
-    this.backlog.add(workMs);
+    this.pendingMs += workMs;
   }
 
   /** Notes that the work of a request is done: its first byte came, or it ended. */
   noteFirst(workMs: number): void {
     this.unread -= 1;
-    this.backlog.remove(workMs);
+    this.pendingMs = Math.max(0, this.pendingMs - workMs);
   }
 
   /** @param forMs how long the request was there */
