What a place's reader finds lost, the other hosts of the place hear at once

Cause: only the reader of a place asks other places, so half of the hosts never learned that a place was cut off; and it took three rounds of half a second, one host each. Change: the first host that doesn't answer makes the reader ask two more at once; a place of which three (or all) are silent with none answering since counts as lost; answers to hosts of the own place name lost places and are sent at once. Event place_lost. Tests: roster.test.ts.

--- a/packages/gateway/src/observability/event_fields.ts
+++ b/packages/gateway/src/observability/event_fields.ts
@@ -186,6 +186,7 @@
   peer_gone: {peer: string};
   peer_lost: {peer: string; reason: string};
   peer_regained: {peer: string};
+  place_lost: {place: string; source: string};
   seed_answered: {seed: string; topics: number; isLoaded: boolean};
   seed_failed: {seed: string; reason: string};
   source_changed: {source: string; reason: string};
--- a/packages/gateway/src/peers/news_loop.ts
+++ b/packages/gateway/src/peers/news_loop.ts
@@ -35,6 +35,8 @@
  * normal running (a read that waits a second, is asked for again, and passed on by another host).
  */
 const OLD_MS = 2_600;
+/** Further hosts of a place that are asked when its first one does not answer. */
+const MORE_ASKED = 2;
 /** Pause after an exchange failed, in ms. */
 const RETRY_MS = 60;
 
@@ -107,8 +109,11 @@
   }
 
   private async askPlace(place: string): Promise<void> {
-    const [first] = this.options.roster.readersOf(place);
-    if (first) await this.ask(first, 0);
+    const [first, ...others] = this.options.roster.readersOf(place);
+    if (!first || (await this.ask(first, 0))) return;
+    // One that does not answer may stand for its place: the others tell, all at once.
+    const some = others.slice(0, MORE_ASKED);
+    await Promise.all(some.map(other => this.ask(other, 0)));
   }
 
   private async ask(peer: HostEntry, waitMs: number): Promise<boolean> {
--- a/packages/gateway/src/peers/roster.test.ts
+++ b/packages/gateway/src/peers/roster.test.ts
@@ -51,3 +51,19 @@
   roster.noteAnswer('b2');
   assert.deepEqual([...roster.lostPlaces()], []);
 });
+
+void test('a place that another host lost counts as lost for a short time', () => {
+  let told = 0;
+  roster.onPlaceLost(() => {
+    told += 1;
+  });
+  roster.noteToldLost(['b', 'a'], 'a2');
+  assert.deepEqual([...roster.lostPlaces()], ['b']);
+  assert.deepEqual([...roster.seenLostPlaces()], []);
+  clock.advance(2_000);
+  assert.deepEqual([...roster.lostPlaces()], []);
+  roster.noteFailure('b1', 'silent');
+  assert.equal(told, 0);
+  roster.noteFailure('b2', 'silent');
+  assert.equal(told, 1);
+});
--- a/packages/gateway/src/peers/roster.ts
+++ b/packages/gateway/src/peers/roster.ts
@@ -16,6 +16,13 @@
 const SUSPECT_MS = 2_000;
 /** A host that nobody reached for so long is not counted, in ms. */
 const GONE_MS = 15_000;
+/**
+ * How long a place counts as lost after another host said so, in ms: two rounds of the exchange inside
+ * a place, in which the reader says so again as long as it holds.
+ */
+const TOLD_MS = 1_000;
+/** Hosts of a place that have to be silent, with none answering since, before the place counts as lost. */
+const LOST_HOSTS = 3;
 /** Given out while no host is lost, so that nothing is made for each choice of a runner. */
 const NO_PLACES: ReadonlySet<string> = new Set();
 
@@ -24,6 +31,11 @@
   private readonly entries = new Map<string, HostEntry>();
   private readonly suspectedUntil = new Map<string, number>();
   private readonly lostSince = new Map<string, number>();
+  /** Until when places count as lost because another host said so. */
+  private readonly toldLostUntil = new Map<string, number>();
+  /** When a host of each place last answered, or asked this one. */
+  private readonly answeredAt = new Map<string, number>();
+  private readonly placeListeners: Array<() => void> = [];
 
   constructor(private readonly options: Options) {
     options.mirror.onUpdate(({changed}) => {
@@ -73,18 +85,52 @@
     return [...places].sort();
   }
 
-  /** Other places of which no host answers, so that their runners are probably out of reach too. */
+  /** Other places that are probably out of reach, their runners too: as seen here, or as told. */
   lostPlaces(): ReadonlySet<string> {
-    if (this.lostSince.size === 0) return NO_PLACES;
-    const hosts = this.living();
-    const lost = new Set(hosts.map(({place}) => place));
-    for (const {name, place} of hosts)
-      if (!this.lostSince.has(name)) lost.delete(place);
+    if (this.lostSince.size + this.toldLostUntil.size === 0) return NO_PLACES;
+    const now = this.options.clock.now();
+    const lost = this.seenLostPlaces();
+    for (const [place, until] of this.toldLostUntil)
+      if (now < until) lost.add(place);
+      else this.toldLostUntil.delete(place);
+    return lost;
+  }
+
+  /** Other places of which no host answers this host, or none of the few that it asked last. */
+  seenLostPlaces(): Set<string> {
+    const lost = new Set<string>();
+    if (this.lostSince.size === 0) return lost;
+    for (const place of this.otherPlaces()) {
+      const hosts = this.livingIn(place);
+      const answeredAt = this.answeredAt.get(place) ?? -Infinity;
+      const silent = hosts.filter(
+        ({name}) => (this.lostSince.get(name) ?? -Infinity) > answeredAt,
+      );
+      if (silent.length >= Math.min(LOST_HOSTS, hosts.length)) lost.add(place);
+    }
     return lost;
   }
 
+  /** Notes that another host reaches nobody in these places. */
+  noteToldLost(places: readonly string[], source: string): void {
+    const {clock, log, self} = this.options;
+    const now = clock.now();
+    for (const place of places) {
+      if (place === self.place) continue;
+      const isNew = !((this.toldLostUntil.get(place) ?? 0) > now);
+      if (isNew) log.write('place_lost', {place, source});
+      this.toldLostUntil.set(place, now + TOLD_MS);
+    }
+  }
+
+  /** Tells the listener when this host reaches nobody in a further place. */
+  onPlaceLost(listener: () => void): void {
+    this.placeListeners.push(listener);
+  }
+
   /** Notes that a host answered. */
   noteAnswer(name: string): void {
+    this.noteSign(this.entries.get(name)?.place);
     this.suspectedUntil.delete(name);
     if (this.lostSince.delete(name))
       this.options.log.write('peer_regained', {peer: name});
@@ -93,6 +139,7 @@
   /** Notes that a host asked this one: it lives, also where its entry has not come by the store yet. */
   noteHeard(host: HostEntry): void {
     if (host.name === this.options.self.name) return;
+    this.noteSign(host.place);
     if (this.entries.get(host.name)?.address !== host.address) this.put(host);
     // Only a host that was lost is taken back: one in doubt answers for itself.
     else if (this.lostSince.has(host.name)) this.noteAnswer(host.name);
@@ -104,7 +151,17 @@
     this.suspectedUntil.set(name, now + SUSPECT_MS);
     if (this.lostSince.has(name)) return;
     this.lostSince.set(name, now);
-    this.options.log.write('peer_lost', {peer: name, reason});
+    const {log} = this.options;
+    log.write('peer_lost', {peer: name, reason});
+    const place = this.entries.get(name)?.place;
+    if (place === undefined || !this.seenLostPlaces().has(place)) return;
+    log.write('place_lost', {place, source: 'own calls'});
+    for (const listener of this.placeListeners) listener();
+  }
+
+  private noteSign(place: string | undefined): void {
+    if (place !== undefined)
+      this.answeredAt.set(place, this.options.clock.now());
   }
 
   private livingIn(place: string): HostEntry[] {
--- a/packages/gateway/src/peers/sync_answer.ts
+++ b/packages/gateway/src/peers/sync_answer.ts
@@ -16,4 +16,6 @@
   readonly place: string;
   /** The sum over all hosts for one of the same place, over the answering place for another. */
   readonly loads: LoadDigest;
+  /** Places of which no host answers the one that tells; for hosts of its own place. */
+  readonly lostPlaces?: readonly string[];
 }
--- a/packages/gateway/src/peers/sync_desk.ts
+++ b/packages/gateway/src/peers/sync_desk.ts
@@ -26,6 +26,7 @@
   constructor(private readonly options: Options) {
     for (const mirror of options.mirrors) mirror.onUpdate(() => this.wake());
     options.freshness.onProof(() => this.wake());
+    options.roster.onPlaceLost(() => this.wake());
   }
 
   /** Answers a host, at once if there is news for it, else within the time that it waits. */
@@ -40,7 +41,9 @@
     return {
       topics: this.topicsFor(request),
       place: self.place,
-      loads: board.sumFor(request.from.place),
+      loads: board.sumFor(from.place),
+      lostPlaces:
+        from.place === self.place ? [...roster.seenLostPlaces()] : undefined,
     };
   }
 
@@ -66,8 +69,10 @@
   adopt(answer: SyncAnswer, sentAt: number): void {
     const {mirrors, board, roster} = this.options;
     for (const mirror of mirrors) this.adoptTopic(mirror, answer, sentAt);
-    if (answer.place === roster.self.place) board.noteAll(answer.loads);
-    else board.notePlace(answer.place, answer.loads);
+    if (answer.place !== roster.self.place)
+      return board.notePlace(answer.place, answer.loads);
+    board.noteAll(answer.loads);
+    roster.noteToldLost(answer.lostPlaces ?? [], 'a host of this place');
   }
 
   private adoptTopic(
--- a/packages/gateway/src/runners/runner.ts
+++ b/packages/gateway/src/runners/runner.ts
@@ -81,8 +81,7 @@
   /** Whether it has work of this host and has sent nothing for much longer than it usually takes. */
   get isQuiet(): boolean {
     const quietMs = this.options.clock.now() - this.lastHeardAt;
-    const expectedMs =
-      this.gapMs * GAP_TIMES + this.pendingMs * PENDING_TIMES;
+    const expectedMs = this.gapMs * GAP_TIMES + this.pendingMs * PENDING_TIMES;
     return quietMs > MIN_QUIET_MS + expectedMs;
   }
 
