--- a/packages/decisions/src/calls/cascade_rule.ts
+++ b/packages/decisions/src/calls/cascade_rule.ts
@@ -15,6 +15,15 @@
   readonly largest: LargestOutlook;
 }
 
+/** What is at stake for a request. */
+interface Stakes {
+  readonly latencyTargetMs: number;
+  /** What is left of the latency target, in ms; negative if it is over. */
+  readonly leftMs: number;
+  /** Worth of its answer over that to a mean prompt. */
+  readonly ownWorth: number;
+}
+
 /** Worth of an answer that is not good; users' sheets call it a small part. */
 const POOR_PART = 0.05;
 /** Worth of an answer after its latency target: 0.3 on most sheets, 0.5 on some. */
@@ -79,18 +88,17 @@
     const leftMs = latencyTargetMs - answer.elapsedMs;
     const quality = goodShare + (1 - goodShare) * POOR_PART;
     const worthNow = quality * (leftMs > 0 ? 1 : LATE_PART);
-    const size = this.noteSize(route, answer.tokens);
-    const share = worthShare(size);
-    const worthLarge = worthOfLargest(
-      {...answer.largest, workMs: answer.largest.workMs / share},
+    const ownWorth = worthOfSize(this.relativeSize(route, answer.tokens));
+    const worthLarge = worthOfLargest(answer.largest, {
       latencyTargetMs,
       leftMs,
-    );
+      ownWorth,
+    });
     return {isUsed: worthNow >= worthLarge, goodShare, worthNow, worthLarge};
   }
 
-  /** @returns the prompt's size over the mean of its route */
-  private noteSize(route: CallRoute, tokens: number): number {
+  /** The prompt's size over the mean of its route, which learns from it. */
+  private relativeSize(route: CallRoute, tokens: number): number {
     const before = this.meanTokens.get(route.name) ?? tokens;
     const mean = before + LEARNING_RATE * (tokens - before);
     this.meanTokens.set(route.name, mean);
@@ -105,21 +113,20 @@
   }
 }
 
-/** What an answer to a prompt of this size, over the mean, is worth over the mean's. */
-function worthShare(size: number): number {
+/** What an answer to a prompt is worth over that to a mean one, by its size over the mean. */
+function worthOfSize(size: number): number {
   return Math.min(MAX_SHARE, FIXED_SHARE + (1 - FIXED_SHARE) * size);
 }
 
 /** The worth of the largest model's answer, less its price and what the others lose by its reading. */
 function worthOfLargest(
   {expectedMs, workMs, pressure}: LargestOutlook,
-  latencyTargetMs: number,
-  leftMs: number,
+  {latencyTargetMs, leftMs, ownWorth}: Stakes,
 ): number {
   const inTime = chanceInTime(expectedMs, leftMs);
   const gain = inTime + (1 - inTime) * LATE_PART;
   const crowding = CROWDING * (workMs / latencyTargetMs) * pressure;
-  return gain - PRICE_PART - crowding;
+  return gain - PRICE_PART - crowding / ownWorth;
 }
 
 /** The chance that something expected to take so long is there within the time left; a half at equality. */
--- a/packages/gateway/src/calls/call_forwarder.ts
+++ b/packages/gateway/src/calls/call_forwarder.ts
@@ -1,6 +1,5 @@
 import type {
   CascadeRule,
-  LargestOutlook,
   RetryBudget,
   SessionVersions,
 } from '@bayspool/decisions/calls';
@@ -13,17 +12,18 @@
 import type {ReadingRates} from '../runners/reading_rates.js';
 import type {RunnerChoice} from '../runners/runner_choice.js';
 import type {RunnerChooser} from '../runners/runner_chooser.js';
+import {AnswerJudge} from './answer_judge.js';
 import {Attempt} from './attempt.js';
 import {AttemptKind} from './attempt_kind.js';
 import {AttemptLessons} from './attempt_lessons.js';
 import type {AttemptOutcome} from './attempt_outcome.js';
 import type {CallerAnswer} from './caller_answer.js';
 import {CallProgress} from './call_progress.js';
+import {expectedFirstMs} from './expected_first_ms.js';
 import {FinalAnswer} from './final_answer.js';
 import type {HeaderNames} from './header_names.js';
 import type {IncomingCall} from './incoming_call.js';
 import {RepeatRule} from './repeat_rule.js';
-import {roundHundredths} from './round_hundredths.js';
 import {RunnerHeaders} from './runner_headers.js';
 
 interface Options {
@@ -47,13 +47,12 @@
 
 /** Share of other work beside its own with which a prompt's time still tells the engine's rate. */
 const MAX_OTHER_WORK = 0.3;
-/** Fixed part of the time to a first event or answer, in ms, beside reading and waiting. */
-const BASE_FIRST_MS = 30;
 
 /** Brings a call to a runner, and to further ones where that is allowed and helps. */
 export class CallForwarder {
   private readonly lessons: AttemptLessons;
   private readonly repeats: RepeatRule;
+  private readonly judge: AnswerJudge;
   private readonly final: FinalAnswer;
   private readonly runnerHeaders: RunnerHeaders;
 
@@ -76,6 +75,11 @@
       cascade,
       budgetOf,
     });
+    this.judge = new AnswerJudge({
+      ...options,
+      repeats: this.repeats,
+      choose: (progress, model) => this.choose(progress, model),
+    });
     this.runnerHeaders = new RunnerHeaders(options.names);
     this.final = new FinalAnswer({clock, random, log, metrics});
   }
@@ -140,7 +144,7 @@
     const {clock} = this.options;
     const {call} = progress;
     const startedAt = clock.now();
-    const expectedMs = BASE_FIRST_MS + choice.workMs + choice.waitMs;
+    const expectedMs = expectedFirstMs(choice);
     const isUnloaded = choice.waitMs < choice.workMs * MAX_OTHER_WORK;
     this.noteChoice(progress, choice);
     const eventsBefore = caller.events;
@@ -183,60 +187,11 @@
       model,
       caller,
       signal,
-      isGoodEnough: confidence => this.isGoodEnough(progress, confidence),
+      isGoodEnough: confidence => this.judge.isUsed(progress, confidence),
       hasOtherRunner: () => this.repeats.canMove(progress, choice.runner),
     });
   }
 
-  /** Whether an answer that has not reached the caller is used; if not, the largest model is asked. */
-  private isGoodEnough(
-    progress: CallProgress,
-    confidence: number | undefined,
-  ): boolean {
-    const {cascade, clock, log, metrics} = this.options;
-    const {call, model} = progress;
-    const {route} = call;
-    if (model === undefined || route.models.length === 0) return true;
-    this.noteOpinion(progress, confidence);
-    if (!this.repeats.canEscalate(progress)) return true;
-    const largest = this.outlook(progress);
-    if (!largest) return true;
-    const elapsedMs = clock.now() - call.acceptedAt;
-    const tokens = call.prompt?.tokens ?? 0;
-    const answer = {route, model, confidence, tokens, elapsedMs, largest};
-    const weighing = cascade.weigh(answer);
-    const {isUsed, goodShare, worthNow, worthLarge} = weighing;
-    metrics.weighedAnswers.inc({route: route.name, isUsed: String(isUsed)});
-    log.write('answer_weighed', {
-      request: call.id,
-      model,
-      confidence,
-      goodShare: roundHundredths(goodShare),
-      isUsed,
-      worthNow: roundHundredths(worthNow),
-      worthLarge: roundHundredths(worthLarge),
-      expectedMs: Math.round(largest.expectedMs),
-      workMs: Math.round(largest.workMs),
-      pressure: roundHundredths(largest.pressure),
-      elapsedMs: Math.round(elapsedMs),
-    });
-    return isUsed;
-  }
-
-  /** Learns from a pair of opinions on the same request, and remembers one for a later pair. */
-  private noteOpinion(
-    progress: CallProgress,
-    confidence: number | undefined,
-  ): void {
-    const {cascade} = this.options;
-    const {smallOpinion, model, call} = progress;
-    if (confidence === undefined) return;
-    if (model !== cascade.strongestModel(call.route))
-      progress.smallOpinion = confidence;
-    else if (smallOpinion !== undefined)
-      cascade.opinions.notePair(smallOpinion, confidence);
-  }
-
   private noteChoice(progress: CallProgress, choice: RunnerChoice): void {
     const {log, directory, rollouts, prefixes, sessions} = this.options;
     const {call, model} = progress;
@@ -262,19 +217,4 @@
       rolloutShare: rollouts.get(call.service)?.share,
     });
   }
-
-  /** What asking the largest model would mean; undefined if no runner could take the call. */
-  private outlook(progress: CallProgress): LargestOutlook | undefined {
-    const {cascade, targetOf, chooser, directory} = this.options;
-    const {call} = progress;
-    const model = cascade.strongestModel(call.route);
-    const choice = this.choose(progress, model);
-    if (!choice) return undefined;
-    const pendingMs = chooser.meanPendingMs(directory.takersOf(call.service));
-    return {
-      expectedMs: BASE_FIRST_MS + choice.workMs + choice.waitMs,
-      workMs: choice.workMs,
-      pressure: pendingMs / targetOf(call.service),
-    };
-  }
 }
--- a/packages/gateway/src/runners/runner_chooser.ts
+++ b/packages/gateway/src/runners/runner_chooser.ts
@@ -45,7 +45,7 @@
  * Waiting that bytes between places are worth avoiding, in ms a KB: measured, see
  * docs/design/deciding-well.md.
  */
-const CROSSING_MS_PER_KB = 20;
+const CROSSING_MS_PER_KB = 40;
 /** An answer's size as far as it is known before: some KB on the users' sheets, in bytes. */
 const ANSWER_BYTES = 2_000;
 const BYTES_PER_KB = 1_000;
