Parts that hosts tell of are bounded in sums too

Cause: 91 hosts may tell 64 parts each; the sum went to every host of a place. Test: merge_loads.test.ts.

--- /dev/null
+++ b/packages/gateway/src/peers/merge_loads.test.ts
@@ -0,0 +1,19 @@
+import assert from 'node:assert/strict';
+import {test} from 'node:test';
+import {mergeLoads} from './merge_loads.js';
+
+void test('loads are summed and parts are gathered, from hosts that tell none too', () => {
+  const one = {runners: {r: [1, 2, 3, 4]}, rollouts: {}, parts: {r: [7]}};
+  const two = {runners: {r: [1, 1, 1, 1]}, rollouts: {}, parts: {r: [8], s: [9]}};
+  const old = {runners: {}, rollouts: {}};
+  const sum = mergeLoads([one, two, old] as never);
+  assert.deepEqual(sum.runners, {r: [2, 3, 4, 5]});
+  assert.deepEqual(sum.parts, {r: [7, 8], s: [9]});
+});
+
+void test('what is told of parts is bounded, however many hosts there are', () => {
+  const keys = Array.from({length: 64}, (_, i) => i);
+  const digest = {runners: {}, rollouts: {}, parts: {r: keys}};
+  const sum = mergeLoads(Array.from({length: 100}, () => digest));
+  assert.equal(sum.parts?.r.length, 512);
+});
--- a/packages/gateway/src/peers/merge_loads.ts
+++ b/packages/gateway/src/peers/merge_loads.ts
@@ -1,6 +1,7 @@
 import {mergeRollouts} from '../rollouts/merge_rollouts.js';
 import type {RolloutDigest} from '../rollouts/rollout_digest.js';
 import type {LoadDigest} from './load_digest.js';
+import {mergeParts} from './merge_parts.js';
 
 type Numbers = readonly [number, number, number, number];
 
@@ -8,7 +9,6 @@
 export function mergeLoads(digests: readonly LoadDigest[]): LoadDigest {
   const runners: Record<string, Numbers> = {};
   const rollouts: Record<string, RolloutDigest> = {};
-  const parts: Record<string, number[]> = {};
   for (const digest of digests) {
     for (const [id, [running, pendingMs, ok, failed]] of Object.entries(
       digest.runners,
@@ -21,12 +21,11 @@
         sum[3] + failed,
       ];
     }
-    for (const [id, keys] of Object.entries(digest.parts ?? {}))
-      (parts[id] ??= []).push(...keys);
     for (const [service, rollout] of Object.entries(digest.rollouts)) {
       const sum = rollouts[service];
       rollouts[service] = sum ? mergeRollouts(sum, rollout) : rollout;
     }
   }
+  const parts = mergeParts(digests.map(digest => digest.parts ?? {}));
   return {runners, rollouts, parts};
 }
