--- a/packages/gateway/src/peers/merge_loads.test.ts
+++ b/packages/gateway/src/peers/merge_loads.test.ts
@@ -4,7 +4,11 @@
 
 void test('loads are summed and parts are gathered, from hosts that tell none too', () => {
   const one = {runners: {r: [1, 2, 3, 4]}, rollouts: {}, parts: {r: [7]}};
-  const two = {runners: {r: [1, 1, 1, 1]}, rollouts: {}, parts: {r: [8], s: [9]}};
+  const two = {
+    runners: {r: [1, 1, 1, 1]},
+    rollouts: {},
+    parts: {r: [8], s: [9]},
+  };
   const old = {runners: {}, rollouts: {}};
   const sum = mergeLoads([one, two, old] as never);
   assert.deepEqual(sum.runners, {r: [2, 3, 4, 5]});
