--- a/packages/daemon/src/callers/completions/completion_service.ts
+++ b/packages/daemon/src/callers/completions/completion_service.ts
@@ -1,20 +1,11 @@
 import {randomUUID} from 'node:crypto';
-import {
-  eligibleVersions,
-  pickVersions,
-  type Bill,
-  type CascadePolicy,
-  type Membership,
-  type SessionSeal,
-  type Version,
+import type {
+  Bill,
+  CascadePolicy,
+  Membership,
+  SessionSeal,
 } from '@bayspool/decisions';
-import {
-  Problem,
-  ProblemKind,
-  type Clock,
-  type RandomSource,
-  type Tracing,
-} from '@bayspool/kernel';
+import type {Clock, RandomSource, Tracing} from '@bayspool/kernel';
 import type {BillKeeper} from '../../billing/bill_keeper.js';
 import {noRoomForBills} from '../no_room_for_bills.js';
 import type {ConfigurationStore} from '../../configuration/configuration_store.js';
@@ -25,6 +16,7 @@
 import type {CompletionRequest} from './completion_request.js';
 import type {DurationBook} from './duration_book.js';
 import type {Leg} from './leg.js';
+import {LegPlanner} from './leg_planner.js';
 import type {LegRunner} from './leg_runner.js';
 import type {OpenCompletion} from './open_completion.js';
 import type {Staleness} from '../../configuration/staleness.js';
@@ -54,16 +46,17 @@
 
 /** Answers requests: chooses versions, runs the legs of a cascade, bills once, and has answers rated. */
 export class CompletionService {
-  constructor(private readonly options: Options) {}
+  private readonly planner: LegPlanner;
+
+  constructor(private readonly options: Options) {
+    this.planner = new LegPlanner(options);
+  }
 
   /** Gives the answer once its first part is there; problems before that are thrown. */
   async open(request: CompletionRequest): Promise<OpenCompletion> {
     if (!this.options.bills.hasRoom()) throw noRoomForBills();
     await this.options.staleness.settle();
-    const versions = this.plan(request);
-    const legs = versions.map((version, index) =>
-      toLeg(version, request.id, index),
-    );
+    const legs = this.planner.plan(request);
     const done: Leg[] = [];
     try {
       for (const leg of legs) {
@@ -81,49 +74,6 @@
     throw new Error('a cascade has at least one leg');
   }
 
-  private plan(request: CompletionRequest): readonly Version[] {
-    const {store, staleness, membership, random, evidence, cascade, clock} =
-      this.options;
-    const eligible = eligibleVersions(store.current, {
-      workspace: request.workspace.id,
-      task: request.taskName,
-      selector: request.selector,
-      session: request.session,
-      stale: staleness.isStale(),
-      suspects: membership.suspects(),
-    });
-    const versions = eligible.caseOf({
-      Left: problem => {
-        throw problem;
-      },
-      Right: found => found,
-    });
-    if (request.session) return versions;
-    const picked = pickVersions(versions, {
-      random,
-      mayExpose: version => evidence.mayExpose(version),
-      isCarried: version => this.options.pool.carries(version.id),
-    });
-    if (picked.length === 0) throw exposureUsedUp();
-    const now = clock.now();
-    const candidates = picked.map(version => ({
-      version,
-      estimate: this.options.ratings.estimate(
-        request.workspace.id,
-        request.taskName,
-        version.id,
-      ),
-      expectedMs: this.options.durations.expected(version.id),
-    }));
-    return cascade.plan(candidates, {
-      quality: request.task.quality,
-      remainingMs: request.deadlineAt - now,
-      ratingWaitMs: this.options.ratingWaitMs,
-      holdable: !request.stream,
-      now,
-    }).legs;
-  }
-
   /** Runs a leg that is followed by another: its answer is held, and given only when rated good. */
   private async tryHeld(
     request: CompletionRequest,
@@ -311,18 +261,6 @@
   }
 }
 
-function toLeg(version: Version, requestId: string, index: number): Leg {
-  const ratingId = index === 0 ? requestId : `${requestId}.${index}`;
-  return {
-    version,
-    ratingId,
-    text: '',
-    tokens: 0,
-    usage: undefined,
-    mayHaveRun: false,
-  };
-}
-
 async function* replay(
   parts: readonly AnswerPart[],
 ): AsyncGenerator<AnswerPart> {
@@ -340,12 +278,3 @@
     await rest.return(undefined);
   }
 }
-
-function exposureUsedUp(): Problem {
-  return new Problem({
-    kind: ProblemKind.NO_RUNNER,
-    what: 'the only version left is rolling out and has its share of unrated answers out',
-    remedy: 'come back after the time in Retry-After',
-    retryAfterMs: 2_000,
-  });
-}
--- /dev/null
+++ b/packages/daemon/src/callers/completions/leg_planner.ts
@@ -0,0 +1,112 @@
+import {
+  eligibleVersions,
+  pickVersions,
+  type CascadePolicy,
+  type Membership,
+  type Version,
+} from '@bayspool/decisions';
+import {
+  Problem,
+  ProblemKind,
+  type Clock,
+  type RandomSource,
+} from '@bayspool/kernel';
+import type {ConfigurationStore} from '../../configuration/configuration_store.js';
+import type {Staleness} from '../../configuration/staleness.js';
+import type {EvidenceBook} from '../../ratings/evidence_book.js';
+import type {RatingBook} from '../../ratings/rating_book.js';
+import type {RunnerPool} from '../../runners/runner_pool.js';
+import type {CompletionRequest} from './completion_request.js';
+import type {DurationBook} from './duration_book.js';
+import type {Leg} from './leg.js';
+
+interface Options {
+  readonly clock: Clock;
+  readonly random: RandomSource;
+  readonly store: ConfigurationStore;
+  readonly membership: Membership;
+  readonly staleness: Staleness;
+  readonly pool: RunnerPool;
+  readonly cascade: CascadePolicy;
+  readonly durations: DurationBook;
+  readonly ratings: RatingBook;
+  readonly evidence: EvidenceBook;
+  /** How long a held answer waits for its rating, in ms. */
+  readonly ratingWaitMs: number;
+}
+
+/** Chooses the versions that try a request, in order. */
+export class LegPlanner {
+  constructor(private readonly options: Options) {}
+
+  /** The legs of a request, at least one; a problem is thrown if no version may take it. */
+  plan(request: CompletionRequest): Leg[] {
+    return this.chooseVersions(request).map((version, index) =>
+      toLeg(version, request.id, index),
+    );
+  }
+
+  private chooseVersions(request: CompletionRequest): readonly Version[] {
+    const {store, staleness, membership, random, evidence, cascade, clock} =
+      this.options;
+    const eligible = eligibleVersions(store.current, {
+      workspace: request.workspace.id,
+      task: request.taskName,
+      selector: request.selector,
+      session: request.session,
+      stale: staleness.isStale(),
+      suspects: membership.suspects(),
+    });
+    const versions = eligible.caseOf({
+      Left: problem => {
+        throw problem;
+      },
+      Right: found => found,
+    });
+    if (request.session) return versions;
+    const picked = pickVersions(versions, {
+      random,
+      mayExpose: version => evidence.mayExpose(version),
+      isCarried: version => this.options.pool.carries(version.id),
+    });
+    if (picked.length === 0) throw exposureUsedUp();
+    const now = clock.now();
+    const candidates = picked.map(version => ({
+      version,
+      estimate: this.options.ratings.estimate(
+        request.workspace.id,
+        request.taskName,
+        version.id,
+      ),
+      expectedMs: this.options.durations.expected(version.id),
+    }));
+    return cascade.plan(candidates, {
+      quality: request.task.quality,
+      remainingMs: request.deadlineAt - now,
+      ratingWaitMs: this.options.ratingWaitMs,
+      holdable: !request.stream,
+      now,
+    }).legs;
+  }
+}
+
+function toLeg(version: Version, requestId: string, index: number): Leg {
+  const ratingId = index === 0 ? requestId : `${requestId}.${index}`;
+  return {
+    version,
+    ratingId,
+    text: '',
+    tokens: 0,
+    usage: undefined,
+    mayHaveRun: false,
+  };
+}
+
+function exposureUsedUp(): Problem {
+  return new Problem({
+    kind: ProblemKind.NO_RUNNER,
+    what: 'the only version left is rolling out and has its share of unrated answers out',
+    remedy: 'come back after the time in Retry-After',
+    retryAfterMs: 2_000,
+  });
+}
--- a/packages/daemon/src/callers/completions/leg_runner.ts
+++ b/packages/daemon/src/callers/completions/leg_runner.ts
@@ -14,7 +14,6 @@
 } from '@bayspool/decisions';
 import {
   Problem,
-  ProblemKind,
   sleep,
   type Clock,
   type Logger,
@@ -31,6 +30,7 @@
 import type {AnswerPart} from './answer_part.js';
 import type {CompletionRequest} from './completion_request.js';
 import type {Leg} from './leg.js';
+import {legProblems} from './leg_problems.js';
 import type {Staleness} from '../../configuration/staleness.js';
 
 interface Options {
@@ -94,15 +94,15 @@
         );
         return;
       } catch (error) {
-        if (request.signal.aborted) throw cancelled(leg);
-        const failure = toFailure(error);
+        if (request.signal.aborted) throw legProblems.cancelled(leg);
+        const failure = legProblems.toFailure(error);
         this.options.logger.info('attempt failed', {
           requestId: request.id,
           runner: grant.target.id,
           error: failure.message,
         });
         if (!this.mayRetry(request, failure, attempt))
-          throw givenUp(failure, leg);
+          throw legProblems.givenUp(failure, leg);
         avoid.add(grant.target.id);
       } finally {
         span.end();
@@ -180,7 +180,7 @@
       Right: versions =>
         versions.some(version => version.id === leg.version.id)
           ? undefined
-          : overtaken(leg),
+          : legProblems.overtaken(leg),
     });
   }
 
@@ -211,7 +211,7 @@
       yield* this.pass(request, leg, events);
       result = GrantResult.OK;
     } catch (error) {
-      const failure = toFailure(error);
+      const failure = legProblems.toFailure(error);
       result = request.signal.aborted
         ? GrantResult.CANCELLED
         : failure.busy
@@ -232,7 +232,7 @@
   ): AsyncGenerator<AnswerPart> {
     for await (const event of events) {
       if (event.requestId !== request.id)
-        throw broken('the runner sent a part of another request');
+        throw legProblems.broken('the runner sent a part of another request');
       if (event.kind === 'final') {
         leg.usage = event.usage;
         yield {
@@ -243,12 +243,13 @@
         return;
       }
       if (event.index < leg.tokens) continue;
-      if (event.index > leg.tokens) throw broken('a token is missing');
+      if (event.index > leg.tokens)
+        throw legProblems.broken('a token is missing');
       leg.tokens++;
       leg.text += event.text;
       yield {kind: 'token', text: event.text};
     }
-    throw broken('the answer ended without its final mark');
+    throw legProblems.broken('the answer ended without its final mark');
   }
 
   private mayRetry(
@@ -261,52 +262,3 @@
     return failure.busy || this.budget.spend();
   }
 }
-
-function broken(message: string): RunnerFailure {
-  return new RunnerFailure({message, mayHaveRun: true});
-}
-
-function toFailure(error: unknown): RunnerFailure {
-  if (error instanceof RunnerFailure) return error;
-  return new RunnerFailure({
-    message: String(error),
-    mayHaveRun: true,
-    cause: error,
-  });
-}
-
-function cancelled(leg: Leg): RequestFailure {
-  const problem = new Problem({
-    kind: ProblemKind.CANCELLED,
-    what: 'the caller left',
-    remedy: 'send the request again if the answer is still wanted',
-  });
-  return new RequestFailure(
-    problem,
-    leg.mayHaveRun ? Outcome.UNKNOWN : Outcome.NOT_RUN,
-  );
-}
-
-function overtaken(leg: Leg): Problem {
-  return new Problem({
-    kind: ProblemKind.NO_RUNNER,
-    what: `version ${leg.version.id} stopped taking work while the request waited`,
-    remedy: 'send the request again',
-    retryAfterMs: 1,
-  });
-}
-
-function givenUp(failure: RunnerFailure, leg: Leg): RequestFailure {
-  const problem = new Problem({
-    kind: ProblemKind.RUNNER_FAILED,
-    what: `no runner gave a whole answer: ${failure.message}`,
-    remedy:
-      'send the request again later; if it keeps failing, tell the operator the request id',
-    retryAfterMs: 1_000,
-    cause: failure,
-  });
-  return new RequestFailure(
-    problem,
-    leg.mayHaveRun ? Outcome.UNKNOWN : Outcome.NOT_RUN,
-  );
-}
