--- a/packages/gateway/src/runners/runner_chooser.ts
+++ b/packages/gateway/src/runners/runner_chooser.ts
@@ -49,7 +49,10 @@
 /** An answer's size as far as it is known before: some KB on the users' sheets, in bytes. */
 const ANSWER_BYTES = 2_000;
 const BYTES_PER_KB = 1_000;
-/** Part of the reading of shared parts that is saved later if their home does it; all of it once more. */
+/**
+ * How often the reading of shared parts is taken to be saved later if their home does it now: once.
+ * The home is the runner at which all hosts look for these parts.
+ */
 const HOME_PART = 1;
 /** How many hosts look at a runner, on average. */
 const LOOKS_A_RUNNER = 5;
