Lost places are counted in one pass, and told once

Cause: every choice of a runner while any host was lost listed all living hosts once for each place (30 times 340 at the design size); each further silent host of a place already lost wrote place_lost again and woke those who wait. Change: one pass over the hosts; only a place that was not lost before is told. Result: roster.test.ts, a test that fails without it (told 2 in place of 1).

--- a/packages/gateway/src/peers/roster.test.ts
+++ b/packages/gateway/src/peers/roster.test.ts
@@ -67,3 +67,22 @@
   roster.noteFailure('b2', 'silent');
   assert.equal(told, 1);
 });
+
+void test('a place of many hosts is lost once, after three of them, until one answers', () => {
+  const names = ['c1', 'c2', 'c3', 'c4', 'c5'];
+  let told = 0;
+  roster.onPlaceLost(() => {
+    told += 1;
+  });
+  for (const name of names) roster.noteHeard(host(name, 'c'));
+  clock.advance(10);
+  roster.noteFailure('c1', 'silent');
+  roster.noteFailure('c2', 'silent');
+  assert.equal(roster.seenLostPlaces().has('c'), false);
+  roster.noteFailure('c3', 'silent');
+  roster.noteFailure('c4', 'silent');
+  assert.equal(roster.seenLostPlaces().has('c'), true);
+  assert.equal(told, 1);
+  roster.noteHeard(host('c5', 'c'));
+  assert.equal(roster.seenLostPlaces().has('c'), false);
+});
--- a/packages/gateway/src/peers/roster.ts
+++ b/packages/gateway/src/peers/roster.ts
@@ -100,14 +100,8 @@
   seenLostPlaces(): Set<string> {
     const lost = new Set<string>();
     if (this.lostSince.size === 0) return lost;
-    for (const place of this.otherPlaces()) {
-      const hosts = this.livingIn(place);
-      const answeredAt = this.answeredAt.get(place) ?? -Infinity;
-      const silent = hosts.filter(
-        ({name}) => (this.lostSince.get(name) ?? -Infinity) > answeredAt,
-      );
-      if (silent.length >= Math.min(LOST_HOSTS, hosts.length)) lost.add(place);
-    }
+    for (const [place, {hosts, silent}] of this.countSilent())
+      if (silent >= Math.min(LOST_HOSTS, hosts)) lost.add(place);
     return lost;
   }
 
@@ -150,13 +144,30 @@
     const now = this.options.clock.now();
     this.suspectedUntil.set(name, now + SUSPECT_MS);
     if (this.lostSince.has(name)) return;
+    const lostBefore = this.seenLostPlaces();
     this.lostSince.set(name, now);
     const {log} = this.options;
     log.write('peer_lost', {peer: name, reason});
-    const place = this.entries.get(name)?.place;
-    if (place === undefined || !this.seenLostPlaces().has(place)) return;
-    log.write('place_lost', {place, source: 'own calls'});
-    for (const listener of this.placeListeners) listener();
+    for (const place of this.seenLostPlaces()) {
+      if (lostBefore.has(place)) continue;
+      log.write('place_lost', {place, source: 'own calls'});
+      for (const listener of this.placeListeners) listener();
+    }
+  }
+
+  /** Hosts of each other place, and how many are silent with none of it answering since; in one pass. */
+  private countSilent(): Map<string, {hosts: number; silent: number}> {
+    const counts = new Map<string, {hosts: number; silent: number}>();
+    for (const {name, place} of this.living()) {
+      if (place === this.options.self.place) continue;
+      const count = counts.get(place) ?? {hosts: 0, silent: 0};
+      counts.set(place, count);
+      count.hosts += 1;
+      const answeredAt = this.answeredAt.get(place) ?? -Infinity;
+      if ((this.lostSince.get(name) ?? -Infinity) > answeredAt)
+        count.silent += 1;
+    }
+    return counts;
   }
 
   private noteSign(place: string | undefined): void {
