A request without what a host has carries an empty digest, not none

Cause: a start asks seeds without knowing their place, so it sent no digest; a seed of an earlier version in the same place keeps what it is sent and sums it up, which fails on a missing digest for 3 s. Change: an empty digest; the field is not optional any more. Result: sync_desk.test.ts asks for the empty digest, for other and for unknown places.

--- a/packages/gateway/src/peers/sync_desk.test.ts
+++ b/packages/gateway/src/peers/sync_desk.test.ts
@@ -51,9 +51,16 @@
   const {desk, roster} = createDesk('a1');
   roster.noteHeard(host('c1', 'c'));
   roster.noteFailure('c1', 'silent');
-  assert.equal(desk.request(0, 'b').digest, undefined);
+  const empty = {runners: {}, rollouts: {}};
+  assert.deepEqual(desk.request(0, 'b').digest, empty);
+  assert.deepEqual(desk.request(0).digest, empty);
   assert.deepEqual(desk.request(0, 'a').digest, digest);
   const from = host('b1', 'b');
-  const answer = await desk.answer({from, positions: {}, waitMs: 0});
+  const answer = await desk.answer({
+    from,
+    digest: empty,
+    positions: {},
+    waitMs: 0,
+  });
   assert.equal(answer.lostPlaces, undefined);
 });
--- a/packages/gateway/src/peers/sync_desk.ts
+++ b/packages/gateway/src/peers/sync_desk.ts
@@ -2,6 +2,7 @@
 import type {Topic} from '../records/topic.js';
 import type {TopicMirror} from '../records/topic_mirror.js';
 import type {LoadBoard} from './load_board.js';
+import type {LoadDigest} from './load_digest.js';
 import type {Roster} from './roster.js';
 import type {SyncAnswer} from './sync_answer.js';
 import type {SyncRequest} from './sync_request.js';
@@ -15,6 +16,8 @@
   readonly roster: Roster;
 }
 
+/** Stands for what hosts elsewhere need not be told; hosts of an earlier version need it there. */
+const EMPTY_DIGEST: LoadDigest = {runners: {}, rollouts: {}};
 /** Time in which news is gathered before those who wait are answered, in ms. */
 const GATHER_MS = 15;
 
@@ -35,7 +38,7 @@
     const {self} = roster;
     const {from, digest} = request;
     roster.noteHeard(from);
-    if (digest && from.place === self.place) board.noteHost(from.name, digest);
+    if (from.place === self.place) board.noteHost(from.name, digest);
     if (request.waitMs > 0 && !this.hasNews(request))
       await this.waitForNews(request.waitMs);
     return {
@@ -60,7 +63,7 @@
       positions: Object.fromEntries(
         loaded.map(({topic, next}) => [topic, next]),
       ),
-      digest: isInside ? board.own() : undefined,
+      digest: isInside ? board.own() : EMPTY_DIGEST,
       waitMs,
     };
   }
--- a/packages/gateway/src/peers/sync_request.ts
+++ b/packages/gateway/src/peers/sync_request.ts
@@ -7,8 +7,8 @@
   readonly from: HostEntry;
   /** Next position of each topic's copy; absent topics are not loaded yet. */
   readonly positions: Partial<Record<Topic, number>>;
-  /** What the asking host itself has and saw; only hosts of the same place are told. */
-  readonly digest?: LoadDigest;
+  /** What the asking host itself has and saw; empty for a host that is not of the same place. */
+  readonly digest: LoadDigest;
   /** How long the other may wait for news, in ms. */
   readonly waitMs: number;
 }
