--- a/packages/decisions/src/calls/cascade_rule.ts
+++ b/packages/decisions/src/calls/cascade_rule.ts
@@ -33,8 +33,9 @@
 /** How steeply the chance to be in time falls around the target; times are known to a half or so. */
 const TIME_STEEPNESS = 4;
 /**
- * What the others lose by engine time of one latency target at a pressure of 1, in worths of an answer:
- * 0 costs a tenth of all worth, 2.5 to 7 are alike; see docs/design/deciding-well.md.
+ * What the others lose by engine time of one latency target at a pressure of 1, in worths of an answer.
+ * In trials 0 lost 0.077 of a day's worth against 3, and 2.5 to 7 were alike; see
+ * docs/design/deciding-well.md.
  */
 const CROWDING = 4;
 
--- a/packages/decisions/src/calls/index.ts
+++ b/packages/decisions/src/calls/index.ts
@@ -16,7 +16,6 @@
 export {judgeVersion} from './judge_version.js';
 export type {KeyHolder} from './key_holder.js';
 export type {LargestOutlook} from './largest_outlook.js';
-export {OpinionScale} from './opinion_scale.js';
 export type {Prompt} from './prompt.js';
 export type {PromptPart} from './prompt_part.js';
 export {rankByHash} from './rank_by_hash.js';
--- a/packages/gateway/src/calls/attempt_lessons.ts
+++ b/packages/gateway/src/calls/attempt_lessons.ts
@@ -111,8 +111,8 @@
 
   private countFailure(runner: Runner, reason: string, weight: number): void {
     const {directory, log} = this.options;
-    const {health, others: remoteHosts, entry} = runner;
-    const remote = remoteHosts.load;
+    const {health, entry} = runner;
+    const remote = runner.others.load;
     health.countFailure(weight);
     const others = directory
       .takersOf(entry.service)
--- a/packages/gateway/src/runners/prefix_book.ts
+++ b/packages/gateway/src/runners/prefix_book.ts
@@ -33,14 +33,19 @@
 
   /** Tokens at the start of the prompt that the runner probably still keeps. */
   keptTokens(runner: string, model: string, prompt: Prompt): number {
-    const parts = this.byRunner.get(runner);
-    if (!parts) return 0;
-    let kept = 0;
-    for (const part of prompt.parts) {
-      if (!parts.has(keyOf(model, part))) break;
-      kept += part.tokens;
-    }
-    return kept;
+    return this.counterFor(model, prompt)(runner);
+  }
+
+  /** The same for several runners: the keys of the parts are made once. */
+  counterFor(model: string, {parts}: Prompt): (runner: string) => number {
+    const keys = parts.map(part => keyOf(model, part));
+    return runner => {
+      const known = this.byRunner.get(runner);
+      if (!known) return 0;
+      const missing = keys.findIndex(key => !known.has(key));
+      const kept = missing < 0 ? parts : parts.slice(0, missing);
+      return kept.reduce((sum, {tokens}) => sum + tokens, 0);
+    };
   }
 
   /** Notes that a runner reads the parts of a prompt for this host. */
--- a/packages/gateway/src/runners/runner_chooser.ts
+++ b/packages/gateway/src/runners/runner_chooser.ts
@@ -89,8 +89,13 @@
 
   private bestOf(runners: readonly Runner[], query: RunnerQuery): Bid {
     const home = homeOf(runners, query);
+    const {model, prompt} = query;
+    const keptAt =
+      prompt && model !== undefined
+        ? this.options.prefixes.counterFor(model, prompt)
+        : () => 0;
     return this.sample(runners, home)
-      .map(runner => this.bid(runner, query, home))
+      .map(runner => this.bid(runner, query, home, keptAt(runner.entry.id)))
       .reduce((best, bid) => (bid.costMs < best.costMs ? bid : best));
   }
 
@@ -119,6 +124,7 @@
     runner: Runner,
     query: RunnerQuery,
     home: string | undefined,
+    kept: number,
   ): Bid {
     const {place, random} = this.options;
     const isLocal = runner.entry.place === place;
@@ -129,11 +135,6 @@
       const costMs = (queueCost(runner) + crossing) * runner.slowness + spread;
       return {runner, costMs, workMs: 0, waitMs: 0, unreadTokens: 0};
     }
-    const kept = this.options.prefixes.keptTokens(
-      runner.entry.id,
-      model,
-      prompt,
-    );
     const unreadTokens = Math.max(1, prompt.tokens - kept);
     const rate = this.options.rates.of(model);
     const workMs = unreadTokens * rate;
