One way to ask what runners keep of a prompt

Cause: with the keys made once, the older method was left to tests only. Change: keptTokensOf in place of both; the tests ask the same of it. Result: the tests of runners pass, with the same expected values.

--- a/packages/gateway/src/runners/prefix_book.test.ts
+++ b/packages/gateway/src/runners/prefix_book.test.ts
@@ -22,11 +22,11 @@
   const there = new PrefixBook({clock});
   there.note('one', 'small', prompt);
   here.takeNews(there.news());
-  assert.equal(here.keptTokens('one', 'small', other), 600);
-  assert.equal(here.keptTokens('one', 'small', prompt), 600);
-  assert.equal(here.keptTokens('one', 'large', prompt), 0);
-  assert.equal(here.keptTokens('two', 'small', prompt), 0);
-  assert.equal(there.keptTokens('one', 'small', prompt), 700);
+  assert.equal(here.keptTokensOf('small', other)('one'), 600);
+  assert.equal(here.keptTokensOf('small', prompt)('one'), 600);
+  assert.equal(here.keptTokensOf('large', prompt)('one'), 0);
+  assert.equal(here.keptTokensOf('small', prompt)('two'), 0);
+  assert.equal(there.keptTokensOf('small', prompt)('one'), 700);
 });
 
 void test('a part is told once, for a short time, and the newest of too many', () => {
--- a/packages/gateway/src/runners/prefix_book.ts
+++ b/packages/gateway/src/runners/prefix_book.ts
@@ -31,13 +31,11 @@
 
   constructor(private readonly options: Options) {}
 
-  /** Tokens at the start of the prompt that the runner probably still keeps. */
-  keptTokens(runner: string, model: string, prompt: Prompt): number {
-    return this.counterFor(model, prompt)(runner);
-  }
-
-  /** The same for several runners: the keys of the parts are made once. */
-  counterFor(model: string, {parts}: Prompt): (runner: string) => number {
+  /**
+   * Tells for any runner how many tokens at the start of the prompt it probably still keeps. The keys of
+   * the parts are made once for all runners.
+   */
+  keptTokensOf(model: string, {parts}: Prompt): (runner: string) => number {
     const keys = parts.map(part => keyOf(model, part));
     return runner => {
       const known = this.byRunner.get(runner);
--- a/packages/gateway/src/runners/runner_chooser.ts
+++ b/packages/gateway/src/runners/runner_chooser.ts
@@ -92,7 +92,7 @@
     const {model, prompt} = query;
     const keptAt =
       prompt && model !== undefined
-        ? this.options.prefixes.counterFor(model, prompt)
+        ? this.options.prefixes.keptTokensOf(model, prompt)
         : () => 0;
     return this.sample(runners, home)
       .map(runner => this.bid(runner, query, home, keptAt(runner.entry.id)))
