Sight: what decided on a call's version, and sessions that changed it across hosts

Cause: the log tells the version of each choice, but not why; whether a session was unknown at a host, in the share, or given any runner for want of one of its version could not be told apart, and no tool followed a session from host to host. Change: runner_chosen has versionReason, versionGranted and rememberedVersion; the counter version_choices_total; `bayspool sessions` finds calls that ran on another version than the one before them. The choice itself is the same, cut in steps that have names. Tests of gateway and client pass.

--- a/packages/client/src/commands.ts
+++ b/packages/client/src/commands.ts
@@ -7,6 +7,7 @@
 import {intentCommand} from './commands/intent_command.js';
 import {intentsCommand} from './commands/intents_command.js';
 import {lossesCommand} from './commands/losses_command.js';
+import {sessionsCommand} from './commands/sessions_command.js';
 import {statusCommand} from './commands/status_command.js';
 import {watchCommand} from './commands/watch_command.js';
 
@@ -20,6 +21,7 @@
   configCommand,
   explainCommand,
   lossesCommand,
+  sessionsCommand,
   checkCommand,
   hashKeyCommand,
 ];
--- /dev/null
+++ b/packages/client/src/commands/sessions_command.ts
@@ -0,0 +1,43 @@
+import {ClientFailure} from '../client_failure.js';
+import type {Command} from '../command.js';
+import {ExitCode} from '../exit_code.js';
+import type {LogLine} from '../explain/log_line.js';
+import {readLogLines} from '../explain/read_log_lines.js';
+import {describeMoves} from '../sessions/describe_moves.js';
+import {findMoves} from '../sessions/find_moves.js';
+import {readSessionRuns} from '../sessions/read_session_runs.js';
+
+/** Longest gap inside a session where none is given: what the users' deployments set, in seconds. */
+const DEFAULT_GAP_S = 5;
+const MS_PER_SECOND = 1_000;
+
+/** `bayspool sessions`. */
+export const sessionsCommand: Command = {
+  name: 'sessions',
+  summary: 'find sessions that changed the version, across hosts, and why',
+  help: `
+  Usage
+    bayspool sessions [FILE ...]
+    cat host-*.log | bayspool sessions
+
+  Follows each session through the log lines of all hosts and prints the calls that ran on another
+  version than the call before them, ${DEFAULT_GAP_S} seconds earlier at most. Give the logs of all hosts; detail is
+  sampled under load, so look for lines_dropped before you compare counts.
+
+  Options
+    --json   the moves as JSON
+`,
+  async run({words, flags, print}) {
+    const lines: LogLine[] = [];
+    for await (const line of readLogLines(words)) lines.push(line);
+    const runs = readSessionRuns(lines);
+    if (runs.length === 0)
+      throw new ClientFailure(
+        'no call of a session in these lines; give the logs of hosts that took requests with sessions',
+        ExitCode.UNKNOWN,
+      );
+    const moves = findMoves({runs, gapMs: DEFAULT_GAP_S * MS_PER_SECOND});
+    print(flags.json ? JSON.stringify(moves, null, 2) : describeMoves(moves));
+    return ExitCode.OK;
+  },
+};
--- /dev/null
+++ b/packages/client/src/sessions/sessions.test.ts
@@ -0,0 +1,70 @@
+import assert from 'node:assert/strict';
+import {test} from 'node:test';
+import type {LogLine} from '../explain/log_line.js';
+import {describeMoves} from './describe_moves.js';
+import {findMoves} from './find_moves.js';
+import {readSessionRuns} from './read_session_runs.js';
+
+const GAP_MS = 5_000;
+
+interface Call {
+  readonly request: string;
+  readonly second: number;
+  readonly host: string;
+  readonly versions: readonly string[];
+  readonly session?: string;
+}
+
+function linesOf({request, second, host, versions, session}: Call): LogLine[] {
+  const time = new Date(second * 1_000).toISOString();
+  const common = {time, steadyMs: 0, host, request};
+  return [
+    {...common, event: 'request_accepted', session},
+    ...versions.map(version => ({
+      ...common,
+      event: 'runner_chosen',
+      service: 'svc',
+      version,
+      versionReason: 'in the share',
+    })),
+  ];
+}
+
+function movesOf(calls: readonly Call[]) {
+  const runs = readSessionRuns(calls.flatMap(linesOf));
+  return findMoves({runs, gapMs: GAP_MS});
+}
+
+void test('a session that ran on two versions at two hosts is found', () => {
+  const moves = movesOf([
+    {request: 'b', second: 4, host: 'h2', versions: ['v2'], session: 's'},
+    {request: 'a', second: 1, host: 'h1', versions: ['v1'], session: 's'},
+    {request: 'c', second: 5, host: 'h2', versions: ['v2'], session: 's'},
+  ]);
+  assert.deepEqual(
+    moves.map(({before, after}) => [before.request, after.request]),
+    [['a', 'b']],
+  );
+  const text = describeMoves(moves);
+  assert.match(text, /1 {2}v1 to v2, another host: in the share/);
+  assert.match(text, /b at h2: v2, in the share; remembered: nothing/);
+});
+
+void test('the version that ran a call last counts', () => {
+  const moves = movesOf([
+    {request: 'a', second: 1, host: 'h1', versions: ['v2', 'v1'], session: 's'},
+    {request: 'b', second: 2, host: 'h1', versions: ['v1'], session: 's'},
+  ]);
+  assert.equal(moves.length, 0);
+  assert.equal(describeMoves(moves), 'no session changed its version');
+});
+
+void test('calls without a session, of others, or after a pause do not belong together', () => {
+  const moves = movesOf([
+    {request: 'a', second: 1, host: 'h1', versions: ['v1'], session: 's'},
+    {request: 'b', second: 2, host: 'h1', versions: ['v2'], session: 't'},
+    {request: 'c', second: 3, host: 'h1', versions: ['v2']},
+    {request: 'd', second: 7, host: 'h1', versions: ['v2'], session: 's'},
+  ]);
+  assert.equal(moves.length, 0);
+});
--- a/packages/gateway/src/calls/call_forwarder.ts
+++ b/packages/gateway/src/calls/call_forwarder.ts
@@ -129,7 +129,9 @@
         ? version === wish.only
         : version !== wish.not && !held.has(version),
     );
-    const able = wished.length > 0 ? wished : takers;
+    const hasWished = wished.length > 0;
+    const able = hasWished ? wished : takers;
+    progress.version = {wish, isGranted: hasWished};
     const {prompt, body} = call;
     const bodyBytes = body.length;
     return chooser.choose({candidates: able, tried, bodyBytes, model, prompt});
@@ -193,18 +195,28 @@
   }
 
   private noteChoice(progress: CallProgress, choice: RunnerChoice): void {
-    const {log, directory, rollouts, prefixes, sessions} = this.options;
+    const {log, metrics, directory, rollouts, prefixes, sessions} =
+      this.options;
     const {call, model} = progress;
     const {entry} = choice.runner;
     if (call.prompt && model !== undefined)
       prefixes.note(entry.id, model, call.prompt);
     if (call.session !== undefined) sessions.set(call.session, entry.version);
+    const {wish, isGranted} = progress.version ?? {};
+    metrics.versionChoices.inc({
+      service: entry.service,
+      reason: wish?.reason,
+      isGranted: String(isGranted),
+    });
     log.write('runner_chosen', {
       request: call.id,
       attempt: progress.tries + 1,
       runner: entry.id,
       service: entry.service,
       version: entry.version,
+      versionReason: wish?.reason,
+      versionGranted: isGranted,
+      rememberedVersion: wish?.remembered,
       model,
       running: choice.runner.totalRunning,
       pendingMs: Math.round(choice.runner.totalPendingMs),
--- a/packages/gateway/src/calls/call_progress.ts
+++ b/packages/gateway/src/calls/call_progress.ts
@@ -1,3 +1,4 @@
+import type {VersionWish} from '../rollouts/version_wish.js';
 import type {Runner} from '../runners/runner.js';
 import {AttemptKind} from './attempt_kind.js';
 import type {AttemptOutcome} from './attempt_outcome.js';
@@ -10,6 +11,13 @@
   readonly model?: string;
 }
 
+/** What the last choice of a runner wished for, and whether a runner had it. */
+interface VersionDecision {
+  readonly wish: VersionWish;
+  /** False if no runner had a version that was wished, so that any runner was taken. */
+  readonly isGranted: boolean;
+}
+
 /** How far a call has come: what was tried, and whether it may have run. */
 export class CallProgress {
   readonly call: IncomingCall;
@@ -27,6 +35,8 @@
   mayHaveRun = false;
   /** The version of the runner that failed last. */
   failedVersion: string | undefined;
+  /** On what the version of the last runner was decided. */
+  version: VersionDecision | undefined;
   /** The last answer of a runner that failed, which can still be passed on. */
   lastError: WholeAnswer | undefined;
 
--- a/packages/gateway/src/observability/event_fields.ts
+++ b/packages/gateway/src/observability/event_fields.ts
@@ -42,6 +42,12 @@
     runner: string;
     service: string;
     version: string;
+    /** What decided on the version, see VersionReason. */
+    versionReason?: string;
+    /** False if no runner of the wished version was known, so that any runner was taken. */
+    versionGranted?: boolean;
+    /** The version that this host remembers of the session; none if it does not know the session. */
+    rememberedVersion?: string;
     model?: string;
     running: number;
     pendingMs: number;
--- a/packages/gateway/src/observability/gateway_metrics.ts
+++ b/packages/gateway/src/observability/gateway_metrics.ts
@@ -23,6 +23,11 @@
     'Attempts beyond the first of a request',
     ['service', 'reason'],
   );
+  readonly versionChoices = this.counter(
+    'version_choices_total',
+    'Choices of a runner, by what decided on its version',
+    ['service', 'reason', 'isGranted'],
+  );
   readonly weighedAnswers = this.counter(
     'weighed_answers_total',
     'Answers of small models, and whether they were used',
--- a/packages/gateway/src/rollouts/rollout_book.ts
+++ b/packages/gateway/src/rollouts/rollout_book.ts
@@ -12,6 +12,8 @@
 import type {RolloutDigest} from './rollout_digest.js';
 import {Rollout} from './rollout.js';
 import type {RolloutStarts} from './rollout_starts.js';
+import {VersionReason} from './version_reason.js';
+import type {VersionWish} from './version_wish.js';
 
 interface Options {
   readonly clock: Clock;
@@ -38,13 +40,16 @@
   readonly failedVersion?: string;
 }
 
-/** What version a call should have. */
-interface VersionWish {
-  /** Only this version. */
-  readonly only?: string;
-  /** Any version but this one. */
-  readonly not?: string;
-}
+/** What decides on the version of a call. */
+type VersionQuestion = Omit<Wisher, 'service'> &
+  Pick<VersionWish, 'remembered'>;
+
+/** Reasons for which a call gets the new version; for all others it gets the old one. */
+const NEW_VERSION_REASONS: ReadonlySet<VersionReason> = new Set([
+  VersionReason.WHOLE,
+  VersionReason.SESSION_NEW,
+  VersionReason.IN_SHARE,
+]);
 
 /** The roll-outs that are ordered, and which version each call gets. */
 export class RolloutBook {
@@ -83,16 +88,19 @@
    * order, so that all hosts agree; sessions that run keep theirs.
    */
   wishFor({service, key, session, failedVersion}: Wisher): VersionWish {
+    const remembered = this.rememberedOf(session);
     const rollout = this.rollouts.get(service);
-    if (!rollout) return {};
+    if (!rollout) return {reason: VersionReason.NONE, remembered};
     const {version} = rollout.order;
-    const {share} = rollout;
-    if (share === 0) return {not: version};
-    if (share === 1) return {only: version};
-    // A call that failed there is not tried on the watched version again.
-    if (failedVersion === version) return {not: version};
-    if (this.isFresh(rollout, key, session)) return {only: version};
-    return {not: version};
+    const reason = this.reasonFor(rollout, {
+      key,
+      session,
+      failedVersion,
+      remembered,
+    });
+    const isNew = NEW_VERSION_REASONS.has(reason);
+    const wish = isNew ? {only: version} : {not: version};
+    return {...wish, reason, remembered};
   }
 
   /** Takes over what other hosts told, summed over them. */
@@ -105,17 +113,35 @@
     }
   }
 
-  private isFresh(rollout: Rollout, key: string, session?: string): boolean {
-    const {clock, sessions, sessionMemoryMs, isInTouch} = this.options;
+  private rememberedOf(session: string | undefined): string | undefined {
+    if (session === undefined) return undefined;
+    return this.options.sessions.get(session);
+  }
+
+  private reasonFor(
+    rollout: Rollout,
+    {key, session, failedVersion, remembered}: VersionQuestion,
+  ): VersionReason {
+    const {share} = rollout;
     const {version, offset} = rollout.order;
-    const pinned = session === undefined ? undefined : sessions.get(session);
-    if (pinned === version) return true;
-    if (!isInTouch()) return false;
+    if (share === 0) return VersionReason.TAKEN_BACK;
+    if (share === 1) return VersionReason.WHOLE;
+    // A call that failed there is not tried on the watched version again.
+    if (failedVersion === version) return VersionReason.FAILED_THERE;
+    if (remembered === version) return VersionReason.SESSION_NEW;
+    if (!this.options.isInTouch()) return VersionReason.OUT_OF_TOUCH;
     if (!rollout.isPastHalf && session !== undefined) {
-      const isOld = clock.now() - this.openedAt < sessionMemoryMs;
-      if (pinned !== undefined || isOld) return false;
+      if (remembered !== undefined) return VersionReason.SESSION_OLD;
+      if (this.hasJustStarted) return VersionReason.HOST_STARTED;
     }
-    return hashText(`${offset}|${session ?? key}`) < rollout.share;
+    const isInShare = hashText(`${offset}|${session ?? key}`) < share;
+    return isInShare ? VersionReason.IN_SHARE : VersionReason.OUTSIDE_SHARE;
+  }
+
+  /** Whether sessions may go on that this host does not know, as it started a short time ago. */
+  private get hasJustStarted(): boolean {
+    const {clock, sessionMemoryMs} = this.options;
+    return clock.now() - this.openedAt < sessionMemoryMs;
   }
 
   private order(record: KeyedRecord, isReload: boolean): void {
--- /dev/null
+++ b/packages/gateway/src/rollouts/version_reason.ts
@@ -0,0 +1,16 @@
+/** Why a call gets the version that it gets while a service has a roll-out. */
+const VersionReason = {
+  NONE: 'no roll-out',
+  TAKEN_BACK: 'new version taken back',
+  WHOLE: 'all calls',
+  FAILED_THERE: 'failed on the new version',
+  SESSION_NEW: 'session runs on the new version',
+  SESSION_OLD: 'session runs on the old version',
+  OUT_OF_TOUCH: 'host out of touch',
+  HOST_STARTED: 'host just started',
+  IN_SHARE: 'in the share',
+  OUTSIDE_SHARE: 'outside the share',
+} as const;
+type VersionReason = (typeof VersionReason)[keyof typeof VersionReason];
+
+export {VersionReason};
--- /dev/null
+++ b/packages/gateway/src/rollouts/version_wish.ts
@@ -0,0 +1,12 @@
+import type {VersionReason} from './version_reason.js';
+
+/** What version a call should have, and why. */
+export interface VersionWish {
+  /** Only this version. */
+  readonly only?: string;
+  /** Any version but this one. */
+  readonly not?: string;
+  readonly reason: VersionReason;
+  /** The version that this host remembers of the call's session; undefined if it knows none. */
+  readonly remembered?: string;
+}
