Reproduced, failing: sessions that move to the new version in the first half, at another host

Cause: a host that doesn't know a session takes it to be new, and a hash puts 0.08 of such sessions on the new version, though they ran on the old one elsewhere a moment ago. Change: three tests that fail on the code as it is, listed in KNOWN-RED.txt; scripts/test.mjs passes over just the tests that are listed there and prints them, with three lines at most. Nothing of the product changes.

--- a/scripts/test.mjs
+++ b/scripts/test.mjs
@@ -1,9 +1,14 @@
 // Runs every test of the built packages with the node:test runner; arguments are path parts to choose among them.
-import {spawnSync} from 'node:child_process';
+// Failures of the tests that KNOWN-RED.txt lists are printed and passed over, all others fail the run.
 import {readdirSync} from 'node:fs';
-import {join} from 'node:path';
+import {join, relative} from 'node:path';
+import {run} from 'node:test';
+import {spec} from 'node:test/reporters';
+import {readKnownRed} from './known_red.mjs';
 
 const CONCURRENCY = 4;
+/** Longest time for the tests of one file, in ms. */
+const TIMEOUT_MS = 300_000;
 
 function testFiles(folder) {
   return readdirSync(folder, {withFileTypes: true}).flatMap(entry => {
@@ -13,10 +18,39 @@
   });
 }
 
+/** The source of a built test file. */
+function sourceOf(path) {
+  return relative('.', path).replace('/dist/', '/src/').replace(/\.js$/, '.ts');
+}
+
 const wanted = process.argv.slice(2);
 const folders = [...readdirSync('packages').map(name => join('packages', name)), 'platform'];
 const files = folders
   .flatMap(folder => testFiles(join(folder, 'dist')))
   .filter(file => wanted.length === 0 || wanted.some(part => file.includes(part)));
-const result = spawnSync(process.execPath, ['--test', `--test-concurrency=${CONCURRENCY}`, '--test-timeout=300000', ...files], {stdio: 'inherit'});
-process.exit(result.status ?? 1);
+if (files.length === 0) throw new Error('no test file matches: name a part of its path, or build first');
+const knownRed = readKnownRed();
+const failures = [];
+const seen = [];
+const stream = run({files, concurrency: CONCURRENCY, timeout: TIMEOUT_MS});
+stream.on('test:fail', ({name, file, todo}) => {
+  if (todo) return;
+  const source = sourceOf(file ?? name);
+  const known = knownRed.find(red => red.file === source && red.test === name);
+  if (known) seen.push(known);
+  else failures.push(`${source} :: ${name}`);
+});
+stream.compose(spec).pipe(process.stdout);
+stream.once('end', () => {
+  // The reporter ends after the events do: the sums come last, so that they are read as the outcome.
+  setImmediate(() => process.once('exit', report));
+});
+
+function report() {
+  for (const red of knownRed) {
+    const state = seen.includes(red) ? 'known red' : 'listed, but did not fail in this run';
+    console.log(`${state}: ${red.line}`);
+  }
+  for (const failure of failures) console.log(`failed: ${failure}`);
+  process.exitCode = failures.length > 0 ? 1 : 0;
+}
