A session's version follows from what all hosts know; none is new in the first half

Cause: whether a session was new was decided by the memory of one host. A session that ran on the old version elsewhere (it began before the order, or before the first new runner) was put on the new one in the first half by any host that had never seen it. A host that had just started worked with too short a time since the order until it was told, so that it gave sessions the old version again. The memory of sessions only keeps on the new version what a host put there. The time since the order is taken from seeds' first answers and from the notes, and a time that a host saw goes before one worked out from a time of day. Complete at 0.77 at the earliest (0.74).

--- a/packages/gateway/src/calls/call_forwarder.ts
+++ b/packages/gateway/src/calls/call_forwarder.ts
@@ -202,6 +202,7 @@
     if (call.prompt && model !== undefined)
       prefixes.note(entry.id, model, call.prompt);
     if (call.session !== undefined) sessions.set(call.session, entry.version);
+    const hasSession = call.session !== undefined;
     const {wish, isGranted} = progress.version ?? {};
     metrics.versionChoices.inc({
       service: entry.service,
@@ -226,7 +227,7 @@
       candidates: directory.takersOf(call.service).length,
       ejected: choice.ejected,
       reason: choice.reason,
-      rolloutShare: rollouts.get(call.service)?.share,
+      rolloutShare: rollouts.get(call.service)?.shareOf({hasSession}),
     });
   }
 }
--- a/packages/gateway/src/parts/exchange.ts
+++ b/packages/gateway/src/parts/exchange.ts
@@ -81,6 +81,11 @@
     this.client.stop();
   }
 
+  /** Loads, and what is told of roll-outs, count from the first answer on, also from a seed's. */
+  private takeNews(): void {
+    this.knowledge.loads.takeRemote(this.board.others());
+  }
+
   private createDesk(): SyncDesk {
     const {mirrors, roster} = this.knowledge;
     return new SyncDesk({
@@ -104,12 +109,13 @@
       self: roster.self.address,
       seeds: settings.seeds,
       isFirstStart: settings.isFirstStart,
+      onNews: () => this.takeNews(),
     });
   }
 
   private createNews(): NewsLoop {
     const {clock, random, log} = this.options;
-    const {mirrors, roster, loads, metrics} = this.knowledge;
+    const {mirrors, roster, metrics} = this.knowledge;
     return new NewsLoop({
       clock,
       random,
@@ -119,7 +125,7 @@
       roster,
       client: this.client,
       desk: this.desk,
-      onNews: () => loads.takeRemote(this.board.others()),
+      onNews: () => this.takeNews(),
     });
   }
 
--- a/packages/gateway/src/parts/knowledge.ts
+++ b/packages/gateway/src/parts/knowledge.ts
@@ -118,7 +118,6 @@
       orders: freshness,
       states: mirrors[Topic.STATUS],
       isInTouch: () => clock.now() - freshness.provenAt < TOUCH_MS,
-      sessionMemoryMs: settings.sessionKeptMs,
       starts: this.starts,
     });
     const {directory, rollouts, prefixes} = this;
--- a/packages/gateway/src/parts/observe_parts.ts
+++ b/packages/gateway/src/parts/observe_parts.ts
@@ -101,9 +101,9 @@
     'Share of sessions that the new version gets now',
     ['service', 'phase'],
     () =>
-      rollouts.all().map(({order, phase, share}) => ({
-        labels: {service: order.service, phase},
-        value: share,
+      rollouts.all().map(rollout => ({
+        labels: {service: rollout.order.service, phase: rollout.phase},
+        value: rollout.shareOf({hasSession: true}),
       })),
   );
   metrics.observeEach(
--- a/packages/gateway/src/peers/seed_start.ts
+++ b/packages/gateway/src/peers/seed_start.ts
@@ -18,6 +18,8 @@
   readonly seeds: readonly string[];
   /** Whether all hosts start for the first time now. */
   readonly isFirstStart: boolean;
+  /** Called after each answer of a seed. */
+  readonly onNews: () => void;
 }
 
 /** Time for a seed's answer, in ms: some ways between places, and the reading of a long answer. */
@@ -97,12 +99,13 @@
   }
 
   private async ask(seed: string): Promise<void> {
-    const {clock, client, desk, log, isFirstStart} = this.options;
+    const {clock, client, desk, log, isFirstStart, onNews} = this.options;
     const waitMs = isFirstStart && !this.over ? FIRST_START_WAIT_MS : 0;
     const sentAt = clock.now();
     try {
       const answer = await client.sync(seed, desk.request(waitMs), ANSWER_MS);
       desk.adopt(answer, sentAt);
+      onNews();
       const topics = Object.keys(answer.topics).length;
       log.write('seed_answered', {seed, topics, isLoaded: this.isLoaded});
     } catch (error) {
--- a/packages/gateway/src/rollouts/merge_rollouts.ts
+++ b/packages/gateway/src/rollouts/merge_rollouts.ts
@@ -1,3 +1,5 @@
+import {olderAge} from './older_age.js';
+import type {RolloutAge} from './rollout_age.js';
 import type {RolloutDigest} from './rollout_digest.js';
 
 type Cells = RolloutDigest['fresh'];
@@ -10,7 +12,7 @@
   if (a.offset !== b.offset) return a.offset > b.offset ? a : b;
   return {
     offset: a.offset,
-    elapsedMs: Math.max(a.elapsedMs, b.elapsedMs),
+    ...toAge(olderAge(a, b)),
     isBad: a.isBad || b.isBad,
     oldRunning: a.oldRunning + b.oldRunning,
     fresh: mergeCells(a.fresh, b.fresh),
@@ -18,6 +20,10 @@
   };
 }
 
+function toAge({elapsedMs, isSeen}: RolloutAge): RolloutAge {
+  return {elapsedMs, isSeen};
+}
+
 function mergeCells(a: Cells, b: Cells): Cells {
   const sum: Record<string, readonly [number, number, number]> = {...a};
   for (const [name, [ended, failed, slow]] of Object.entries(b)) {
--- a/packages/gateway/src/rollouts/rollout.ts
+++ b/packages/gateway/src/rollouts/rollout.ts
@@ -7,6 +7,7 @@
 import type {Clock} from '@bayspool/kernel';
 import type {EventLog} from '../observability/event_log.js';
 import {mergeRollouts} from './merge_rollouts.js';
+import type {RolloutAge} from './rollout_age.js';
 import type {RolloutDigest} from './rollout_digest.js';
 import {RolloutEvidence} from './rollout_evidence.js';
 
@@ -16,6 +17,8 @@
   readonly order: RolloutOrder;
   /** Time since the order when this host learned of it, in ms. */
   readonly elapsedMs: number;
+  /** Whether this host saw the order arrive; else the time is worked out from a time of day. */
+  readonly isSeen: boolean;
   /** Position in the topic of states from which they are about this order. */
   readonly statesFrom: number;
 }
@@ -33,10 +36,12 @@
   /** Position in the topic of states from which they are about this order; earlier ones are not. */
   statesFrom: number;
   private startedAt: number;
+  private isSeen: boolean;
   private bad = false;
 
   constructor(private readonly options: Options) {
     this.startedAt = options.clock.now() - options.elapsedMs;
+    this.isSeen = options.isSeen;
     this.statesFrom = options.statesFrom;
   }
 
@@ -55,17 +60,18 @@
     return this.bad;
   }
 
-  /** The share of sessions that the new version gets now, 0 to 1. */
-  get share(): number {
-    if (this.phase === RolloutPhase.REVERTED || this.bad) return 0;
-    if (this.phase === RolloutPhase.COMPLETE) return 1;
-    const {elapsedMs} = this;
-    return rolloutShare({elapsedMs, durationMs: this.order.durationMs});
+  /** Whether the new version was found bad, by hosts or by the store's account, and gets no calls. */
+  get isTakenBack(): boolean {
+    return this.phase === RolloutPhase.REVERTED || this.bad;
   }
 
-  /** Whether sessions may move to the new version. */
-  get isPastHalf(): boolean {
-    return this.elapsedMs > this.order.durationMs / 2;
+  /** The share of calls that the new version gets now, 0 to 1. */
+  shareOf({hasSession}: {readonly hasSession: boolean}): number {
+    if (this.isTakenBack) return 0;
+    if (this.phase === RolloutPhase.COMPLETE) return 1;
+    const {elapsedMs} = this;
+    const {durationMs} = this.order;
+    return rolloutShare({elapsedMs, durationMs, hasSession});
   }
 
   /** Takes over how it ended, and where the state that says so stands. */
@@ -74,10 +80,17 @@
     this.endedAt = offset + 1;
   }
 
-  /** Takes over how long ago the order was made, if others know of a longer time. */
-  noteElapsed(elapsedMs: number): void {
+  /**
+   * Takes over how long ago the order was made. Hosts that saw it arrive only know a time that is too short,
+   * so the longest one holds; it goes before any time that was worked out from a time of day, since that may
+   * have jumped by seconds.
+   */
+  noteElapsed({elapsedMs, isSeen}: RolloutAge): void {
     const startedAt = this.options.clock.now() - elapsedMs;
-    this.startedAt = Math.min(this.startedAt, startedAt);
+    if (isSeen === this.isSeen)
+      this.startedAt = Math.min(this.startedAt, startedAt);
+    else if (isSeen) this.startedAt = startedAt;
+    this.isSeen ||= isSeen;
   }
 
   /** What this host itself saw, for the others. */
@@ -85,6 +98,7 @@
     return {
       offset: this.order.offset,
       elapsedMs: Math.round(this.elapsedMs),
+      isSeen: this.isSeen,
       isBad: this.bad,
       oldRunning,
       fresh: toCells(this.evidence.fresh),
--- /dev/null
+++ b/packages/gateway/src/rollouts/rollout_age.ts
@@ -0,0 +1,7 @@
+/** How long ago a roll-out was ordered, and how that is known. */
+export interface RolloutAge {
+  /** Time since the order, in ms. */
+  readonly elapsedMs: number;
+  /** Whether some host saw the order arrive; else the time was worked out from a time of day. */
+  readonly isSeen: boolean;
+}
--- a/packages/gateway/src/rollouts/rollout_book.ts
+++ b/packages/gateway/src/rollouts/rollout_book.ts
@@ -24,8 +24,6 @@
   readonly sessions: SessionVersions;
   /** Whether this host heard of the store a short time ago, itself or through others. */
   readonly isInTouch: () => boolean;
-  /** How long this host must have run to know the sessions that go on, in ms. */
-  readonly sessionMemoryMs: number;
   /** What hosts noted in the store when an order was first seen. */
   readonly starts: RolloutStarts;
 }
@@ -54,10 +52,8 @@
 /** The roll-outs that are ordered, and which version each call gets. */
 export class RolloutBook {
   private readonly rollouts = new Map<string, Rollout>();
-  private readonly openedAt: number;
 
   constructor(private readonly options: Options) {
-    this.openedAt = options.clock.now();
     options.orders.onUpdate(({changed, isReload}) =>
       changed.forEach(record => this.order(record, isReload)),
     );
@@ -85,7 +81,8 @@
 
   /**
    * Which version a call of a service gets: a pure function of session, roll-out and time since the
-   * order, so that all hosts agree; sessions that run keep theirs.
+   * order, so that hosts agree whichever of them a session reaches. What a host remembers of sessions only
+   * keeps on the new version those that it put there.
    */
   wishFor({service, key, session, failedVersion}: Wisher): VersionWish {
     const remembered = this.rememberedOf(session);
@@ -109,7 +106,7 @@
       const rollout = this.rollouts.get(service);
       if (!rollout || rollout.order.offset !== digest.offset) continue;
       rollout.remote = digest;
-      rollout.noteElapsed(digest.elapsedMs);
+      rollout.noteElapsed(digest);
     }
   }
 
@@ -122,28 +119,18 @@
     rollout: Rollout,
     {key, session, failedVersion, remembered}: VersionQuestion,
   ): VersionReason {
-    const {share} = rollout;
+    const share = rollout.shareOf({hasSession: session !== undefined});
     const {version, offset} = rollout.order;
-    if (share === 0) return VersionReason.TAKEN_BACK;
+    if (rollout.isTakenBack) return VersionReason.TAKEN_BACK;
     if (share === 1) return VersionReason.WHOLE;
     // A call that failed there is not tried on the watched version again.
     if (failedVersion === version) return VersionReason.FAILED_THERE;
     if (remembered === version) return VersionReason.SESSION_NEW;
     if (!this.options.isInTouch()) return VersionReason.OUT_OF_TOUCH;
-    if (!rollout.isPastHalf && session !== undefined) {
-      if (remembered !== undefined) return VersionReason.SESSION_OLD;
-      if (this.hasJustStarted) return VersionReason.HOST_STARTED;
-    }
     const isInShare = hashText(`${offset}|${session ?? key}`) < share;
     return isInShare ? VersionReason.IN_SHARE : VersionReason.OUTSIDE_SHARE;
   }
 
-  /** Whether sessions may go on that this host does not know, as it started a short time ago. */
-  private get hasJustStarted(): boolean {
-    const {clock, sessionMemoryMs} = this.options;
-    return clock.now() - this.openedAt < sessionMemoryMs;
-  }
-
   private order(record: KeyedRecord, isReload: boolean): void {
     const {reader, starts, states} = this.options;
     const order = this.read(() => reader.readOrder(record));
@@ -156,6 +143,7 @@
       ...this.options,
       order,
       elapsedMs,
+      isSeen: !isReload,
       statesFrom,
     });
     this.rollouts.set(order.service, rollout);
@@ -184,6 +172,9 @@
   private takeNotes(): void {
     for (const rollout of this.rollouts.values()) {
       const {order, phase} = rollout;
+      // Only a host that did not see the order arrive, and was not told by one that did, goes by the note.
+      const elapsedMs = this.options.starts.elapsedMs(order);
+      rollout.noteElapsed({elapsedMs, isSeen: false});
       const statesFrom = this.options.starts.statesFrom(order);
       if (statesFrom === undefined || statesFrom <= rollout.statesFrom)
         continue;
--- a/packages/gateway/src/rollouts/rollout_writer.ts
+++ b/packages/gateway/src/rollouts/rollout_writer.ts
@@ -29,7 +29,7 @@
 /** How long each next host waits for the one before it to write, in ms. */
 const TURN_MS = 900;
 /** Part of the duration after which a good version is complete once the old one has nothing left. */
-const EARLIEST_COMPLETE_PART = 0.74;
+const EARLIEST_COMPLETE_PART = 0.77;
 /** Part of the duration at which it is complete whatever still runs on the old one. */
 const LATEST_COMPLETE_PART = 0.88;
 /** Pause after a failed write, in ms. */
--- a/packages/gateway/src/rollouts/version_reason.ts
+++ b/packages/gateway/src/rollouts/version_reason.ts
@@ -5,9 +5,7 @@
   WHOLE: 'all calls',
   FAILED_THERE: 'failed on the new version',
   SESSION_NEW: 'session runs on the new version',
-  SESSION_OLD: 'session runs on the old version',
   OUT_OF_TOUCH: 'host out of touch',
-  HOST_STARTED: 'host just started',
   IN_SHARE: 'in the share',
   OUTSIDE_SHARE: 'outside the share',
 } as const;
