An order that was not in the copy before is new, however it arrives

Cause: an order that came with a topic read anew (after a gap of the store) counted as old, so that a time of day worked out its age; a clock that is ahead by seconds would end the first half early. Change: an order counts as seen when this host had a copy of the orders without it; only a host's first copy is explained by the note's time of day. Result: found by reading; the 15 tests of roll-outs pass.

--- a/packages/gateway/src/rollouts/rollout.ts
+++ b/packages/gateway/src/rollouts/rollout.ts
@@ -17,7 +17,7 @@
   readonly order: RolloutOrder;
   /** Time since the order when this host learned of it, in ms. */
   readonly elapsedMs: number;
-  /** Whether this host saw the order arrive; else the time is worked out from a time of day. */
+  /** Whether this host learned of the order when it was new; else the time is worked out from a time of day. */
   readonly isSeen: boolean;
   /** Position in the topic of states from which they are about this order. */
   readonly statesFrom: number;
--- a/packages/gateway/src/rollouts/rollout_book.ts
+++ b/packages/gateway/src/rollouts/rollout_book.ts
@@ -52,11 +52,14 @@
 /** The roll-outs that are ordered, and which version each call gets. */
 export class RolloutBook {
   private readonly rollouts = new Map<string, Rollout>();
+  /** Whether this host had a copy of the orders before the newest one came. */
+  private hadOrders = false;
 
   constructor(private readonly options: Options) {
-    options.orders.onUpdate(({changed, isReload}) =>
-      changed.forEach(record => this.order(record, isReload)),
-    );
+    options.orders.onUpdate(({changed, isReload}) => {
+      changed.forEach(record => this.order(record, isReload));
+      this.hadOrders = true;
+    });
     options.states.onUpdate(({changed}) => changed.forEach(r => this.state(r)));
     options.starts.onNoted(() => this.takeNotes());
   }
@@ -137,13 +140,14 @@
     if (!order) return;
     const known = this.rollouts.get(order.service);
     if (known && known.order.offset >= order.offset) return;
-    const elapsedMs = starts.elapsedMs(order);
+    // An order that was not in the copy before is new: a time of day could only mislead.
+    const elapsedMs = this.hadOrders ? 0 : starts.elapsedMs(order);
     const statesFrom = this.statesFrom(order, known, isReload);
     const rollout = new Rollout({
       ...this.options,
       order,
       elapsedMs,
-      isSeen: !isReload,
+      isSeen: this.hadOrders,
       statesFrom,
     });
     this.rollouts.set(order.service, rollout);
