--- a/packages/bench/src/fuzz/world.ts
+++ b/packages/bench/src/fuzz/world.ts
@@ -1,19 +1,13 @@
-import {randomUUID} from 'node:crypto';
 import {mkdtempSync, rmSync, writeFileSync} from 'node:fs';
 import {tmpdir} from 'node:os';
 import {join} from 'node:path';
 import {daemonTokens} from '@bayspool/daemon';
-import {
-  Outcome,
-  outcomeOf,
-  VersionState,
-  type Configuration,
-} from '@bayspool/decisions';
+import {VersionState, type Configuration} from '@bayspool/decisions';
 import {SeededRandom, tokens, VirtualClock} from '@bayspool/kernel';
 import {Engine, MemoryLog, MemoryRating, PackApp} from '@bayspool/standins';
-import {ROOT_CONTEXT} from '@opentelemetry/api';
 import {coreLogSeed} from '../fleet/core_log_seed.js';
-import {fleetKeys} from '../fleet/fleet_keys.js';
+import {Callers} from './callers.js';
+import type {ChatOptions} from './chat_options.js';
 import type {Dispatch} from './dispatch.js';
 import {FaultyRunner} from './faulty_runner.js';
 import {FuzzHost} from './fuzz_host.js';
@@ -23,12 +17,6 @@
 import {RunnerFault} from './runner_fault.js';
 import type {Told} from './told.js';
 
-interface ChatOptions {
-  readonly model: string;
-  readonly session?: string;
-  readonly prompt: string;
-}
-
 /** An operator's confirmation and what came of it. */
 interface Confirmed {
   readonly id: string;
@@ -55,10 +43,8 @@
   readonly clock = new VirtualClock();
   readonly log = new MemoryLog({clock: this.clock, retentionMs: RETENTION_MS});
   readonly packApp = new PackApp({clock: this.clock, workMs: 30});
-  readonly told: Told[] = [];
   readonly dispatches: Dispatch[] = [];
   readonly confirmed: Confirmed[] = [];
-  readonly tickets: string[] = [];
   readonly hosts: FuzzHost[] = [];
   readonly mesh: Mesh;
   readonly engines: Engine[] = [];
@@ -68,6 +54,10 @@
   readonly kills: {readonly place: string; readonly at: number}[] = [];
   /** Processes that ended with bills that neither a second host nor the log had taken. */
   readonly lostBills = new Set<string>();
+  private readonly callers = new Callers({
+    clock: this.clock,
+    answerTokens: ANSWER_TOKENS,
+  });
   private readonly faults: RunnerFault[];
   private readonly random: SeededRandom;
   private readonly rating: MemoryRating;
@@ -109,60 +99,29 @@
     await this.clock.advanceSettled(START_MS);
   }
 
+  /** What callers were told, in the order in which they asked. */
+  get told(): readonly Told[] {
+    return this.callers.told;
+  }
+
+  /** Tickets that hosts gave out. */
+  get tickets(): readonly string[] {
+    return this.callers.tickets;
+  }
+
   /** Sends a chat request to a host; the answer is noted when it comes. */
   chat(host: number, options: ChatOptions): void {
-    const headers: Record<string, string> =
-      options.session === undefined
-        ? {}
-        : {'bayspool-session': options.session};
-    const body = JSON.stringify({
-      model: options.model,
-      messages: [{role: 'user', content: options.prompt}],
-      max_tokens: ANSWER_TOKENS,
-    });
-    this.send(
-      this.hosts[host],
-      {
-        kind: 'chat',
-        key: undefined,
-        session: options.session,
-        prompt: options.prompt,
-      },
-      'POST',
-      '/v1/chat/completions',
-      headers,
-      body,
-    );
+    this.callers.chat(this.hosts[host], options);
   }
 
+  /** Sends a slip to a host, under a key if one is given. */
   slip(host: number, key: string | undefined): void {
-    const headers: Record<string, string> =
-      key === undefined ? {} : {'idempotency-key': key};
-    this.send(
-      this.hosts[host],
-      {kind: 'slip', key, session: undefined, prompt: ''},
-      'POST',
-      '/services/core-registry/slips',
-      headers,
-      'x',
-    );
+    this.callers.slip(this.hosts[host], key);
   }
 
-  async takeTicket(host: number): Promise<void> {
-    const target = this.hosts[host];
-    if (!target.gate.isRunning) return;
-    const desk = target.kernel.container.get(daemonTokens.callerDesk);
-    try {
-      const answer = await desk.answer(
-        this.rawCall('POST', '/v1/tickets', {}, ''),
-      );
-      this.tickets.push(
-        (JSON.parse((answer.body as Buffer).toString()) as {ticket: string})
-          .ticket,
-      );
-    } catch {
-      return;
-    }
+  /** Asks a host for a ticket. */
+  takeTicket(host: number): Promise<void> {
+    return this.callers.takeTicket(this.hosts[host]);
   }
 
   /** Plans an intent at each of the hosts and then confirms all the plans at once. */
@@ -319,49 +278,6 @@
     });
   }
 
-  private send(
-    host: FuzzHost,
-    about: Pick<Told, 'kind' | 'key' | 'session' | 'prompt'>,
-    method: string,
-    path: string,
-    headers: Record<string, string>,
-    body: string,
-  ): void {
-    if (!host.gate.isRunning) return;
-    const raw = this.rawCall(method, path, headers, body);
-    const told: Told = {
-      ...about,
-      id: raw.id,
-      host: host.options.id,
-      process: `${host.options.id}/${host.options.seed}`,
-    };
-    this.told.push(told);
-    const answered = host.kernel.container
-      .get(daemonTokens.callerDesk)
-      .answer(raw)
-      .then(collect, describeFailure);
-    void host.gate
-      .pass(answered)
-      .then(answer => (told.answer = {...answer, at: this.clock.now()}));
-  }
-
-  private rawCall(
-    method: string,
-    path: string,
-    headers: Record<string, string>,
-    body: string,
-  ) {
-    return {
-      id: randomUUID(),
-      method,
-      path,
-      headers: {...headers, authorization: `Bearer survey${fleetKeys.suffix}`},
-      body: Buffer.from(body),
-      signal: new AbortController().signal,
-      trace: ROOT_CONTEXT,
-    };
-  }
-
   /** A process that says that bills stood on it alone takes them along when it ends. */
   private async noteLostBills(host: FuzzHost): Promise<void> {
     const metric = host.kernel.container
@@ -376,37 +292,3 @@
     this.troubledAt.set(host.options.id, this.clock.now());
   }
 }
-
-type Answer = Omit<NonNullable<Told['answer']>, 'at'>;
-
-async function collect(answer: {
-  status: number;
-  headers: Readonly<Record<string, string | string[]>>;
-  body: Buffer | AsyncIterable<string | Buffer>;
-}): Promise<Answer> {
-  const {status, headers, body} = answer;
-  const text = Buffer.isBuffer(body) ? body.toString() : '';
-  const header = (name: string) =>
-    headers[name] === undefined ? undefined : String(headers[name]);
-  const outcome = (header('bayspool-outcome') ?? Outcome.RAN) as Outcome;
-  return {
-    status,
-    outcome,
-    version: header('bayspool-version'),
-    session: header('bayspool-session'),
-    text,
-    whole: status < 300,
-  };
-}
-
-function describeFailure(error: unknown): Answer {
-  const text = error instanceof Error ? error.message : String(error);
-  return {
-    status: 500,
-    outcome: outcomeOf(error),
-    version: undefined,
-    session: undefined,
-    text,
-    whole: false,
-  };
-}
