--- a/packages/gateway/src/rollouts/sessions_and_hosts.test.ts
+++ b/packages/gateway/src/rollouts/sessions_and_hosts.test.ts
@@ -16,12 +16,14 @@
 let fixture: GatewayFixture;
 let old: ScriptedRunner;
 let fresh: ScriptedRunner;
+let other: ScriptedRunner;
 
 beforeEach(async () => {
   fixture = new GatewayFixture();
   old = createRunner('old', OLD);
   fresh = createRunner('fresh', NEW);
-  fixture.configure([{kind: CallKind.SAFE, attempts: 2}]);
+  other = createRunner('fresh-2', NEW);
+  fixture.configure([{kind: CallKind.SAFE, attempts: 3}]);
   await fixture.addRunner(old);
 });
 
@@ -29,6 +31,7 @@
   await fixture.stop();
   old.stop();
   fresh.stop();
+  other.stop();
 });
 
 /** A runner that signs its answers with its version. */
@@ -74,10 +77,35 @@
   );
 }
 
+/** Lets a runner fail its next requests, all of them if no number is given; gives the ids of those failed. */
+function breakRunner(runner: ScriptedRunner, count = Infinity): string[] {
+  const sound = runner.script;
+  const failed: string[] = [];
+  runner.script = (request, response) => {
+    if (failed.length >= count) return sound(request, response);
+    failed.push(request.id);
+    response.writeHead(500, {[names.requestId]: request.id}).end();
+  };
+  return failed;
+}
+
+/** Waits until a part of the time since an order is over. */
+async function waitPart(
+  orderedAt: number,
+  durationMs: number,
+  part: number,
+): Promise<void> {
+  const leftMs = orderedAt + durationMs * part - performance.now();
+  await new Promise(resolve => setTimeout(resolve, leftMs));
+}
+
 /** The version that answers a call of each session at a host. */
-async function callSessions(host: number): Promise<Map<string, unknown>> {
+async function callSessions(
+  host: number,
+  sessions = SESSIONS,
+): Promise<Map<string, unknown>> {
   const versions = new Map<string, unknown>();
-  for (const session of SESSIONS) {
+  for (const session of sessions) {
     const {headers} = await fixture.call({
       host,
       headers: {[names.session]: session},
@@ -135,3 +163,39 @@
     assert.ok(elapsedMs < durationMs, 'not all moved in time');
   }
 });
+
+/** Parts of a roll-out's duration in which some sessions are on the new version, and others are not. */
+const MOVING_PART = 0.66;
+const MOVING_MS = 8_000;
+/** Failures that do not make the new version look bad. */
+const FEW_FAILURES = 3;
+
+async function startMoving(): Promise<void> {
+  await startHosts(1);
+  order(MOVING_MS);
+  const orderedAt = performance.now();
+  await fixture.addRunner(fresh);
+  await fixture.addRunner(other);
+  await waitKnown(1);
+  await waitPart(orderedAt, MOVING_MS, MOVING_PART);
+}
+
+void test('a session that one runner of the new version fails goes on with another one of it', async () => {
+  await startMoving();
+  const before = onNew(await callSessions(0));
+  assert.ok(before.length > 0 && before.length < SESSIONS.length);
+  const failed = breakRunner(other, FEW_FAILURES);
+  const after = await callSessions(0, before);
+  assert.ok(failed.length > 0);
+  const back = before.filter(session => after.get(session) !== NEW);
+  assert.deepEqual(back, []);
+});
+
+void test('a session that two runners of the new version fail is answered by the old one', async () => {
+  await startMoving();
+  breakRunner(other);
+  breakRunner(fresh);
+  const versions = await callSessions(0);
+  assert.ok(fresh.received.length > 0 && other.received.length > 0);
+  assert.deepEqual(new Set(versions.values()), new Set([OLD]));
+});
