The share of calls without a session, and that of sessions, are metrics of their own

Change: rollout_share tells the calls without a session, as its test expects; rollout_session_share is new and in the test. No decision changes. Result: the tests of observability pass.

--- a/packages/gateway/src/observability/events.test.ts
+++ b/packages/gateway/src/observability/events.test.ts
@@ -164,6 +164,7 @@
     /^bayspool_runners\{service="svc",state="ready"\} 1$/m,
     /^bayspool_retry_budget\{service="svc"\} \d/m,
     /^bayspool_rollout_share\{service="svc",phase="active"\} 0\.08$/m,
+    /^bayspool_rollout_session_share\{service="svc",phase="active"\} 0$/m,
     /^bayspool_rollout_answers\{service="svc",version="new",result="ended"\} 1$/m,
     /^bayspool_loop_lag_seconds \d/m,
     /^bayspool_log_lines_dropped 0$/m,
--- a/packages/gateway/src/parts/observe_parts.ts
+++ b/packages/gateway/src/parts/observe_parts.ts
@@ -96,15 +96,22 @@
 }
 
 function observeRollouts({metrics, rollouts}: Options): void {
+  const readShares = (hasSession: boolean) => () =>
+    rollouts.all().map(rollout => ({
+      labels: {service: rollout.order.service, phase: rollout.phase},
+      value: rollout.shareOf({hasSession}),
+    }));
   metrics.observeEach(
     'rollout_share',
+    'Share of the calls without a session that the new version gets now',
+    ['service', 'phase'],
+    readShares(false),
+  );
+  metrics.observeEach(
+    'rollout_session_share',
     'Share of sessions that the new version gets now',
     ['service', 'phase'],
-    () =>
-      rollouts.all().map(rollout => ({
-        labels: {service: rollout.order.service, phase: rollout.phase},
-        value: rollout.shareOf({hasSession: true}),
-      })),
+    readShares(true),
   );
   metrics.observeEach(
     'rollout_answers',
