--- a/scripts/test.mjs
+++ b/scripts/test.mjs
@@ -40,11 +40,13 @@
   if (known) seen.push(known);
   else failures.push(`${source} :: ${name}`);
 });
-stream.compose(spec).pipe(process.stdout);
+let hasEnded = false;
 stream.once('end', () => {
-  // The reporter ends after the events do: the sums come last, so that they are read as the outcome.
-  setImmediate(() => process.once('exit', report));
+  hasEnded = true;
 });
+stream.compose(spec).pipe(process.stdout);
+// At the exit, so that the sums come behind the reporter's, and also if the run breaks off.
+process.once('exit', report);
 
 function report() {
   for (const red of knownRed) {
@@ -52,5 +54,6 @@
     console.log(`${state}: ${red.line}`);
   }
   for (const failure of failures) console.log(`failed: ${failure}`);
-  process.exitCode = failures.length > 0 ? 1 : 0;
+  if (!hasEnded) console.log('failed: the run broke off before its end');
+  if (failures.length > 0 || !hasEnded) process.exitCode = 1;
 }
