The end of a roll-out is written after its announcement; roll-outs of two services are told apart

Traced: the writer marked itself busy only for the write itself, not for the note before it, so a version found bad within that note was taken back first, and the announcement then found the roll-out ended. Looking for the same elsewhere showed two more: a write that came while another was under way was dropped (an announcement for good), and the state of one service's roll-out was taken for that of another whose version bears the same name. Change: announcement and end of a roll-out are written one after the other, what is due waits for the next look; a state is about a roll-out only if the service is the same.

--- a/packages/gateway/src/rollouts/rollout_book.ts
+++ b/packages/gateway/src/rollouts/rollout_book.ts
@@ -232,5 +232,7 @@
 /** States of an earlier roll-out to the same version stand before the note of this one's start. */
 function isAbout(state: RolloutState, rollout: Rollout): boolean {
   const {order, statesFrom} = rollout;
+  // Versions of different services bear the same names.
+  if (state.service !== order.service) return false;
   return state.version === order.version && state.offset >= statesFrom;
 }
--- a/packages/gateway/src/rollouts/rollout_writer.ts
+++ b/packages/gateway/src/rollouts/rollout_writer.ts
@@ -60,8 +60,12 @@
   private look(rollout: Rollout): void {
     rollout.judge();
     if (rollout.phase !== RolloutPhase.ACTIVE) return;
-    if (this.turnOf(rollout) === 0 && !this.announced.has(rollout))
-      void this.announce(rollout);
+    // What is due meanwhile, of this roll-out or another one, is looked at again after the pause.
+    if (this.isWriting) return;
+    if (this.turnOf(rollout) === 0 && !this.announced.has(rollout)) {
+      void this.writeAlone(() => this.announce(rollout));
+      return;
+    }
     const phase = this.duePhase(rollout);
     if (!phase) {
       this.dueSince.delete(rollout);
@@ -71,7 +75,7 @@
     const since = this.dueSince.get(rollout) ?? now;
     this.dueSince.set(rollout, since);
     if (now - since < this.turnOf(rollout) * TURN_MS) return;
-    void this.write(rollout, phase);
+    void this.writeAlone(() => this.write(rollout, phase));
   }
 
   private duePhase(rollout: Rollout): RolloutPhase | undefined {
@@ -90,6 +94,19 @@
     return rankByHash(`${service}|${offset}`, hosts()).indexOf(host);
   }
 
+  /**
+   * Writes while no other write of this host is under way. Without it, the end of a roll-out went before its
+   * announcement if it came within a write of it, and of two roll-outs ordered at once one was never announced.
+   */
+  private async writeAlone(write: () => Promise<void>): Promise<void> {
+    this.isWriting = true;
+    try {
+      await write();
+    } finally {
+      this.isWriting = false;
+    }
+  }
+
   private async announce(rollout: Rollout): Promise<void> {
     this.announced.add(rollout);
     if (this.options.book.stateOf(rollout)) return;
@@ -106,8 +123,6 @@
   }
 
   private async write(rollout: Rollout, phase: RolloutPhase): Promise<void> {
-    if (this.isWriting) return;
-    this.isWriting = true;
     const {log, store, reader} = this.options;
     const {service, version} = rollout.order;
     try {
@@ -125,8 +140,6 @@
       const reason = String(error);
       log.write('rollout_write_failed', {service, version, phase, reason});
       this.dueSince.set(rollout, this.options.clock.now() + RETRY_MS);
-    } finally {
-      this.isWriting = false;
     }
   }
 
--- a/packages/gateway/src/testing/memory_record_store.ts
+++ b/packages/gateway/src/testing/memory_record_store.ts
@@ -19,6 +19,8 @@
   isDown = false;
   /** Writes are done, but their answers are lost, while set. */
   losesAnswers = false;
+  /** Time before a write is done, in ms. */
+  appendMs = 0;
   /** Calls by kind. */
   readonly calls = {newest: 0, read: 0, append: 0};
   private readonly topics = new Map<Topic, Stored>();
@@ -79,6 +81,8 @@
     expectedEnd?: number;
   }): Promise<void> {
     this.calls.append += 1;
+    if (this.appendMs > 0)
+      await new Promise(resolve => setTimeout(resolve, this.appendMs));
     this.checkUp();
     const stored = this.topic(topic);
     const offset = stored.firstKept + stored.records.length;
