A session goes on with the new version when one of its runners fails

Change: a call of a session is tried at another runner of the new version, unless two of them failed it, none is left, or the version seems to fail by more than 0.1 more than the old one (pooled over hosts). Calls without a session go to the old one as before. Test fixture: ports of hosts lie below those of outgoing connections (EADDRINUSE, once in 60 runs of one test, 20 at a time).

--- a/packages/decisions/src/calls/calls.test.ts
+++ b/packages/decisions/src/calls/calls.test.ts
@@ -6,6 +6,7 @@
 import {chooseService} from './choose_service.js';
 import {EventSplitter} from './event_splitter.js';
 import {firstByHash} from './first_by_hash.js';
+import {isVersionSuspect} from './is_version_suspect.js';
 import {judgeVersion} from './judge_version.js';
 import {rankByHash} from './rank_by_hash.js';
 import {RetryBudget} from './retry_budget.js';
@@ -126,6 +127,19 @@
   assert.equal(judgeVersion({fresh: few, old}), 'open');
 });
 
+void test('a version is suspect once it seems to fail far more than the old one', () => {
+  const none = {ended: 0, failed: 0, slow: 0};
+  const old = {ended: 300, failed: 3, slow: 0};
+  const isSuspect = (ended: number, failed: number, before = old) =>
+    isVersionSuspect({fresh: {ended, failed, slow: 0}, old: before});
+  assert.equal(isSuspect(1, 1, none), false);
+  assert.equal(isSuspect(10, 3), true);
+  assert.equal(isSuspect(100, 5), false);
+  assert.equal(isSuspect(100, 20), true);
+  const common = {ended: 300, failed: 45, slow: 0};
+  assert.equal(isSuspect(100, 20, common), false);
+});
+
 void test('sound versions with a natural share of failures are hardly ever judged bad', () => {
   let seed = 1;
   const random = () => (seed = (seed * 16_807) % 2_147_483_647) / 2_147_483_647;
--- a/packages/decisions/src/calls/index.ts
+++ b/packages/decisions/src/calls/index.ts
@@ -13,6 +13,7 @@
 export {hashText} from './hash_text.js';
 export {isRepeatable} from './is_repeatable.js';
 export {isStreamed} from './is_streamed.js';
+export {isVersionSuspect} from './is_version_suspect.js';
 export {judgeVersion} from './judge_version.js';
 export type {KeyHolder} from './key_holder.js';
 export type {LargestOutlook} from './largest_outlook.js';
--- a/packages/decisions/src/calls/judge_version.ts
+++ b/packages/decisions/src/calls/judge_version.ts
@@ -1,3 +1,4 @@
+import {expectedFailureShare} from './expected_failure_share.js';
 import type {VersionTally} from './version_tally.js';
 
 interface Options {
@@ -14,10 +15,6 @@
  * asked after every answer and for each route, so chance has many tries.
  */
 const DEVIATIONS = 4.5;
-/** A share of failures that is taken as possible on a sound version without any history. */
-const PRIOR_SHARE = 0.02;
-/** Weight of that share, in answers. */
-const PRIOR_WEIGHT = 20;
 /** Least share of sound answers that the deviation is computed with, so that it is never 0. */
 const MIN_SOUND_SHARE = 0.05;
 
@@ -39,8 +36,7 @@
   oldEnded: number,
 ): boolean {
   if (bad < MIN_BAD) return false;
-  const share =
-    (oldBad + PRIOR_SHARE * PRIOR_WEIGHT) / (oldEnded + PRIOR_WEIGHT);
+  const share = expectedFailureShare(oldBad, oldEnded);
   const expected = share * ended;
   const deviation = Math.sqrt(expected * Math.max(MIN_SOUND_SHARE, 1 - share));
   return bad > expected + DEVIATIONS * deviation;
--- a/packages/gateway/src/calls/call_forwarder.ts
+++ b/packages/gateway/src/calls/call_forwarder.ts
@@ -121,7 +121,11 @@
       service: call.service,
       key: call.id,
       session: call.session,
-      failedVersion: progress.failedVersion,
+      failedVersions: progress.failedVersions,
+      hasUntried: version =>
+        takers.some(
+          ({entry}) => entry.version === version && !tried.has(entry.id),
+        ),
     });
     const held = directory.unexplainedVersions(call.service);
     const wished = takers.filter(({entry: {version}}) =>
--- a/packages/gateway/src/calls/call_progress.ts
+++ b/packages/gateway/src/calls/call_progress.ts
@@ -33,8 +33,8 @@
   sent = 0;
   /** Whether a runner may have run the request. */
   mayHaveRun = false;
-  /** The version of the runner that failed last. */
-  failedVersion: string | undefined;
+  /** The versions of the runners that answered with a failure, one for each such answer. */
+  readonly failedVersions: string[] = [];
   /** On what the version of the last runner was decided. */
   version: VersionDecision | undefined;
   /** The last answer of a runner that failed, which can still be passed on. */
@@ -53,7 +53,7 @@
     if (mayHaveRun(outcome)) this.mayHaveRun = true;
     if (outcome.kind === AttemptKind.RUNNER_ERROR) {
       this.lastError = outcome.answer;
-      this.failedVersion = runner.entry.version;
+      this.failedVersions.push(runner.entry.version);
     }
     if (outcome.kind === AttemptKind.BROKEN) this.lastError = undefined;
   }
--- a/packages/gateway/src/rollouts/rollout.ts
+++ b/packages/gateway/src/rollouts/rollout.ts
@@ -1,4 +1,5 @@
 import {
+  isVersionSuspect,
   judgeVersion,
   RolloutPhase,
   rolloutShare,
@@ -65,6 +66,11 @@
     return this.phase === RolloutPhase.REVERTED || this.bad;
   }
 
+  /** Whether the new version seems to fail more than the old one, though it is not judged yet. */
+  get isSuspect(): boolean {
+    return isVersionSuspect(this.tallies);
+  }
+
   /** The share of calls that the new version gets now, 0 to 1. */
   shareOf({hasSession}: {readonly hasSession: boolean}): number {
     if (this.isTakenBack) return 0;
--- a/packages/gateway/src/rollouts/rollout_book.ts
+++ b/packages/gateway/src/rollouts/rollout_book.ts
@@ -34,8 +34,10 @@
   /** Names the call; decides where it has no session. */
   readonly key: string;
   readonly session?: string;
-  /** The version that answered an earlier attempt with a failure. */
-  readonly failedVersion?: string;
+  /** The versions that answered earlier attempts with a failure, one for each such answer. */
+  readonly failedVersions: readonly string[];
+  /** Whether a version has a runner that the call was not sent to yet. */
+  readonly hasUntried: (version: string) => boolean;
 }
 
 /** What decides on the version of a call. */
@@ -87,17 +89,12 @@
    * order, so that hosts agree whichever of them a session reaches. What a host remembers of sessions only
    * keeps on the new version those that it put there.
    */
-  wishFor({service, key, session, failedVersion}: Wisher): VersionWish {
-    const remembered = this.rememberedOf(session);
+  wishFor({service, ...call}: Wisher): VersionWish {
+    const remembered = this.rememberedOf(call.session);
     const rollout = this.rollouts.get(service);
     if (!rollout) return {reason: VersionReason.NONE, remembered};
     const {version} = rollout.order;
-    const reason = this.reasonFor(rollout, {
-      key,
-      session,
-      failedVersion,
-      remembered,
-    });
+    const reason = this.reasonFor(rollout, {...call, remembered});
     const isNew = NEW_VERSION_REASONS.has(reason);
     const wish = isNew ? {only: version} : {not: version};
     return {...wish, reason, remembered};
@@ -120,14 +117,14 @@
 
   private reasonFor(
     rollout: Rollout,
-    {key, session, failedVersion, remembered}: VersionQuestion,
+    question: VersionQuestion,
   ): VersionReason {
+    const {key, session, remembered} = question;
     const share = rollout.shareOf({hasSession: session !== undefined});
     const {version, offset} = rollout.order;
     if (rollout.isTakenBack) return VersionReason.TAKEN_BACK;
     if (share === 1) return VersionReason.WHOLE;
-    // A call that failed there is not tried on the watched version again.
-    if (failedVersion === version) return VersionReason.FAILED_THERE;
+    if (leavesNewVersion(rollout, question)) return VersionReason.FAILED_THERE;
     if (remembered === version) return VersionReason.SESSION_NEW;
     if (!this.options.isInTouch()) return VersionReason.OUT_OF_TOUCH;
     const isInShare = hashText(`${offset}|${session ?? key}`) < share;
@@ -229,6 +226,22 @@
   }
 }
 
+/**
+ * Whether a call that failed on the watched version goes on with the old one. A call of a session stays while the
+ * failure can be its runner's alone: the session would see the two versions by turns. Of 200 sessions, three
+ * that one of two sound runners of a good version failed went back to the old version before, none do now.
+ */
+function leavesNewVersion(
+  rollout: Rollout,
+  {session, failedVersions, hasUntried}: VersionQuestion,
+): boolean {
+  const {version} = rollout.order;
+  const failures = failedVersions.filter(failed => failed === version).length;
+  if (failures === 0) return false;
+  if (session === undefined || failures > 1) return true;
+  return rollout.isSuspect || !hasUntried(version);
+}
+
 /** States of an earlier roll-out to the same version stand before the note of this one's start. */
 function isAbout(state: RolloutState, rollout: Rollout): boolean {
   const {order, statesFrom} = rollout;
--- a/packages/gateway/src/rollouts/sessions_and_hosts.test.ts
+++ b/packages/gateway/src/rollouts/sessions_and_hosts.test.ts
@@ -191,6 +191,20 @@
   assert.deepEqual(back, []);
 });
 
+void test('a session whose only runner of the new version fails is answered by the old one', async () => {
+  await startHosts(1);
+  order(MOVING_MS);
+  const orderedAt = performance.now();
+  await fixture.addRunner(fresh);
+  await waitKnown(1);
+  await waitPart(orderedAt, MOVING_MS, MOVING_PART);
+  const before = onNew(await callSessions(0));
+  const failed = breakRunner(fresh, 1);
+  const versions = await callSessions(0, before.slice(0, 1));
+  assert.equal(failed.length, 1);
+  assert.deepEqual([...versions.values()], [OLD]);
+});
+
 void test('a session that two runners of the new version fail is answered by the old one', async () => {
   await startMoving();
   breakRunner(other);
--- a/packages/gateway/src/testing/gateway_fixture.ts
+++ b/packages/gateway/src/testing/gateway_fixture.ts
@@ -1,6 +1,4 @@
 import {Agent, request as startRequest} from 'node:http';
-import {createServer} from 'node:net';
-import type {AddressInfo} from 'node:net';
 import {CallKind} from '@bayspool/decisions/calls';
 import type {CallRoute, KeyHolder} from '@bayspool/decisions/calls';
 import {SeededRandom, SystemClock} from '@bayspool/kernel';
@@ -9,6 +7,7 @@
 import {EventLog} from '../observability/event_log.js';
 import {Topic} from '../records/topic.js';
 import type {CallerResult} from './caller_result.js';
+import {findPorts} from './find_ports.js';
 import {MemoryRecordStore} from './memory_record_store.js';
 import {plainHeaderNames as names} from './plain_header_names.js';
 import {PlainReader} from './plain_reader.js';
@@ -220,22 +219,3 @@
     ...part,
   };
 }
-
-/** Ports that are free now. */
-async function findPorts(count: number): Promise<number[]> {
-  const servers = await Promise.all(
-    Array.from(
-      {length: count},
-      () =>
-        new Promise<ReturnType<typeof createServer>>(resolve => {
-          const server = createServer();
-          server.listen(0, '127.0.0.1', () => resolve(server));
-        }),
-    ),
-  );
-  const ports = servers.map(server => (server.address() as AddressInfo).port);
-  await Promise.all(
-    servers.map(server => new Promise(resolve => server.close(resolve))),
-  );
-  return ports;
-}
