Tests: roll-outs share a fixture, a failed test leaves no runner behind, stand-ins share one way to wait

Traced: which calls are, follows from their ids, and these go on from the calls of the tests before; of the ids up to 2,900 those from 505 to 509 begin such a row, and the file comes to some five hundred by then. The failed test then left a runner listening, so the file ended by its time limit (300 s). Change: 200 calls in place of 60, all still have to succeed (no row of 200 among 2,900 ids is without a watched one); the fixture stops all runners that were added; setup and orders of two test files, and the waiting of two stand-ins, stand once. Assertions of the other tests are as they were.

--- a/packages/gateway/src/rollouts/rollouts.test.ts
+++ b/packages/gateway/src/rollouts/rollouts.test.ts
@@ -1,59 +1,36 @@
 import assert from 'node:assert/strict';
 import {afterEach, beforeEach, test} from 'node:test';
-import {CallKind} from '@bayspool/decisions/calls';
 import {Topic} from '../records/topic.js';
-import {GatewayFixture} from '../testing/gateway_fixture.js';
 import {plainHeaderNames as names} from '../testing/plain_header_names.js';
+import {RolloutFixture} from '../testing/rollout_fixture.js';
 import {ScriptedRunner} from '../testing/scripted_runner.js';
 
-let fixture: GatewayFixture;
+let fixture: RolloutFixture;
 let old: ScriptedRunner;
 let fresh: ScriptedRunner;
 
 beforeEach(async () => {
-  fixture = new GatewayFixture();
-  old = new ScriptedRunner({id: 'old', version: 'v1'});
-  fresh = new ScriptedRunner({id: 'fresh', version: 'v2'});
-  fixture.configure([{kind: CallKind.SAFE, attempts: 2}]);
-  await fixture.addRunner(old);
-  await fixture.addRunner(fresh);
+  fixture = new RolloutFixture();
+  ({old, fresh} = fixture);
+  await fixture.prepare();
 });
 
-afterEach(async () => {
-  await fixture.stop();
-  old.stop();
-  fresh.stop();
-});
-
-function order(durationMs: number): void {
-  fixture.store.put(Topic.OPERATOR, 'rollout/svc', {
-    service: 'svc',
-    version: 'v2',
-    durationMs,
-  });
-}
-
-/** Phases that were written to the store, in order. */
-function phases(): string[] {
-  return fixture.store
-    .records(Topic.STATUS)
-    .map(({value}) => (JSON.parse(value ?? '{}') as {phase: string}).phase);
-}
+afterEach(() => fixture.stop());
 
 void test('a good version gets few calls first, then all, and is complete in time', async () => {
-  order(4_000);
+  fixture.order({durationMs: 4_000});
   await fixture.startHost({sessionKeptMs: 10});
   await fixture.waitReady();
   const startedAt = performance.now();
   for (let i = 0; i < 60; i++) await fixture.call();
   const early = fresh.received.length;
   assert.ok(early < 20, `${early} of 60 early calls`);
-  await fixture.waitFor(() => phases().includes('complete'));
+  await fixture.waitFor(() => fixture.phases().includes('complete'));
   assert.ok(performance.now() - startedAt < 4_000);
   const before = old.received.length;
   for (let i = 0; i < 10; i++) await fixture.call();
   assert.equal(old.received.length, before);
-  assert.deepEqual(phases(), ['active', 'complete']);
+  assert.deepEqual(fixture.phases(), ['active', 'complete']);
 });
 
 void test('a session that runs on the old version stays there in the first half', async () => {
@@ -69,7 +46,7 @@
   fresh.stop();
   await callAll();
   await callAll();
-  order(20_000);
+  fixture.order({durationMs: 20_000});
   await fixture.waitFor(() => fixture.events('rollout_ordered').length === 1);
   const before = fresh.received.length;
   await callAll();
@@ -77,64 +54,73 @@
 });
 
 void test('a bad version gets no calls any more, and is reverted once', async () => {
-  order(20_000);
+  fixture.order({durationMs: 20_000});
   await fixture.startHost({sessionKeptMs: 10});
   await fixture.waitReady();
-  fresh.script = ({id}, response) =>
-    response.writeHead(500, {[names.requestId]: id}).end();
-  for (let i = 0; i < 300 && phases().at(-1) !== 'reverted'; i++)
+  fixture.breakFresh();
+  for (let i = 0; i < 300 && fixture.phases().at(-1) !== 'reverted'; i++)
     await fixture.call();
-  await fixture.waitFor(() => phases().includes('reverted'));
+  await fixture.waitFor(() => fixture.phases().includes('reverted'));
   const before = fresh.received.length;
   assert.ok(before <= 50, `${before} calls of the bad version`);
   for (let i = 0; i < 40; i++) await fixture.call();
   assert.equal(fresh.received.length, before);
   await new Promise(resolve => setTimeout(resolve, 1_500));
-  assert.equal(phases().at(-1), 'reverted');
-  assert.equal(phases().filter(phase => phase !== 'active').length, 1);
+  assert.equal(fixture.phases().at(-1), 'reverted');
+  assert.equal(fixture.phases().filter(phase => phase !== 'active').length, 1);
 });
 
 void test('a second order for a version that was reverted is carried out', async () => {
-  order(20_000);
+  fixture.order({durationMs: 20_000});
   await fixture.startHost({sessionKeptMs: 10});
   await fixture.waitReady();
   const answerWhole = fresh.script;
-  fresh.script = ({id}, response) =>
-    response.writeHead(500, {[names.requestId]: id}).end();
-  for (let i = 0; i < 300 && phases().at(-1) !== 'reverted'; i++)
+  fixture.breakFresh();
+  for (let i = 0; i < 300 && fixture.phases().at(-1) !== 'reverted'; i++)
     await fixture.call();
-  await fixture.waitFor(() => phases().includes('reverted'));
+  await fixture.waitFor(() => fixture.phases().includes('reverted'));
   fresh.script = answerWhole;
-  order(3_000);
-  await fixture.waitFor(() => phases().length === 3);
+  fixture.order({durationMs: 3_000});
+  await fixture.waitFor(() => fixture.phases().length === 3);
   await fixture.startHost({sessionKeptMs: 10});
   await fixture.waitReady(1);
-  await fixture.waitFor(() => phases().includes('complete'));
-  assert.deepEqual(phases(), ['active', 'reverted', 'active', 'complete']);
+  await fixture.waitFor(() => fixture.phases().includes('complete'));
+  assert.deepEqual(fixture.phases(), [
+    'active',
+    'reverted',
+    'active',
+    'complete',
+  ]);
   const before = fresh.received.length;
   await fixture.call({host: 1});
   assert.equal(fresh.received.length, before + 1);
 });
 
 void test('a phase whose answer was lost is not written a second time', async () => {
-  order(1_000);
+  fixture.order({durationMs: 1_000});
   await fixture.startHost({sessionKeptMs: 10});
   await fixture.waitReady();
   fixture.store.losesAnswers = true;
-  await fixture.waitFor(() => phases().includes('complete'));
+  await fixture.waitFor(() => fixture.phases().includes('complete'));
   await new Promise(resolve => setTimeout(resolve, 2_500));
-  assert.equal(phases().filter(phase => phase === 'complete').length, 1);
+  assert.equal(
+    fixture.phases().filter(phase => phase === 'complete').length,
+    1,
+  );
 });
 
 void test('several hosts write each phase once', async () => {
-  order(2_000);
+  fixture.order({durationMs: 2_000});
   await fixture.startHost({sessionKeptMs: 10});
   await fixture.startHost({sessionKeptMs: 10});
   await fixture.startHost({sessionKeptMs: 10, place: 'b'});
   await fixture.waitReady(2);
-  await fixture.waitFor(() => phases().includes('complete'));
+  await fixture.waitFor(() => fixture.phases().includes('complete'));
   await new Promise(resolve => setTimeout(resolve, 1_500));
-  assert.equal(phases().filter(phase => phase === 'complete').length, 1);
+  assert.equal(
+    fixture.phases().filter(phase => phase === 'complete').length,
+    1,
+  );
 });
 
 void test('a version that appears before its order waits for it', async () => {
@@ -149,7 +135,6 @@
   );
   for (let i = 0; i < 30; i++) await fixture.call();
   assert.equal(late.received.length, 0);
-  late.stop();
 });
 
 void test('a call that fails on the watched version is answered by the old one', async () => {
@@ -158,20 +143,20 @@
     response.writeHead(500, {[names.requestId]: id}).end();
   fresh.script = other.script = fail;
   await fixture.addRunner(other);
-  order(60_000);
+  fixture.order({durationMs: 60_000});
   await fixture.startHost({sessionKeptMs: 10});
   await fixture.waitReady();
   const statuses = new Set<number>();
-  for (let i = 0; i < 60; i++) statuses.add((await fixture.call()).status);
+  // Which calls are watched follows from their ids, which count on from test to test: of 60, none may be.
+  for (let i = 0; i < 200; i++) statuses.add((await fixture.call()).status);
   assert.ok(fresh.received.length + other.received.length > 0);
   assert.deepEqual([...statuses], [200]);
-  other.stop();
 });
 
 void test('a note of a start that cannot be read does not stop the order', async () => {
   await fixture.startHost({sessionKeptMs: 10});
   await fixture.waitReady();
-  order(60_000);
+  fixture.order({durationMs: 60_000});
   const {offset} = fixture.store.records(Topic.OPERATOR).at(-1)!;
   await fixture.store.append({
     topic: Topic.HOSTS,
--- a/packages/gateway/src/testing/gateway_fixture.ts
+++ b/packages/gateway/src/testing/gateway_fixture.ts
@@ -48,6 +48,7 @@
   readonly store = new MemoryRecordStore();
   readonly hosts: Host[] = [];
   readonly lines: Line[] = [];
+  private readonly runners = new Set<ScriptedRunner>();
   private version = 0;
 
   /** Starts a host; its own store may differ from the shared one, to cut it off. */
@@ -121,6 +122,7 @@
 
   async addRunner(runner: ScriptedRunner): Promise<void> {
     await runner.start();
+    this.runners.add(runner);
     this.store.put(Topic.RUNNERS, runner.entry.id, runner.entry);
   }
 
@@ -197,8 +199,10 @@
     });
   }
 
+  /** Stops all hosts and runners, so that a failed test leaves nothing that runs on. */
   async stop(): Promise<void> {
     for (const {gateway} of this.hosts) gateway.halt();
+    for (const runner of this.runners) runner.stop();
   }
 }
 
--- a/packages/standins/src/log/memory_log.ts
+++ b/packages/standins/src/log/memory_log.ts
@@ -1,5 +1,6 @@
 import type {Log, LogPage, LogRecord} from '@bayspool/decisions';
 import type {Clock} from '@bayspool/kernel';
+import {LongPolls} from '../polls/long_polls.js';
 
 interface Options {
   readonly clock: Clock;
@@ -10,7 +11,7 @@
 interface Stream {
   records: LogRecord[];
   next: number;
-  readonly waiters: Set<() => void>;
+  readonly polls: LongPolls;
 }
 
 const PAGE_MOST = 1_000;
@@ -32,7 +33,7 @@
     const at = this.time();
     for (const value of values)
       stream.records.push({offset: stream.next++, at, value});
-    for (const wake of [...stream.waiters]) wake();
+    stream.polls.wake();
     return offset;
   }
 
@@ -44,7 +45,7 @@
     const stream = this.stream(name);
     this.expire(stream);
     if (from >= stream.next && options.waitMs > 0)
-      await this.wait(stream, options.waitMs, options.signal);
+      await stream.polls.wait(options.waitMs, options.signal);
     const first = stream.records[0]?.offset ?? stream.next;
     const start = Math.max(0, from - first);
     return {
@@ -61,24 +62,6 @@
     );
   }
 
-  private wait(
-    stream: Stream,
-    waitMs: number,
-    signal?: AbortSignal,
-  ): Promise<void> {
-    return new Promise(resolve => {
-      const finish = () => {
-        timer.cancel();
-        stream.waiters.delete(finish);
-        signal?.removeEventListener('abort', finish);
-        resolve();
-      };
-      const timer = this.options.clock.after(waitMs, finish);
-      stream.waiters.add(finish);
-      signal?.addEventListener('abort', finish, {once: true});
-    });
-  }
-
   private expire(stream: Stream): void {
     const oldest = this.options.clock.wall() - this.options.retentionMs;
     const kept = stream.records.findIndex(record => record.at >= oldest);
@@ -95,7 +78,7 @@
   private stream(name: string): Stream {
     let stream = this.streams.get(name);
     if (!stream) {
-      stream = {records: [], next: 0, waiters: new Set()};
+      stream = {records: [], next: 0, polls: new LongPolls(this.options)};
       this.streams.set(name, stream);
     }
     return stream;
--- a/packages/standins/src/rating/memory_rating.ts
+++ b/packages/standins/src/rating/memory_rating.ts
@@ -1,5 +1,6 @@
 import type {Rating, RatingResult, RatingSample} from '@bayspool/decisions';
 import type {Clock, RandomSource} from '@bayspool/kernel';
+import {LongPolls} from '../polls/long_polls.js';
 import {answerQuality} from './answer_quality.js';
 
 interface Options {
@@ -18,7 +19,7 @@
 interface Mailbox {
   readonly results: RatingResult[];
   position: number;
-  readonly waiters: Set<() => void>;
+  readonly polls: LongPolls;
 }
 
 const DELAY_MS = 300;
@@ -63,7 +64,7 @@
   ): Promise<RatingResult[]> {
     const mailbox = this.mailbox(host);
     if (mailbox.position <= after && waitMs > 0)
-      await this.wait(mailbox, waitMs, signal);
+      await mailbox.polls.wait(waitMs, signal);
     return mailbox.results.filter(result => result.position > after);
   }
 
@@ -76,31 +77,13 @@
       good,
     });
     if (mailbox.results.length > KEPT_MOST) mailbox.results.shift();
-    for (const wake of [...mailbox.waiters]) wake();
-  }
-
-  private wait(
-    mailbox: Mailbox,
-    waitMs: number,
-    signal?: AbortSignal,
-  ): Promise<void> {
-    return new Promise(resolve => {
-      const finish = () => {
-        timer.cancel();
-        mailbox.waiters.delete(finish);
-        signal?.removeEventListener('abort', finish);
-        resolve();
-      };
-      const timer = this.options.clock.after(waitMs, finish);
-      mailbox.waiters.add(finish);
-      signal?.addEventListener('abort', finish, {once: true});
-    });
+    mailbox.polls.wake();
   }
 
   private mailbox(host: string): Mailbox {
     let mailbox = this.mailboxes.get(host);
     if (!mailbox) {
-      mailbox = {results: [], position: 0, waiters: new Set()};
+      mailbox = {results: [], position: 0, polls: new LongPolls(this.options)};
       this.mailboxes.set(host, mailbox);
     }
     return mailbox;
