--- a/packages/decisions/src/calls/cascade_rule.test.ts
+++ b/packages/decisions/src/calls/cascade_rule.test.ts
@@ -1,25 +1,10 @@
 import assert from 'node:assert/strict';
 import {test} from 'node:test';
 import {SeededRandom} from '@bayspool/kernel';
-import {CallKind} from './call_kind.js';
-import type {CallRoute} from './call_route.js';
 import {CascadeRule} from './cascade_rule.js';
 import {OpinionScale} from './opinion_scale.js';
+import {sampleRoute as route} from './testing/sample_route.js';
 
-const route: CallRoute = {
-  name: 'r',
-  hostName: 'a.example',
-  pathPrefix: '/x/',
-  kind: CallKind.RESUMABLE,
-  timeLimitMs: 8_000,
-  latencyTargetMs: 2_000,
-  pauseTargetMs: 1_000,
-  priority: 0,
-  attempts: 3,
-  isPublic: true,
-  models: ['small', 'large'],
-  targets: [{service: 'svc', weight: 1}],
-};
 const calm = {expectedMs: 300, workMs: 250, pressure: 0};
 const answer = {
   route,
