Soak: how late its own timers fired at worst stands beside the violations

The logs of all four hosts are silent between the same moments, 5 to 6 s apart, timers included; nothing told whether the machine gave the soak any time then. No check is narrowed.

--- a/packages/gateway/src/index.ts
+++ b/packages/gateway/src/index.ts
@@ -8,6 +8,7 @@
 export {EventLog} from './observability/event_log.js';
 export type {EventSink} from './observability/event_sink.js';
 export {LineWriter} from './observability/line_writer.js';
+export {LoopLag} from './observability/loop_lag.js';
 export type {KeyedRecord} from './records/keyed_record.js';
 export type {RecordStore} from './records/record_store.js';
 export {StoreFailure} from './records/store_failure.js';
