bayspool sessions: calls are compared in the order in which runners were chosen

Cause: calls of a session overlap. Change: a call's last runner is compared with the one chosen before it for another call of the session.

--- a/packages/client/src/sessions/find_moves.ts
+++ b/packages/client/src/sessions/find_moves.ts
@@ -7,18 +7,42 @@
   readonly gapMs: number;
 }
 
-/** Finds calls that ran on another version than the call before them in their session. */
+/**
+ * Finds calls whose last runner had another version than the runner that was chosen before it for another call of
+ * the session. Calls of a session may overlap, so one that began earlier may be the later one: its stream broke off.
+ */
 export function findMoves({runs, gapMs}: Options): VersionMove[] {
-  const ordered = [...runs].sort((a, b) => a.acceptedMs - b.acceptedMs);
-  const last = new Map<string, SessionRun>();
+  const ordered = [...runs].sort((a, b) => a.chosenMs - b.chosenMs);
+  return [...groupBySession(ordered)].flatMap(session =>
+    movesOf(session, gapMs),
+  );
+}
+
+function groupBySession(
+  runs: readonly SessionRun[],
+): IterableIterator<SessionRun[]> {
+  const sessions = new Map<string, SessionRun[]>();
+  for (const run of runs) {
+    const key = `${run.service}|${run.session}`;
+    const known = sessions.get(key);
+    if (known) known.push(run);
+    else sessions.set(key, [run]);
+  }
+  return sessions.values();
+}
+
+/** The moves of one session, whose runs stand in the order in which they were chosen. */
+function movesOf(runs: readonly SessionRun[], gapMs: number): VersionMove[] {
+  const lastOf = new Map(runs.map(run => [run.request, run]));
   const moves: VersionMove[] = [];
-  for (const after of ordered) {
-    const key = `${after.service}|${after.session}`;
-    const before = last.get(key);
-    last.set(key, after);
-    if (!before || before.version === after.version) continue;
+  runs.forEach((after, index) => {
+    if (lastOf.get(after.request) !== after) return;
+    const before = runs
+      .slice(0, index)
+      .findLast(({request}) => request !== after.request);
+    if (!before || before.version === after.version) return;
     if (after.acceptedMs - before.chosenMs <= gapMs)
       moves.push({before, after});
-  }
+  });
   return moves;
 }
--- a/packages/client/src/sessions/read_session_runs.ts
+++ b/packages/client/src/sessions/read_session_runs.ts
@@ -3,10 +3,10 @@
 
 const UNKNOWN = '?';
 
-/** Makes a record of each call that has a session and was sent to a runner, in the order of the lines. */
+/** Makes a record of each runner that was chosen for a call with a session, in the order of the lines. */
 export function readSessionRuns(lines: Iterable<LogLine>): SessionRun[] {
   const accepted = new Map<string, LogLine>();
-  const runs = new Map<string, SessionRun>();
+  const runs: SessionRun[] = [];
   for (const line of lines) {
     const {request, event} = line;
     if (request === undefined) continue;
@@ -15,9 +15,9 @@
     const first = accepted.get(request);
     // A call without a session belongs to none; without its first line, its session is not known.
     if (first?.session === undefined) continue;
-    runs.set(request, toRun(first, line));
+    runs.push(toRun(first, line));
   }
-  return [...runs.values()];
+  return runs;
 }
 
 function toRun(first: LogLine, chosen: LogLine): SessionRun {
--- a/packages/client/src/sessions/session_run.ts
+++ b/packages/client/src/sessions/session_run.ts
@@ -1,4 +1,4 @@
-/** A call of a session, and the version that ran it last. */
+/** A runner chosen for a call of a session, and its version; a call that is tried again has several. */
 export interface SessionRun {
   readonly request: string;
   readonly session: string;
@@ -6,7 +6,7 @@
   readonly host: string;
   /** When the call was accepted, in ms since the epoch by the host's clock. */
   readonly acceptedMs: number;
-  /** When its last runner was chosen, in ms since the epoch by the host's clock. */
+  /** When the runner was chosen, in ms since the epoch by the host's clock. */
   readonly chosenMs: number;
   readonly version: string;
   /** What decided on the version; a question mark if the line does not tell. */
--- a/packages/client/src/sessions/sessions.test.ts
+++ b/packages/client/src/sessions/sessions.test.ts
@@ -13,23 +13,32 @@
   readonly host: string;
   readonly versions: readonly string[];
   readonly session?: string;
+  /** When a further runner was chosen, and its version. */
+  readonly again?: {readonly second: number; readonly version: string};
 }
 
-function linesOf({request, second, host, versions, session}: Call): LogLine[] {
-  const time = new Date(second * 1_000).toISOString();
-  const common = {time, steadyMs: 0, host, request};
+function linesOf(call: Call): LogLine[] {
+  const {request, second, host, versions, session, again} = call;
+  const common = {steadyMs: 0, host, request};
+  const chosen = (at: number, version: string) => ({
+    ...common,
+    time: timeOf(at),
+    event: 'runner_chosen',
+    service: 'svc',
+    version,
+    versionReason: 'in the share',
+  });
   return [
-    {...common, event: 'request_accepted', session},
-    ...versions.map(version => ({
-      ...common,
-      event: 'runner_chosen',
-      service: 'svc',
-      version,
-      versionReason: 'in the share',
-    })),
+    {...common, time: timeOf(second), event: 'request_accepted', session},
+    ...versions.map(version => chosen(second, version)),
+    ...(again ? [chosen(again.second, again.version)] : []),
   ];
 }
 
+function timeOf(second: number): string {
+  return new Date(second * 1_000).toISOString();
+}
+
 function movesOf(calls: readonly Call[]) {
   const runs = readSessionRuns(calls.flatMap(linesOf));
   return findMoves({runs, gapMs: GAP_MS});
@@ -59,6 +68,25 @@
   assert.equal(describeMoves(moves), 'no session changed its version');
 });
 
+void test('a call that is tried again while another one runs is the later one', () => {
+  const again = {second: 4, version: 'v2'};
+  const moves = movesOf([
+    {
+      request: 'a',
+      second: 1,
+      host: 'h1',
+      versions: ['v1'],
+      session: 's',
+      again,
+    },
+    {request: 'b', second: 2, host: 'h2', versions: ['v1'], session: 's'},
+  ]);
+  assert.deepEqual(
+    moves.map(({before, after}) => [before.request, after.request]),
+    [['b', 'a']],
+  );
+});
+
 void test('calls without a session, of others, or after a pause do not belong together', () => {
   const moves = movesOf([
     {request: 'a', second: 1, host: 'h1', versions: ['v1'], session: 's'},
