--- a/packages/gateway/src/calls/streams.test.ts
+++ b/packages/gateway/src/calls/streams.test.ts
@@ -2,6 +2,7 @@
 import type {ServerResponse} from 'node:http';
 import {afterEach, beforeEach, test} from 'node:test';
 import {CallKind} from '@bayspool/decisions/calls';
+import {Topic} from '../records/topic.js';
 import {GatewayFixture} from '../testing/gateway_fixture.js';
 import {plainHeaderNames as names} from '../testing/plain_header_names.js';
 import {ScriptedRunner} from '../testing/scripted_runner.js';
@@ -171,3 +172,39 @@
   assert.equal(answer.status, 421);
   assert.equal(first.received.length, 0);
 });
+
+/** Time for which the roll-out may last, in ms; all calls are on the new version from 0.74 of it on. */
+const ROLLOUT_MS = 2_000;
+
+void test('a stream that breaks after its service moved on goes on with the version that began it', async () => {
+  const other = new ScriptedRunner({id: 'one-more'});
+  const fresh = new ScriptedRunner({id: 'fresh', version: 'v2'});
+  // Targets so long that the pause before the break does not look like silence.
+  await serve([first, other, fresh], {
+    timeLimitMs: 8_000,
+    latencyTargetMs: 8_000,
+    pauseTargetMs: 8_000,
+  });
+  const versionsAsked: string[] = [];
+  first.script = other.script = (request, response) => {
+    versionsAsked.push('v1');
+    if (versionsAsked.length > 1) return streamAll(request, response);
+    begin(request.id, response);
+    response.write(event(1) + event(2));
+    setTimeout(() => request.socket.destroy(), ROLLOUT_MS * 0.78);
+  };
+  fresh.script = (request, response) => {
+    versionsAsked.push('v2');
+    streamAll(request, response);
+  };
+  fixture.store.put(Topic.OPERATOR, 'rollout/svc', {
+    service: 'svc',
+    version: 'v2',
+    durationMs: ROLLOUT_MS,
+  });
+  await fixture.waitFor(() => fixture.events('rollout_ordered').length === 1);
+  const session = {[names.session]: 'session'};
+  const answer = await fixture.call({headers: session});
+  assert.equal(answer.body, WHOLE);
+  assert.deepEqual(versionsAsked, ['v1', 'v1']);
+});
