An answer is made by one version

Cause: the forwarder drew the version anew for each attempt, also for a stream of which the caller held a piece.

Change: a begun answer belongs to the version that began it; without a runner of it the answer is cut at once. The end of a long answer of the old version no longer takes back what is remembered of its session.

--- a/packages/gateway/src/calls/attempt_lessons.ts
+++ b/packages/gateway/src/calls/attempt_lessons.ts
@@ -42,12 +42,11 @@
     outcome: AttemptOutcome,
     timing: AttemptTiming,
   ): void {
-    const {metrics, sessions} = this.options;
+    const {metrics} = this.options;
     const {call} = progress;
     const {runner} = choice;
     metrics.attempts.inc({service: call.service, outcome: outcome.kind});
-    if (call.session !== undefined)
-      sessions.set(call.session, runner.entry.version);
+    this.keepSession(call.session, runner.entry.version);
     if (timing.firstMs !== undefined)
       this.learnSpeed(progress, choice, timing.firstMs, timing);
     this.learnHealth(runner, outcome, timing.wasQuiet);
@@ -60,6 +59,15 @@
       );
   }
 
+  /** Its session goes on from the end of a call; a long answer of the old version does not take it back. */
+  private keepSession(session: string | undefined, version: string): void {
+    if (session === undefined) return;
+    const {sessions} = this.options;
+    const known = sessions.get(session);
+    if (known === undefined || known === version)
+      sessions.set(session, version);
+  }
+
   private learnSpeed(
     {call, model}: CallProgress,
     {runner, unreadTokens}: RunnerChoice,
--- a/packages/gateway/src/calls/call_forwarder.ts
+++ b/packages/gateway/src/calls/call_forwarder.ts
@@ -8,8 +8,11 @@
 import type {EventLog} from '../observability/event_log.js';
 import type {GatewayMetrics} from '../observability/gateway_metrics.js';
 import type {RolloutBook} from '../rollouts/rollout_book.js';
+import {VersionReason} from '../rollouts/version_reason.js';
+import type {VersionWish} from '../rollouts/version_wish.js';
 import type {PrefixBook} from '../runners/prefix_book.js';
 import type {ReadingRates} from '../runners/reading_rates.js';
+import type {Runner} from '../runners/runner.js';
 import type {RunnerChoice} from '../runners/runner_choice.js';
 import type {RunnerChooser} from '../runners/runner_chooser.js';
 import {AnswerJudge} from './answer_judge.js';
@@ -114,31 +117,52 @@
     progress: CallProgress,
     model = progress.model,
   ): RunnerChoice | undefined {
-    const {directory, rollouts, chooser} = this.options;
+    const {directory, chooser} = this.options;
     const {call, tried} = progress;
     const takers = directory.takersOf(call.service);
-    const wish = rollouts.wishFor({
+    const wish = this.wishFor(progress, takers);
+    const able = this.ableFor(progress, wish, takers);
+    const {prompt, body} = call;
+    const bodyBytes = body.length;
+    return chooser.choose({candidates: able, tried, bodyBytes, model, prompt});
+  }
+
+  /** An answer is made by one version, whatever its session has by the time at which a runner breaks off. */
+  private wishFor(
+    progress: CallProgress,
+    takers: readonly Runner[],
+  ): VersionWish {
+    const {call, tried, begunBy, failedVersions} = progress;
+    if (begunBy !== undefined)
+      return {only: begunBy, reason: VersionReason.BEGUN};
+    return this.options.rollouts.wishFor({
       service: call.service,
       key: call.id,
       session: call.session,
-      failedVersions: progress.failedVersions,
+      failedVersions,
       hasUntried: version =>
         takers.some(
           ({entry}) => entry.version === version && !tried.has(entry.id),
         ),
     });
-    const held = directory.unexplainedVersions(call.service);
+  }
+
+  /** The runners that may take the call; without one of a wished version any does, but for a begun answer. */
+  private ableFor(
+    progress: CallProgress,
+    wish: VersionWish,
+    takers: readonly Runner[],
+  ): readonly Runner[] {
+    const {begunBy, call} = progress;
+    const held = this.options.directory.unexplainedVersions(call.service);
     const wished = takers.filter(({entry: {version}}) =>
       wish.only !== undefined
         ? version === wish.only
         : version !== wish.not && !held.has(version),
     );
-    const hasWished = wished.length > 0;
-    const able = hasWished ? wished : takers;
-    progress.version = {wish, isGranted: hasWished};
-    const {prompt, body} = call;
-    const bodyBytes = body.length;
-    return chooser.choose({candidates: able, tried, bodyBytes, model, prompt});
+    const isGranted = wished.length > 0;
+    progress.version = {wish, isGranted};
+    return isGranted || begunBy !== undefined ? wished : takers;
   }
 
   private async attempt(
@@ -156,6 +180,7 @@
     const eventsBefore = caller.events;
     const attempt = this.prepare(progress, choice, caller, signal);
     const outcome = await attempt.run();
+    if (caller.hasBegun) progress.begunBy ??= choice.runner.entry.version;
     const firstMs =
       attempt.firstAt === undefined ? undefined : attempt.firstAt - startedAt;
     const {wasQuiet} = attempt;
@@ -205,7 +230,8 @@
     const {entry} = choice.runner;
     if (call.prompt && model !== undefined)
       prefixes.note(entry.id, model, call.prompt);
-    if (call.session !== undefined) sessions.set(call.session, entry.version);
+    if (call.session !== undefined && progress.begunBy === undefined)
+      sessions.set(call.session, entry.version);
     const hasSession = call.session !== undefined;
     const {wish, isGranted} = progress.version ?? {};
     metrics.versionChoices.inc({
--- a/packages/gateway/src/calls/streams.test.ts
+++ b/packages/gateway/src/calls/streams.test.ts
@@ -208,3 +208,20 @@
   assert.equal(answer.body, WHOLE);
   assert.deepEqual(versionsAsked, ['v1', 'v1']);
 });
+
+void test('a begun stream whose version has no runner left ends at once, and not at its time limit', async () => {
+  const fresh = new ScriptedRunner({id: 'fresh', version: 'v2'});
+  await serve([first, fresh], {timeLimitMs: 8_000});
+  fresh.script = streamAll;
+  first.script = (request, response) => {
+    begin(request.id, response);
+    response.write(event(1) + event(2));
+    fixture.store.put(Topic.RUNNERS, 'one', {...first.entry, isDraining: true});
+    setTimeout(() => request.socket.destroy(), 300);
+  };
+  let answer = await fixture.call();
+  while (first.received.length === 0) answer = await fixture.call();
+  assert.equal(answer.body, event(1) + event(2));
+  assert.equal(answer.isWhole, false);
+  assert.ok(answer.forMs < 2_000, `ended after ${answer.forMs} ms`);
+});
--- a/packages/gateway/src/rollouts/version_reason.ts
+++ b/packages/gateway/src/rollouts/version_reason.ts
@@ -1,6 +1,7 @@
 /** Why a call gets the version that it gets while a service has a roll-out. */
 const VersionReason = {
   NONE: 'no roll-out',
+  BEGUN: 'answer begun by this version',
   TAKEN_BACK: 'new version taken back',
   WHOLE: 'all calls',
   FAILED_THERE: 'failed on the new version',
