The age of a roll-out counts on at every hand-over, and a host that does not know it says so

Cause: a host that has just started learned the age of an order as it was when some host told it. Digests are kept for up to 3 s and sums for 0.1 s, and the time for which they were kept was lost at each hand-over; where a time of day was all it had, it went by that at once.

Change: what is told counts on by the time since it was heard or made (count_on.ts). A host that knows an age by its time of day only waits 0.3 s for others, gives sessions the old version meanwhile and is not ready; it asks for what is known now, in place of waiting for news. Ages are rounded down.

--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -150,9 +150,10 @@
   }
 
   private isReady(): boolean {
-    const {belief, directory} = this.knowledge;
+    const {belief, directory, rollouts} = this.knowledge;
     const isReady =
       !this.leaving.hasBegun &&
+      rollouts.areAgesKnown &&
       belief.current !== undefined &&
       directory.all().length > 0 &&
       belief.ageMs < this.maxKeyAgeMs();
--- a/packages/gateway/src/peers/kept_sum.ts
+++ b/packages/gateway/src/peers/kept_sum.ts
@@ -1,5 +1,6 @@
 import type {Clock} from '@bayspool/kernel';
 import type {LoadDigest} from './load_digest.js';
+import {countOn} from './count_on.js';
 import {mergeLoads} from './merge_loads.js';
 
 interface Options {
@@ -19,7 +20,8 @@
 
   get(): LoadDigest {
     const now = this.options.clock.now();
-    if (this.digest && now - this.madeAt < KEPT_MS) return this.digest;
+    const keptMs = now - this.madeAt;
+    if (this.digest && keptMs < KEPT_MS) return countOn(this.digest, keptMs);
     this.madeAt = now;
     this.digest = mergeLoads(this.options.parts());
     return this.digest;
--- a/packages/gateway/src/peers/load_board.ts
+++ b/packages/gateway/src/peers/load_board.ts
@@ -1,5 +1,6 @@
 import type {Clock} from '@bayspool/kernel';
 import type {LoadDigest} from './load_digest.js';
+import {countOn} from './count_on.js';
 import {KeptSum} from './kept_sum.js';
 import {mergeLoads} from './merge_loads.js';
 import {takeOff} from './take_off.js';
@@ -75,12 +76,9 @@
   }
 
   private fresh(heard: Map<string, Heard>): LoadDigest[] {
+    const now = this.options.clock.now();
     return [...heard.values()]
-      .filter(one => this.isFresh(one))
-      .map(({digest}) => digest);
-  }
-
-  private isFresh(heard: Heard): boolean {
-    return this.options.clock.now() - heard.at < KEPT_MS;
+      .filter(({at}) => now - at < KEPT_MS)
+      .map(({digest, at}) => countOn(digest, now - at));
   }
 }
--- a/packages/gateway/src/peers/news_loop.ts
+++ b/packages/gateway/src/peers/news_loop.ts
@@ -24,6 +24,13 @@
 
 /** How long a host of the same place may wait for news, in ms; also how often loads are told. */
 const WAIT_MS = 400;
+/**
+ * Pause between two looks for another host while this one has heard none, in ms: the hosts are known with the
+ * first copy of the store, and what they tell is needed before the first call.
+ */
+const FIRST_LOOK_MS = 30;
+/** How long it looks so often, in ms: a fleet of one host has none to find. */
+const FIRST_LOOKS_MS = 1_000;
 /** What each host of the place adds to it, in ms: one of them answers all the others. */
 const WAIT_PER_HOST_MS = 20;
 /** Pause between two exchanges with other places, in ms, for up to {@link PLACES_A_ROUND}. */
@@ -84,15 +91,21 @@
 
   private async followPlace(): Promise<void> {
     const {clock, roster} = this.options;
+    // A host that has just started asks for what is known now: loads, and the ages of roll-outs.
+    let isKnowing = false;
+    const looksUntil = clock.now() + FIRST_LOOKS_MS;
     while (!this.stopped) {
       const [first] = roster.readersOf(roster.self.place);
       this.noteSource(first);
       if (!first || first.name === roster.self.name) {
-        await sleep(clock, WAIT_MS / 2);
+        const isNew = !isKnowing && clock.now() < looksUntil;
+        await sleep(clock, isNew ? FIRST_LOOK_MS : WAIT_MS / 2);
         continue;
       }
       const hosts = roster.sizeOf(roster.self.place);
-      const isDone = await this.ask(first, WAIT_MS + hosts * WAIT_PER_HOST_MS);
+      const waitMs = isKnowing ? WAIT_MS + hosts * WAIT_PER_HOST_MS : 0;
+      const isDone = await this.ask(first, waitMs);
+      isKnowing ||= isDone;
       if (!isDone) await this.pause(RETRY_MS);
     }
   }
--- a/packages/gateway/src/rollouts/rollout.ts
+++ b/packages/gateway/src/rollouts/rollout.ts
@@ -7,6 +7,7 @@
 import type {RolloutOrder, VersionTally} from '@bayspool/decisions/calls';
 import type {Clock} from '@bayspool/kernel';
 import type {EventLog} from '../observability/event_log.js';
+import {isAgeKnown} from './is_age_known.js';
 import {mergeRollouts} from './merge_rollouts.js';
 import type {RolloutAge} from './rollout_age.js';
 import type {RolloutDigest} from './rollout_digest.js';
@@ -24,6 +25,13 @@
   readonly statesFrom: number;
 }
 
+/**
+ * How long a host that did not see an order waits for others to tell its age, in ms: one that is asked for what it
+ * knows now answers within some 50 ms. A clock that is ahead by seconds would end the watch of a new version
+ * early; a longer wait would keep sessions on the old version that others have moved.
+ */
+const ASK_MS = 300;
+
 /** One roll-out as this host knows it. */
 export class Rollout {
   /** What this host itself saw of the two versions. */
@@ -38,10 +46,14 @@
   statesFrom: number;
   private startedAt: number;
   private isSeen: boolean;
+  /** Whether another host told an age, so that this host's own time of day does not count. */
+  private isTold = false;
+  private readonly learnedAt: number;
   private bad = false;
 
   constructor(private readonly options: Options) {
-    this.startedAt = options.clock.now() - options.elapsedMs;
+    this.learnedAt = options.clock.now();
+    this.startedAt = this.learnedAt - options.elapsedMs;
     this.isSeen = options.isSeen;
     this.statesFrom = options.statesFrom;
   }
@@ -51,9 +63,18 @@
     return this.options.order;
   }
 
-  /** Time since the order, in ms. */
+  /** Time since the order, in ms; 0 while this host does not know it. */
   get elapsedMs(): number {
-    return this.options.clock.now() - this.startedAt;
+    return this.isAgeKnown ? this.options.clock.now() - this.startedAt : 0;
+  }
+
+  /**
+   * Whether this host knows how old the order is: it saw it arrive, another host told, or nobody did for so
+   * long that a time of day has to do. Until then the new version gets its least share, and no sessions.
+   */
+  get isAgeKnown(): boolean {
+    if (this.isSeen || this.isTold) return true;
+    return this.options.clock.now() - this.learnedAt >= ASK_MS;
   }
 
   /** Whether this host or another one judged the new version worse than the old one. */
@@ -87,23 +108,34 @@
   }
 
   /**
-   * Takes over how long ago the order was made. Hosts that saw it arrive only know a time that is too short,
-   * so the longest one holds; it goes before any time that was worked out from a time of day, since that may
-   * have jumped by seconds.
+   * Takes over how long ago another host says that the order was made. Hosts that saw it arrive only know a
+   * time that is too short, so the longest one holds; it goes before any time that was worked out from a time
+   * of day, since that may have jumped by seconds.
    */
-  noteElapsed({elapsedMs, isSeen}: RolloutAge): void {
+  noteElapsed(told: RolloutAge): void {
+    if (!isAgeKnown(told)) return;
+    const {elapsedMs, isSeen} = told;
     const startedAt = this.options.clock.now() - elapsedMs;
-    if (isSeen === this.isSeen)
-      this.startedAt = Math.min(this.startedAt, startedAt);
-    else if (isSeen) this.startedAt = startedAt;
+    const isAlike = isSeen === this.isSeen && this.isAgeKnown;
+    if (isAlike) this.startedAt = Math.min(this.startedAt, startedAt);
+    else if (!this.isSeen) this.startedAt = startedAt;
     this.isSeen ||= isSeen;
+    this.isTold = true;
+  }
+
+  /** Takes over what the note in the store and this host's time of day say, while nobody told better. */
+  guessElapsed(elapsedMs: number): void {
+    if (this.isSeen || this.isTold) return;
+    const startedAt = this.options.clock.now() - elapsedMs;
+    this.startedAt = Math.min(this.startedAt, startedAt);
   }
 
   /** What this host itself saw, for the others. */
   digest(oldRunning: number): RolloutDigest {
     return {
       offset: this.order.offset,
-      elapsedMs: Math.round(this.elapsedMs),
+      // Rounded down: told as older than it is, it would raise the share of others.
+      elapsedMs: Math.floor(this.elapsedMs),
       isSeen: this.isSeen,
       isBad: this.bad,
       oldRunning,
--- a/packages/gateway/src/rollouts/rollout_age.test.ts
+++ b/packages/gateway/src/rollouts/rollout_age.test.ts
@@ -54,3 +54,25 @@
   one.noteElapsed({elapsedMs: 5_000, isSeen: false});
   assert.equal(one.elapsedMs, 6_000);
 });
+
+void test('a host that only has a time of day waits for others before it goes by it', () => {
+  const started = createRollout(16_000, false);
+  const shareOf = () => started.shareOf({hasSession: true});
+  assert.equal(started.isAgeKnown, false);
+  assert.equal(shareOf(), 0);
+  clock.advance(299);
+  assert.equal(shareOf(), 0);
+  clock.advance(1);
+  assert.equal(started.elapsedMs, 16_300);
+  assert.ok(shareOf() > 0);
+});
+
+void test('what another host tells of an age goes before the own time of day, also before the wait is over', () => {
+  const started = createRollout(16_000, false);
+  started.noteElapsed({elapsedMs: 0, isSeen: false});
+  assert.equal(started.isAgeKnown, false);
+  started.noteElapsed({elapsedMs: 9_000, isSeen: false});
+  assert.equal(started.elapsedMs, 9_000);
+  started.guessElapsed(16_000);
+  assert.equal(started.elapsedMs, 9_000);
+});
--- a/packages/gateway/src/rollouts/rollout_book.ts
+++ b/packages/gateway/src/rollouts/rollout_book.ts
@@ -71,6 +71,13 @@
     return this.rollouts.get(service);
   }
 
+  /** Whether this host can tell each call its version: it knows how old each active roll-out is. */
+  get areAgesKnown(): boolean {
+    return this.all().every(
+      ({phase, isAgeKnown}) => isAgeKnown || phase !== RolloutPhase.ACTIVE,
+    );
+  }
+
   /** The newest roll-out of each service. */
   all(): Rollout[] {
     return [...this.rollouts.values()];
@@ -175,7 +182,7 @@
       const {order, phase} = rollout;
       // Only a host that did not see the order arrive, and was not told by one that did, goes by the note.
       const elapsedMs = this.options.starts.elapsedMs(order);
-      rollout.noteElapsed({elapsedMs, isSeen: false});
+      rollout.guessElapsed(elapsedMs);
       const statesFrom = this.options.starts.statesFrom(order);
       if (statesFrom === undefined || statesFrom <= rollout.statesFrom)
         continue;
--- a/packages/gateway/src/rollouts/rollout_writer.ts
+++ b/packages/gateway/src/rollouts/rollout_writer.ts
@@ -62,7 +62,9 @@
     if (rollout.phase !== RolloutPhase.ACTIVE) return;
     // What is due meanwhile, of this roll-out or another one, is looked at again after the pause.
     if (this.isWriting) return;
-    if (this.turnOf(rollout) === 0 && !this.announced.has(rollout)) {
+    // A start that is noted by a host that does not know the age would mislead all that restart later.
+    if (!rollout.isAgeKnown) return;
+    if (!this.announced.has(rollout) && this.turnOf(rollout) === 0) {
       void this.writeAlone(() => this.announce(rollout));
       return;
     }
