Entries of the store are read by codecs; a later start under a runner's id is another runner

Cause: entries were taken as any JSON object: without an address, with slots as text, in a phase that nobody named (taken for ready); an entry of a host that could not be parsed threw in the middle of an update of the copy. The time of a runner's start was read nowhere, so kept parts, loads and outcomes of an earlier start went on for the next one under the same id.

Change: one codec (purify-ts) an entry at the adapter's edge, and for what hosts write themselves; what can't be used is a typed problem, told once a key and offset (entry_refused) and counted. A known runner whose entry turns unreadable gets no calls until one can be read. A later start under an id drops everything of the earlier one, an earlier one is old news; hosts name the start of which they tell (start_of.ts).

--- a/packages/decisions/src/calls/runner_entry.ts
+++ b/packages/decisions/src/calls/runner_entry.ts
@@ -1,7 +1,9 @@
 /** What a runner tells of itself in the store. */
 export interface RunnerEntry {
-  /** Names one start of the runner. */
+  /** Names the runner; it may start again under the same one. */
   readonly id: string;
+  /** Time of day of its start, in ms; undefined where the platform does not tell. */
+  readonly bornAt?: number;
   readonly service: string;
   /** IP:PORT. */
   readonly address: string;
--- a/packages/gateway/src/beliefs/runner_directory.ts
+++ b/packages/gateway/src/beliefs/runner_directory.ts
@@ -2,6 +2,8 @@
 import type {Clock, Timer} from '@bayspool/kernel';
 import type {EventLog} from '../observability/event_log.js';
 import type {KeyedRecord} from '../records/keyed_record.js';
+import type {Refusals} from '../records/refusals.js';
+import {Topic} from '../records/topic.js';
 import type {MirrorUpdate} from '../records/mirror_update.js';
 import type {TopicMirror} from '../records/topic_mirror.js';
 import type {Runner} from '../runners/runner.js';
@@ -16,6 +18,7 @@
   readonly freshness: TopicMirror;
   /** Told of each runner that is no longer known. */
   readonly onGone: (id: string) => void;
+  readonly refusals: Refusals;
   readonly createRunner: (entry: RunnerEntry) => Runner;
 }
 
@@ -37,6 +40,8 @@
   private loadedAt: number | undefined;
   private updatedAt = 0;
   private readonly lapses = new Map<string, Timer>();
+  /** Known runners whose newest entry could not be read. */
+  private readonly unreadable = new Set<string>();
 
   constructor(private readonly options: Options) {
     options.mirror.onUpdate(update => this.take(update));
@@ -49,10 +54,13 @@
 
   /** Runners of a service that take new calls, ejected ones included. */
   takersOf(service: string): Runner[] {
-    return this.all().filter(
-      ({entry, isReplaced}) =>
-        entry.service === service && !entry.isDraining && !isReplaced,
-    );
+    const takers: Runner[] = [];
+    for (const runner of this.runners.values()) {
+      const {entry, isReplaced} = runner;
+      if (entry.service !== service || entry.isDraining || isReplaced) continue;
+      if (!this.unreadable.has(entry.id)) takers.push(runner);
+    }
+    return takers;
   }
 
   /**
@@ -87,29 +95,52 @@
   }
 
   private put(record: KeyedRecord): void {
-    const {reader, log, createRunner} = this.options;
-    let entry: RunnerEntry;
-    try {
-      entry = reader.readRunner(record);
-    } catch (error) {
-      const reason = String(error);
-      log.write('runner_refused', {
-        runner: record.key,
-        reason,
-        offset: record.offset,
-      });
-      return;
-    }
-    this.lapses.get(entry.id)?.cancel();
-    this.lapses.delete(entry.id);
-    const known = this.runners.get(entry.id);
+    const entry = this.read(record);
+    if (!entry) return;
+    const {id} = entry;
+    if (this.isOldNews(entry)) return;
+    this.unreadable.delete(id);
+    this.cancelLapse(id);
+    if (this.isNewStart(entry)) this.drop(id, 'started again under its id');
+    const known = this.runners.get(id);
     const wasDraining = known?.entry.isDraining ?? false;
     this.noteVersion(entry);
     if (known) known.update(entry);
-    else this.runners.set(entry.id, createRunner(entry));
+    else this.runners.set(id, this.options.createRunner(entry));
     this.report(entry, known !== undefined, wasDraining, record.offset);
   }
 
+  /**
+   * A runner whose entry can't be read gets no new calls until one can: the entry names no runner to use. What is
+   * known of it is kept, as it may be another program that wrote over it, and the runner tells of itself again.
+   */
+  private read(record: KeyedRecord): RunnerEntry | undefined {
+    const {reader, refusals} = this.options;
+    try {
+      return reader.readRunner(record);
+    } catch (error) {
+      refusals.note(Topic.RUNNERS, record, error);
+      if (this.runners.has(record.key)) this.unreadable.add(record.key);
+      return undefined;
+    }
+  }
+
+  /** Of two starts under one id the later one counts, in whichever order their entries come. */
+  private isOldNews({id, bornAt}: RunnerEntry): boolean {
+    const knownBornAt = this.runners.get(id)?.entry.bornAt;
+    return (bornAt ?? Infinity) < (knownBornAt ?? -Infinity);
+  }
+
+  private isNewStart({id, bornAt}: RunnerEntry): boolean {
+    const known = this.runners.get(id)?.entry;
+    return known !== undefined && (bornAt ?? 0) > (known.bornAt ?? 0);
+  }
+
+  private cancelLapse(id: string): void {
+    this.lapses.get(id)?.cancel();
+    this.lapses.delete(id);
+  }
+
   private report(
     entry: RunnerEntry,
     isKnown: boolean,
@@ -140,21 +171,26 @@
     const mayHaveLapsed =
       isReload || freshness.isStaleAt(now) || sinceReturn < LAPSE_WINDOW_MS;
     if (!mayHaveLapsed || runner.entry.isDraining) {
-      this.drop(runner, 'entry removed');
+      this.drop(record.key, 'entry removed');
       return;
     }
     const {id, service} = runner.entry;
     log.write('runner_lapsed', {runner: id, service, keptMs: LAPSE_KEPT_MS});
     const timer = clock.after(LAPSE_KEPT_MS, () => {
       this.lapses.delete(id);
-      this.drop(runner, 'entry not back after an outage of the store');
+      this.drop(id, 'entry not back after an outage of the store');
     });
     this.lapses.set(id, timer);
   }
 
-  private drop(runner: Runner, reason: string): void {
-    const {id, service} = runner.entry;
+  /** Everything that is believed of a runner goes with it: connections, load, outcomes, kept parts. */
+  private drop(id: string, reason: string): void {
+    const runner = this.runners.get(id);
+    if (!runner) return;
+    const {service} = runner.entry;
     this.runners.delete(id);
+    this.unreadable.delete(id);
+    this.cancelLapse(id);
     runner.retire();
     this.options.onGone(id);
     this.options.log.write('runner_gone', {runner: id, service, reason});
--- a/packages/gateway/src/observability/event_fields.ts
+++ b/packages/gateway/src/observability/event_fields.ts
@@ -147,7 +147,13 @@
   runner_leaving: {runner: string; service: string; offset: number};
   runner_gone: {runner: string; service: string; reason: string};
   runner_lapsed: {runner: string; service: string; keptMs: number};
-  runner_refused: {runner: string; reason: string; offset: number};
+  entry_refused: {
+    topic: string;
+    key: string;
+    offset: number;
+    kind: string;
+    reason: string;
+  };
   runner_ejected: {
     runner: string;
     service: string;
--- a/packages/gateway/src/observability/gateway_metrics.ts
+++ b/packages/gateway/src/observability/gateway_metrics.ts
@@ -43,6 +43,11 @@
     'Calls to the store',
     ['call', 'outcome'],
   );
+  readonly refusedEntries = this.counter(
+    'refused_entries_total',
+    'Entries of the store that could not be used',
+    ['topic', 'kind'],
+  );
   readonly storeSeconds = this.histogram(
     'store_call_seconds',
     'Time to the answer of the store, the wait for a record included',
--- /dev/null
+++ b/packages/gateway/src/parts/host_loads.test.ts
@@ -0,0 +1,67 @@
+import assert from 'node:assert/strict';
+import {test} from 'node:test';
+import {DirectoryFixture} from '../testing/directory_fixture.js';
+import {PlainReader} from '../testing/plain_reader.js';
+import {HostLoads} from './host_loads.js';
+import type {RolloutBook} from '../rollouts/rollout_book.js';
+
+const prompt = {
+  tokens: 30,
+  parts: [
+    {id: 'shared', tokens: 20},
+    {id: 'own', tokens: 10},
+  ],
+};
+
+/** A host's loads, and the directory and parts behind them; without roll-outs. */
+function createHost() {
+  const fixture = new DirectoryFixture(new PlainReader());
+  const {directory, prefixes} = fixture;
+  const rollouts = {
+    all: () => [],
+    noteRemote: () => undefined,
+  } as unknown as RolloutBook;
+  return {fixture, loads: new HostLoads({directory, prefixes, rollouts})};
+}
+
+type Host = ReturnType<typeof createHost>;
+
+function put({fixture}: Host, bornAt?: number): void {
+  const entry = {
+    id: 'one',
+    bornAt,
+    service: 'svc',
+    address: '127.0.0.1:1',
+    place: 'a',
+    version: 'v1',
+    slots: 2,
+    isDraining: false,
+  };
+  fixture.put('one', JSON.stringify(entry));
+}
+
+function tell(from: Host, to: Host): void {
+  to.loads.takeRemote(from.loads.ownDigest());
+}
+
+void test('what another host tells of an earlier start is not believed of a later one under the same id', () => {
+  const [here, there] = [createHost(), createHost()];
+  put(here, 1_000_000);
+  put(there, 1_000_000);
+  there.fixture.directory.all()[0].noteSent(400);
+  there.fixture.prefixes.note('one', 'small', prompt);
+  tell(there, here);
+  const runner = () => here.fixture.directory.all()[0];
+  const kept = () => here.fixture.prefixes.keptTokensOf('small', prompt)('one');
+  assert.equal(runner().totalRunning, 1);
+  assert.equal(kept(), 20);
+  // The other host has not heard of the new start yet.
+  put(here, 1_000_001);
+  tell(there, here);
+  assert.equal(runner().totalRunning, 0);
+  assert.equal(kept(), 0);
+  put(there, 1_000_001);
+  there.fixture.directory.all()[0].noteSent(400);
+  tell(there, here);
+  assert.equal(runner().totalRunning, 1);
+});
--- a/packages/gateway/src/parts/host_loads.ts
+++ b/packages/gateway/src/parts/host_loads.ts
@@ -2,7 +2,9 @@
 import type {LoadDigest} from '../peers/load_digest.js';
 import type {Rollout} from '../rollouts/rollout.js';
 import type {RolloutBook} from '../rollouts/rollout_book.js';
+import type {PartNews} from '../runners/part_news.js';
 import type {PrefixBook} from '../runners/prefix_book.js';
+import {startOf} from '../runners/start_of.js';
 
 interface Options {
   readonly directory: RunnerDirectory;
@@ -13,6 +15,9 @@
 /** Weight of outcomes under which a runner without running requests is not told of. */
 const MIN_TOLD_WEIGHT = 0.05;
 
+/** What counts for a runner of which nobody told. */
+const NOTHING = [0, 0, 0, 0] as const;
+
 /** Loads and outcomes at runners, as this host and the others tell them to each other. */
 export class HostLoads {
   constructor(private readonly options: Options) {}
@@ -23,7 +28,7 @@
     for (const {entry, ownLoad} of this.options.directory.all()) {
       const {running, pendingMs, ok, failed} = ownLoad;
       if (running === 0 && ok + failed < MIN_TOLD_WEIGHT) continue;
-      runners[entry.id] = [
+      runners[startOf(entry)] = [
         running,
         Math.round(pendingMs),
         roundTenths(ok),
@@ -38,21 +43,33 @@
           rollout.digest(this.oldRunning(rollout)),
         ]),
     );
-    return {runners, rollouts, parts: this.options.prefixes.news()};
+    return {runners, rollouts, parts: this.ownParts()};
   }
 
   /** Takes over what the other hosts told, summed over them. */
   takeRemote({runners, rollouts, parts = {}}: LoadDigest): void {
-    this.options.prefixes.takeNews(parts);
-    for (const runner of this.options.directory.all()) {
-      const [running, pendingMs, ok, failed] = runners[runner.entry.id] ?? [
-        0, 0, 0, 0,
-      ];
+    const {directory, prefixes} = this.options;
+    for (const runner of directory.all()) {
+      // What is told of another start under the same id is not about this one.
+      const start = startOf(runner.entry);
+      const [running, pendingMs, ok, failed] = runners[start] ?? NOTHING;
       runner.others.take({running, pendingMs, ok, failed});
+      const keys = parts[start];
+      if (keys) prefixes.takeNews(runner.entry.id, keys);
     }
     this.options.rollouts.noteRemote(rollouts);
   }
 
+  private ownParts(): PartNews {
+    const news = this.options.prefixes.news();
+    const parts: Record<string, readonly number[]> = {};
+    for (const {entry} of this.options.directory.all()) {
+      const keys = news[entry.id];
+      if (keys) parts[startOf(entry)] = keys;
+    }
+    return parts;
+  }
+
   /** Requests of this host that run on versions which the roll-out replaces. */
   oldRunning({order}: Rollout): number {
     return this.options.directory
--- a/packages/gateway/src/parts/knowledge.ts
+++ b/packages/gateway/src/parts/knowledge.ts
@@ -5,6 +5,7 @@
 import type {GatewaySettings} from '../gateway_settings.js';
 import type {GatewayMetrics} from '../observability/gateway_metrics.js';
 import {Roster} from '../peers/roster.js';
+import {Refusals} from '../records/refusals.js';
 import {StoreHealth} from '../records/store_health.js';
 import {TopicMirror} from '../records/topic_mirror.js';
 import {Topic} from '../records/topic.js';
@@ -64,6 +65,7 @@
     };
     const {mirrors} = this;
     const freshness = mirrors[Topic.OPERATOR];
+    const refusals = new Refusals({log, metrics: options.metrics});
     this.metrics = options.metrics;
     this.prefixes = new PrefixBook({clock});
     this.storeHealth = new StoreHealth({clock, log});
@@ -71,6 +73,7 @@
       clock,
       log,
       mirror: mirrors[Topic.HOSTS],
+      refusals,
       self: {
         name: settings.host,
         place: settings.place,
@@ -97,12 +100,13 @@
       reader,
       freshness,
       mirror: mirrors[Topic.RUNNERS],
+      refusals,
       onGone: id => this.prefixes.forget(id),
       createRunner: entry => this.createRunner(entry),
     });
     this.starts = new RolloutStarts({
       clock,
-      log,
+      refusals,
       store,
       mirror: mirrors[Topic.HOSTS],
     });
@@ -114,6 +118,7 @@
       clock,
       log,
       reader,
+      refusals,
       sessions: this.sessions,
       orders: freshness,
       states: mirrors[Topic.STATUS],
--- a/packages/gateway/src/peers/roster.test.ts
+++ b/packages/gateway/src/peers/roster.test.ts
@@ -6,6 +6,7 @@
 import {TopicMirror} from '../records/topic_mirror.js';
 import type {HostEntry} from './host_entry.js';
 import {hostKey} from './host_key.js';
+import {unheardRefusals} from '../testing/unheard_refusals.js';
 import {Roster} from './roster.js';
 
 let clock: VirtualClock;
@@ -19,7 +20,8 @@
   clock = new VirtualClock();
   const mirror = new TopicMirror(Topic.HOSTS);
   const log = new EventLog({clock, host: 'a1', sink: {write: () => undefined}});
-  roster = new Roster({clock, log, mirror, self: host('a1', 'a')});
+  const refusals = unheardRefusals();
+  roster = new Roster({clock, log, mirror, refusals, self: host('a1', 'a')});
   const others = [host('a2', 'a'), host('b1', 'b'), host('b2', 'b')];
   const records = others.map((entry, offset) => ({
     key: hostKey.of(entry.name),
--- a/packages/gateway/src/peers/roster.ts
+++ b/packages/gateway/src/peers/roster.ts
@@ -1,8 +1,12 @@
 import {rankByHash} from '@bayspool/decisions/calls';
 import type {Clock} from '@bayspool/kernel';
 import type {EventLog} from '../observability/event_log.js';
+import type {KeyedRecord} from '../records/keyed_record.js';
+import {readEntry} from '../records/read_entry.js';
+import type {Refusals} from '../records/refusals.js';
 import type {TopicMirror} from '../records/topic_mirror.js';
 import type {HostEntry} from './host_entry.js';
+import {hostEntryCodec} from './host_entry_codec.js';
 import {hostKey} from './host_key.js';
 
 interface Options {
@@ -10,6 +14,7 @@
   readonly log: EventLog;
   readonly mirror: TopicMirror;
   readonly self: HostEntry;
+  readonly refusals: Refusals;
 }
 
 /** How long a host that did not answer is passed over, in ms. */
@@ -39,8 +44,8 @@
 
   constructor(private readonly options: Options) {
     options.mirror.onUpdate(({changed}) => {
-      for (const {key, value} of changed)
-        if (hostKey.isOne(key)) this.take(key, value);
+      for (const record of changed)
+        if (hostKey.isOne(record.key)) this.take(record);
     });
   }
 
@@ -188,15 +193,20 @@
     return gone;
   }
 
-  private take(key: string, value: string | undefined): void {
-    const {log, self} = this.options;
-    const name = key.slice(hostKey.of('').length);
+  private take(record: KeyedRecord): void {
+    const {log, mirror, refusals, self} = this.options;
+    const name = record.key.slice(hostKey.of('').length);
     if (name === self.name) return;
-    if (value === undefined) {
+    if (record.value === undefined) {
       if (this.entries.delete(name)) log.write('peer_gone', {peer: name});
       return;
     }
-    this.put(JSON.parse(value) as HostEntry);
+    try {
+      this.put(readEntry(hostEntryCodec, record));
+    } catch (error) {
+      // A host that is known stays: it answers or it doesn't, whatever another program wrote over its entry.
+      refusals.note(mirror.topic, record, error);
+    }
   }
 
   private put(entry: HostEntry): void {
--- a/packages/gateway/src/peers/sync_desk.test.ts
+++ b/packages/gateway/src/peers/sync_desk.test.ts
@@ -6,6 +6,7 @@
 import {TopicMirror} from '../records/topic_mirror.js';
 import type {HostEntry} from './host_entry.js';
 import {LoadBoard} from './load_board.js';
+import {unheardRefusals} from '../testing/unheard_refusals.js';
 import {Roster} from './roster.js';
 import {SyncDesk} from './sync_desk.js';
 
@@ -19,7 +20,9 @@
 function createDesk(name: string): {desk: SyncDesk; roster: Roster} {
   const mirror = new TopicMirror(Topic.HOSTS);
   const log = new EventLog({clock, host: name, sink: {write: () => undefined}});
-  const roster = new Roster({clock, log, mirror, self: host(name, 'a')});
+  const refusals = unheardRefusals();
+  const self = host(name, 'a');
+  const roster = new Roster({clock, log, mirror, refusals, self});
   const board = new LoadBoard({clock, place: 'a', own: () => digest});
   const desk = new SyncDesk({
     clock,
--- a/packages/gateway/src/rollouts/rollout_book.ts
+++ b/packages/gateway/src/rollouts/rollout_book.ts
@@ -8,6 +8,8 @@
 import type {WireReader} from '../beliefs/wire_reader.js';
 import type {EventLog} from '../observability/event_log.js';
 import type {KeyedRecord} from '../records/keyed_record.js';
+import type {Refusals} from '../records/refusals.js';
+import {Topic} from '../records/topic.js';
 import type {TopicMirror} from '../records/topic_mirror.js';
 import type {RolloutDigest} from './rollout_digest.js';
 import {Rollout} from './rollout.js';
@@ -24,6 +26,7 @@
   readonly sessions: SessionVersions;
   /** Whether this host heard of the store a short time ago, itself or through others. */
   readonly isInTouch: () => boolean;
+  readonly refusals: Refusals;
   /** What hosts noted in the store when an order was first seen. */
   readonly starts: RolloutStarts;
 }
@@ -87,7 +90,7 @@
   stateOf(rollout: Rollout): RolloutState | undefined {
     return this.options.states
       .live()
-      .map(record => this.read(() => this.options.reader.readState(record)))
+      .map(record => this.readState(record))
       .find(state => state !== undefined && isAbout(state, rollout));
   }
 
@@ -140,7 +143,9 @@
 
   private order(record: KeyedRecord, isReload: boolean): void {
     const {reader, starts, states} = this.options;
-    const order = this.read(() => reader.readOrder(record));
+    const order = this.read(Topic.OPERATOR, record, () =>
+      reader.readOrder(record),
+    );
     if (!order) return;
     const known = this.rollouts.get(order.service);
     if (known && known.order.offset >= order.offset) return;
@@ -194,7 +199,7 @@
   }
 
   private state(record: KeyedRecord): void {
-    const state = this.read(() => this.options.reader.readState(record));
+    const state = this.readState(record);
     if (!state) return;
     const rollout = this.rollouts.get(state.service);
     if (!rollout || !isAbout(state, rollout)) return;
@@ -220,14 +225,20 @@
     this.options.log.write('rollout_phase', {service, version, phase});
   }
 
-  private read<T>(action: () => T): T | undefined {
+  private readState(record: KeyedRecord): RolloutState | undefined {
+    const {reader} = this.options;
+    return this.read(Topic.STATUS, record, () => reader.readState(record));
+  }
+
+  private read<T>(
+    topic: Topic,
+    record: KeyedRecord,
+    action: () => T,
+  ): T | undefined {
     try {
       return action();
     } catch (error) {
-      this.options.log.write('unexpected', {
-        where: 'record of a roll-out',
-        message: String(error),
-      });
+      this.options.refusals.note(topic, record, error);
       return undefined;
     }
   }
--- a/packages/gateway/src/rollouts/rollout_starts.ts
+++ b/packages/gateway/src/rollouts/rollout_starts.ts
@@ -1,6 +1,9 @@
 import type {RolloutOrder} from '@bayspool/decisions/calls';
 import type {Clock} from '@bayspool/kernel';
-import type {EventLog} from '../observability/event_log.js';
+import {Codec, number} from 'purify-ts/Codec';
+import type {GetType} from 'purify-ts/Codec';
+import {readEntry} from '../records/read_entry.js';
+import type {Refusals} from '../records/refusals.js';
 import type {RecordStore} from '../records/record_store.js';
 import {Topic} from '../records/topic.js';
 import type {TopicMirror} from '../records/topic_mirror.js';
@@ -9,19 +12,19 @@
 
 interface Options {
   readonly clock: Clock;
-  readonly log: EventLog;
+  readonly refusals: Refusals;
   readonly store: RecordStore;
   /** The copy of the topic in which starts are noted. */
   readonly mirror: TopicMirror;
 }
 
 /** What a host notes when it is the first to see an order. */
-interface StartNote {
+const startNoteCodec = Codec.interface({
   /** Time of day of the order, in ms. */
-  readonly startedAtWall: number;
+  startedAtWall: number,
   /** Position in the topic of states from which they are about the order. */
-  readonly statesFrom: number;
-}
+  statesFrom: number,
+});
 
 /** When roll-outs started, as hosts note it in the store. */
 export class RolloutStarts {
@@ -35,7 +38,7 @@
   /** Notes in the store when a roll-out started. */
   async note(rollout: Rollout): Promise<void> {
     const {clock, store} = this.options;
-    const note: StartNote = {
+    const note: GetType<typeof startNoteCodec> = {
       startedAtWall: Math.round(clock.wall() - rollout.elapsedMs),
       statesFrom: rollout.statesFrom,
     };
@@ -59,17 +62,17 @@
     return this.noteOf(order)?.statesFrom;
   }
 
-  private noteOf(order: RolloutOrder): StartNote | undefined {
-    const value = this.options.mirror.get(startKey(order))?.value;
-    if (value === undefined) return undefined;
+  private noteOf(
+    order: RolloutOrder,
+  ): GetType<typeof startNoteCodec> | undefined {
+    const {mirror, refusals} = this.options;
+    const record = mirror.get(startKey(order));
+    if (record?.value === undefined) return undefined;
     try {
-      return JSON.parse(value) as StartNote;
+      return readEntry(startNoteCodec, record);
     } catch (error) {
       // Without the note, times and states count from what this host saw itself.
-      this.options.log.write('unexpected', {
-        where: 'note of the start of a roll-out',
-        message: String(error),
-      });
+      refusals.note(mirror.topic, record, error);
       return undefined;
     }
   }
--- a/packages/gateway/src/runners/prefix_book.test.ts
+++ b/packages/gateway/src/runners/prefix_book.test.ts
@@ -21,7 +21,7 @@
   const here = new PrefixBook({clock});
   const there = new PrefixBook({clock});
   there.note('one', 'small', prompt);
-  here.takeNews(there.news());
+  here.takeNews('one', there.news().one);
   assert.equal(here.keptTokensOf('small', other)('one'), 600);
   assert.equal(here.keptTokensOf('small', prompt)('one'), 600);
   assert.equal(here.keptTokensOf('large', prompt)('one'), 0);
@@ -51,6 +51,6 @@
 void test('what another host told is not told on as if it were own', () => {
   const clock = new VirtualClock();
   const book = new PrefixBook({clock});
-  book.takeNews({one: [1, 2, 3]});
+  book.takeNews('one', [1, 2, 3]);
   assert.deepEqual(book.news(), {});
 });
--- a/packages/gateway/src/runners/prefix_book.ts
+++ b/packages/gateway/src/runners/prefix_book.ts
@@ -67,15 +67,15 @@
     return news;
   }
 
-  /** Takes in what other hosts had runners read. */
-  takeNews(news: PartNews): void {
-    for (const [runner, keys] of Object.entries(news))
-      for (const key of keys) this.add(runner, key);
+  /** Takes in what other hosts had a runner read. */
+  takeNews(runner: string, keys: readonly number[]): void {
+    for (const key of keys) this.add(runner, key);
   }
 
   /** Drops what is remembered for a runner. */
   forget(runner: string): void {
     this.byRunner.delete(runner);
+    this.items = this.items.filter(item => item.runner !== runner);
   }
 
   /** @returns whether the part was not known for the runner */
--- /dev/null
+++ b/packages/gateway/src/testing/directory_fixture.ts
@@ -0,0 +1,70 @@
+import {SystemClock, VirtualClock} from '@bayspool/kernel';
+import {RunnerDirectory} from '../beliefs/runner_directory.js';
+import type {WireReader} from '../beliefs/wire_reader.js';
+import {EventLog} from '../observability/event_log.js';
+import {GatewayMetrics} from '../observability/gateway_metrics.js';
+import type {KeyedRecord} from '../records/keyed_record.js';
+import {Refusals} from '../records/refusals.js';
+import {Topic} from '../records/topic.js';
+import {TopicMirror} from '../records/topic_mirror.js';
+import {ConnectPatience} from '../runners/connect_patience.js';
+import {ConnectionPool} from '../runners/connection_pool.js';
+import {PrefixBook} from '../runners/prefix_book.js';
+import {Runner} from '../runners/runner.js';
+
+/** A directory of runners on a copy of their topic, without a network, for tests of what entries do. */
+export class DirectoryFixture {
+  readonly clock = new VirtualClock();
+  readonly metrics = new GatewayMetrics();
+  readonly lines: Array<Record<string, unknown>> = [];
+  readonly prefixes = new PrefixBook({clock: this.clock});
+  readonly directory: RunnerDirectory;
+  private readonly mirror = new TopicMirror(Topic.RUNNERS);
+  private next = 0;
+
+  constructor(reader: WireReader) {
+    const {clock, metrics, mirror, lines} = this;
+    const log = new EventLog({
+      clock: new SystemClock(),
+      host: 'host',
+      sink: {
+        write: line => {
+          lines.push(JSON.parse(line) as Record<string, unknown>);
+        },
+      },
+    });
+    const patience = new ConnectPatience();
+    this.directory = new RunnerDirectory({
+      clock,
+      log,
+      mirror,
+      reader,
+      refusals: new Refusals({log, metrics}),
+      freshness: mirror,
+      onGone: id => this.prefixes.forget(id),
+      createRunner: entry => {
+        const pool = new ConnectionPool({
+          clock,
+          patience,
+          address: entry.address,
+          maxConnections: () => 1,
+          onOpened: () => undefined,
+        });
+        return new Runner({clock, entry, pool});
+      },
+    });
+    mirror.load({records: [], next: 0, isWhole: true}, clock.now());
+  }
+
+  /** Lets the store say something under a key. */
+  put(key: string, value: string | undefined): void {
+    const record: KeyedRecord = {key, value, offset: this.next++};
+    const page = {records: [record], next: this.next, isWhole: true};
+    this.mirror.extend(page, this.clock.now());
+  }
+
+  /** Lines of one event. */
+  events(event: string): Array<Record<string, unknown>> {
+    return this.lines.filter(line => line.event === event);
+  }
+}
--- /dev/null
+++ b/packages/gateway/src/testing/index.ts
@@ -0,0 +1,2 @@
+/** Support for tests of what adapters hand to the gateway. */
+export {DirectoryFixture} from './directory_fixture.js';
