A place that is cut off says so before it refuses; begun answers may use more of the retry budget

Two repeats kept for failures let weak answers pass.

Change: a host that reaches no other place and knows nothing younger than 2.6 s is not ready, where stale keys are refused; 0.2 of a repeat is kept, and a begun answer may use another 0.4 of the fixed allowance.

--- a/packages/decisions/src/calls/retry_budget.ts
+++ b/packages/decisions/src/calls/retry_budget.ts
@@ -3,9 +3,24 @@
 
 /** Part of the bound that the hosts use together, so that late counts stay within it. */
 const USED_PART = 0.9;
-/** Part of the fixed allowance that is shared out; the rest covers hosts that join or restart. */
+/**
+ * Part of the fixed allowance that is shared out; with what begun answers
+ * may use besides the rest covers hosts that join or restart.
+ */
 const SHARED_EXTRA_PART = 0.5;
 
+/**
+ * Part of the fixed allowance that is shared out besides for answers that have begun: without a repeat their
+ * callers hold a part of an answer and a closed connection.
+ */
+const BEGUN_EXTRA_PART = 0.4;
+
+/** What a repeat is for. */
+interface Purpose {
+  /** Whether the caller holds a part of the answer. */
+  readonly hasBegun: boolean;
+}
+
 interface Options {
   readonly clock: Clock;
   /** Repeats allowed per first attempt, over all hosts; asked each time, as settings change. */
@@ -36,17 +51,26 @@
   }
 
   /** Spends one repeat if there is room. */
-  trySpend(): boolean {
-    if (this.left < 1) return false;
+  trySpend({hasBegun}: Purpose = {hasBegun: false}): boolean {
+    const room = hasBegun ? this.left + this.begunShare : this.left;
+    if (room < 1) return false;
     this.repeats.add();
     return true;
   }
 
   /** Repeats that may still be sent now. */
   get left(): number {
-    const {ratio, extra, hosts} = this.options;
+    const {ratio} = this.options;
     const own = this.firsts.total * ratio() * USED_PART;
-    const share = (extra() * SHARED_EXTRA_PART) / Math.max(1, hosts());
-    return own + share - this.repeats.total;
+    return own + this.extraShare(SHARED_EXTRA_PART) - this.repeats.total;
+  }
+
+  private get begunShare(): number {
+    return this.extraShare(BEGUN_EXTRA_PART);
+  }
+
+  private extraShare(part: number): number {
+    const {extra, hosts} = this.options;
+    return (extra() * part) / Math.max(1, hosts());
   }
 }
--- a/packages/gateway/src/calls/repeat_rule.ts
+++ b/packages/gateway/src/calls/repeat_rule.ts
@@ -23,11 +23,11 @@
 /** Time under which another attempt cannot bring an answer, in ms. */
 const MIN_LEFT_MS = 30;
 /**
- * Repeats that dropped answers of small models leave for calls that fail: of a host of 195 the budget is one
- * and 0.8 a call. Spent on a better answer, none was left when that one broke off, and its caller got
- * a part of an answer and a closed connection.
+ * What is left of the budget besides a repeat that replaces a small model's answer: with what is kept for begun
+ * answers it is enough for one that breaks off. Of a host of 195 the budget is one and 0.8 a call; more kept back
+ * let weak answers pass (0.03 to 0.06 of the credit of two days with two kept, small twin of 195 hosts).
  */
-const KEPT_FOR_FAILURES = 2;
+const KEPT_FOR_FAILURES = 0.2;
 /** Attempts that were not run do not count as such; this bounds them. */
 const MAX_TRIES = 10;
 
@@ -67,7 +67,8 @@
     // Nothing arrived at a runner whose connection did not come up.
     if (outcome.kind === AttemptKind.NOT_RUN && outcome.status === undefined)
       return true;
-    if (budget.trySpend()) return true;
+    const hasBegun = progress.begunBy !== undefined;
+    if (budget.trySpend({hasBegun})) return true;
     const {id: request, service} = progress.call;
     this.options.log.write('budget_spent', {request, service});
     return false;
--- a/packages/gateway/src/calls/streams.test.ts
+++ b/packages/gateway/src/calls/streams.test.ts
@@ -175,6 +175,29 @@
   assert.deepEqual(models, ['small', 'small']);
 });
 
+void test('an answer that has begun may use more of the budget than one that has not', async () => {
+  fixture.configure([{kind: CallKind.RESUMABLE, models: ['small', 'large']}]);
+  for (const runner of [first, second]) await fixture.addRunner(runner);
+  await fixture.startHost({retryRatio: 0, retryExtra: 2.6});
+  await fixture.waitReady();
+  first.script = second.script = (request, response) => {
+    const isLarge = request.headers[names.model] === 'large';
+    if (request.headers[names.lastEventId] !== undefined)
+      return streamAll(request, response);
+    begin(request.id, response, isLarge ? 95 : 20);
+    response.write(event(1) + event(2));
+    setTimeout(() => request.socket.destroy(), 30);
+  };
+  const headers = {[names.model]: '*', [names.promptSize]: '100,20'};
+  const answer = await fixture.call({headers});
+  assert.equal(answer.body, WHOLE);
+  assert.ok(answer.isWhole);
+  const asked = [...first.received, ...second.received].map(
+    request => request.headers[names.model],
+  );
+  assert.deepEqual(asked.sort(), ['large', 'large', 'small']);
+});
+
 void test('a sure answer of a small model is used', async () => {
   await serve([first], {models: ['small', 'large']});
   first.script = (request, response) => {
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -21,6 +21,12 @@
 
 /** Kept back from the bound on withdrawn keys, for the way of a request and slow timers, in ms. */
 const KEY_MARGIN_MS = 400;
+/**
+ * Age of the configuration at which a host that reaches no other place says that it is not ready, in ms: over the
+ * age in normal running, and some two seconds before keys are refused, which is what a balancer takes to send
+ * callers to places that will serve them.
+ */
+const ISOLATED_MS = 2_600;
 /** Pause between two rounds of closing rested connections, in ms. */
 const SWEEP_MS = 1_000;
 
@@ -154,6 +160,7 @@
     const isReady =
       !this.leaving.hasBegun &&
       rollouts.areAgesKnown &&
+      !this.isCutOff &&
       belief.current !== undefined &&
       directory.all().length > 0 &&
       belief.ageMs < this.maxKeyAgeMs();
@@ -167,6 +174,13 @@
     return isReady;
   }
 
+  /** Whether this host will refuse keys soon, since its place is cut off from the store and all others. */
+  private get isCutOff(): boolean {
+    if (this.settings.honoursStaleKeys) return false;
+    const {belief, roster} = this.knowledge;
+    return belief.ageMs > ISOLATED_MS && roster.isIsolated;
+  }
+
   /** Age of the configuration up to which keys are accepted, in ms. */
   private maxKeyAgeMs(): number {
     const {honoursStaleKeys} = this.settings;
--- /dev/null
+++ b/packages/gateway/src/lifecycle/cut_off.test.ts
@@ -0,0 +1,77 @@
+import assert from 'node:assert/strict';
+import {afterEach, beforeEach, test} from 'node:test';
+import {CallKind} from '@bayspool/decisions/calls';
+import {GatewayFixture} from '../testing/gateway_fixture.js';
+import {MemoryRecordStore} from '../testing/memory_record_store.js';
+import {plainHeaderNames as names} from '../testing/plain_header_names.js';
+import {ScriptedRunner} from '../testing/scripted_runner.js';
+
+const PLACES = ['a', 'b', 'c'];
+const headers = {[names.apiKey]: 'key-1'};
+
+let fixture: GatewayFixture;
+let runner: ScriptedRunner;
+let ownStore: MemoryRecordStore;
+
+beforeEach(async () => {
+  fixture = new GatewayFixture();
+  runner = new ScriptedRunner({id: 'one'});
+  fixture.configure([{kind: CallKind.SAFE, isPublic: false}], {
+    'key-1': {workspace: 'ws'},
+  });
+  await fixture.addRunner(runner);
+  ownStore = fixture.store.share();
+});
+
+afterEach(async () => {
+  await fixture.stop();
+  runner.stop();
+});
+
+/** A host in each place; the first one has a store of its own, with which it can be cut off. */
+async function startPlaces(extra: {honoursStaleKeys?: boolean} = {}) {
+  for (const [index, place] of PLACES.entries())
+    await fixture.startHost(
+      {place, ...extra},
+      index === 0 ? ownStore : fixture.store,
+    );
+  for (const index of PLACES.keys()) await fixture.waitReady(index);
+  await fixture.waitFor(() => fixture.events('peer_seen').length >= 6);
+  await new Promise(resolve => setTimeout(resolve, 1_500));
+}
+
+/** Lets the first host reach nothing outside of its place. */
+function cutOff(): number {
+  ownStore.isDown = true;
+  for (const {gateway} of fixture.hosts.slice(1)) gateway.halt();
+  return performance.now();
+}
+
+void test('a place that is cut off sends callers elsewhere two seconds before it refuses them', async () => {
+  await startPlaces();
+  const cutAt = cutOff();
+  await fixture.waitFor(async () => (await fixture.readiness()) === 503);
+  const leftAt = performance.now();
+  assert.equal((await fixture.call({headers})).status, 200);
+  await fixture.waitFor(
+    async () => (await fixture.call({headers})).status === 503,
+  );
+  const refusedAt = performance.now();
+  assert.ok(leftAt - cutAt < 2_000, `not ready after ${leftAt - cutAt} ms`);
+  assert.ok(refusedAt - leftAt > 1_800, `${refusedAt - leftAt} ms before`);
+});
+
+void test('a place that is cut off stays ready where keys are honoured', async () => {
+  await startPlaces({honoursStaleKeys: true});
+  cutOff();
+  await new Promise(resolve => setTimeout(resolve, 4_000));
+  assert.equal(await fixture.readiness(), 200);
+});
+
+void test('hosts stay ready while the store is away and other places answer', async () => {
+  await startPlaces();
+  ownStore.isDown = true;
+  fixture.store.isDown = true;
+  await new Promise(resolve => setTimeout(resolve, 2_000));
+  assert.equal(await fixture.readiness(), 200);
+});
--- a/packages/gateway/src/peers/roster.ts
+++ b/packages/gateway/src/peers/roster.ts
@@ -117,6 +117,13 @@
     return lost;
   }
 
+  /** Whether every other place is probably out of reach: then it is this one that is cut off. */
+  get isIsolated(): boolean {
+    const lost = this.lostPlaces();
+    if (lost.size === 0) return false;
+    return this.otherPlaces().every(place => lost.has(place));
+  }
+
   /** Notes that another host reaches nobody in these places. */
   noteToldLost(places: readonly string[], source: string): void {
     const {clock, log, self} = this.options;
