--- a/packages/gateway/src/calls/call_forwarder.ts
+++ b/packages/gateway/src/calls/call_forwarder.ts
@@ -44,6 +44,8 @@
   readonly cascade: CascadeRule;
   /** The shortest latency target of a service's routes, in ms. */
   readonly targetOf: (service: string) => number;
+  /** How old what other hosts told of loads is, in ms. */
+  readonly loadsAgeMs: () => number;
   /** The retry budget of a service. */
   readonly budgetOf: (service: string) => RetryBudget;
 }
@@ -251,6 +253,7 @@
       model,
       running: choice.runner.totalRunning,
       pendingMs: Math.round(choice.runner.totalPendingMs),
+      loadsAgeMs: Math.round(this.options.loadsAgeMs()),
       waitMs: call.prompt && Math.round(choice.waitMs),
       workMs: call.prompt && Math.round(choice.workMs),
       unreadTokens: call.prompt && choice.unreadTokens,
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -230,7 +230,7 @@
 
   private createForwarder(): CallForwarder {
     const {clock, random, log, headerNames, settings} = this.options;
-    const {directory, limits, prefixes, rollouts, roster, sessions} =
+    const {directory, limits, loads, prefixes, rollouts, roster, sessions} =
       this.knowledge;
     const rates = new ReadingRates({
       costFactorOf: model => limits.costFactorOf(model),
@@ -256,6 +256,7 @@
       }),
       cascade: new CascadeRule(),
       budgetOf: service => limits.budgetOf(service),
+      loadsAgeMs: () => loads.ageMs,
       targetOf: service => limits.targetOf(service),
     });
   }
--- a/packages/gateway/src/observability/event_fields.ts
+++ b/packages/gateway/src/observability/event_fields.ts
@@ -51,6 +51,8 @@
     model?: string;
     running: number;
     pendingMs: number;
+    /** Time since other hosts told of loads; null if none did. */
+    loadsAgeMs: number;
     waitMs?: number;
     workMs?: number;
     unreadTokens?: number;
--- a/packages/gateway/src/parts/host_loads.test.ts
+++ b/packages/gateway/src/parts/host_loads.test.ts
@@ -1,9 +1,9 @@
 import assert from 'node:assert/strict';
 import {test} from 'node:test';
+import type {RolloutBook} from '../rollouts/rollout_book.js';
 import {DirectoryFixture} from '../testing/directory_fixture.js';
 import {PlainReader} from '../testing/plain_reader.js';
 import {HostLoads} from './host_loads.js';
-import type {RolloutBook} from '../rollouts/rollout_book.js';
 
 const prompt = {
   tokens: 30,
@@ -21,7 +21,9 @@
     all: () => [],
     noteRemote: () => undefined,
   } as unknown as RolloutBook;
-  return {fixture, loads: new HostLoads({directory, prefixes, rollouts})};
+  const {clock} = fixture;
+  const loads = new HostLoads({clock, directory, prefixes, rollouts});
+  return {fixture, loads};
 }
 
 type Host = ReturnType<typeof createHost>;
--- a/packages/gateway/src/parts/host_loads.ts
+++ b/packages/gateway/src/parts/host_loads.ts
@@ -1,3 +1,4 @@
+import type {Clock} from '@bayspool/kernel';
 import type {RunnerDirectory} from '../beliefs/runner_directory.js';
 import type {LoadDigest} from '../peers/load_digest.js';
 import type {Rollout} from '../rollouts/rollout.js';
@@ -7,6 +8,7 @@
 import {startOf} from '../runners/start_of.js';
 
 interface Options {
+  readonly clock: Clock;
   readonly directory: RunnerDirectory;
   readonly rollouts: RolloutBook;
   readonly prefixes: PrefixBook;
@@ -20,8 +22,15 @@
 
 /** Loads and outcomes at runners, as this host and the others tell them to each other. */
 export class HostLoads {
+  private takenAt = -Infinity;
+
   constructor(private readonly options: Options) {}
 
+  /** Time since other hosts last told, in ms. What a reader tells of another place is older by half a second. */
+  get ageMs(): number {
+    return this.options.clock.now() - this.takenAt;
+  }
+
   /** What this host tells the others. */
   ownDigest(): LoadDigest {
     const runners: Record<string, [number, number, number, number]> = {};
@@ -48,7 +57,8 @@
 
   /** Takes over what the other hosts told, summed over them. */
   takeRemote({runners, rollouts, parts = {}}: LoadDigest): void {
-    const {directory, prefixes} = this.options;
+    const {clock, directory, prefixes} = this.options;
+    this.takenAt = clock.now();
     for (const runner of directory.all()) {
       // What is told of another start under the same id is not about this one.
       const start = startOf(runner.entry);
--- a/packages/gateway/src/parts/knowledge.ts
+++ b/packages/gateway/src/parts/knowledge.ts
@@ -129,7 +129,7 @@
       starts: this.starts,
     });
     const {directory, rollouts, prefixes} = this;
-    this.loads = new HostLoads({directory, rollouts, prefixes});
+    this.loads = new HostLoads({clock, directory, rollouts, prefixes});
   }
 
   private createRunner(entry: RunnerEntry): Runner {
