--- a/packages/gateway/src/peers/sync_desk.ts
+++ b/packages/gateway/src/peers/sync_desk.ts
@@ -25,11 +25,12 @@
 const GATHER_MS = 15;
 
 /**
- * Least pause between two proofs that are told to those who wait, in ms. A proof is 1 to 1.3 s old when it comes,
- * and hosts read the store themselves from 2.6 s on. Told of each proof, with five places each host asked some
- * five times a second for what it had heard: a third of the processor time of a fleet of 18 hosts.
+ * Least pause between two proofs that are told to those who wait, in ms. Proofs come from the store and from each
+ * other place; told of each one, 195 hosts in five places spent 0.4 of their processor time on asking again. What
+ * is told with a proof are loads: at 0.9 s 335 of 4,094 answers to long prompts were late, at 0.3 s 206, for the
+ * same processor time (345 and 343 s).
  */
-const PROOF_PAUSE_MS = 900;
+const PROOF_PAUSE_MS = 300;
 
 /** Answers hosts that ask for news, and takes in what others answer. */
 export class SyncDesk {
