--- a/packages/gateway/src/rollouts/rollout_writer.ts
+++ b/packages/gateway/src/rollouts/rollout_writer.ts
@@ -50,9 +50,7 @@
   start(): void {
     const {book, clock} = this.options;
     const rollouts = book.all();
-    const isActive = rollouts.some(
-      ({phase}) => phase === RolloutPhase.ACTIVE,
-    );
+    const isActive = rollouts.some(({phase}) => phase === RolloutPhase.ACTIVE);
     this.timer = clock.after(isActive ? TICK_MS : IDLE_TICK_MS, () => {
       for (const rollout of book.all()) this.look(rollout);
       this.start();
