One hash of a text in bits, one final mix

Cause: the final mix stood in hash_text and mix_hashes, and three callers turned the hash back into 32 bits, each with a range of its own.

--- a/packages/decisions/src/calls/index.ts
+++ b/packages/decisions/src/calls/index.ts
@@ -10,6 +10,7 @@
 export type {EngineProfile} from './engine_profile.js';
 export {EventSplitter} from './event_splitter.js';
 export {firstByHash} from './first_by_hash.js';
+export {hashBits} from './hash_bits.js';
 export {hashText} from './hash_text.js';
 export {isRepeatable} from './is_repeatable.js';
 export {isStreamed} from './is_streamed.js';
--- a/packages/decisions/src/calls/mix_hashes.test.ts
+++ b/packages/decisions/src/calls/mix_hashes.test.ts
@@ -1,15 +1,11 @@
 import assert from 'node:assert/strict';
 import {test} from 'node:test';
-import {hashText} from './hash_text.js';
+import {hashBits} from './hash_bits.js';
 import {mixHashes} from './mix_hashes.js';
 
 const RUNNERS = 65;
 const KEYS = 6_500;
 
-function bitsOf(text: string): number {
-  return Math.floor(hashText(text) * 2 ** 32);
-}
-
 /** The name with the highest score for a key. */
 function homeOf(key: number, names: readonly number[]): number {
   const scores = names.map(name => mixHashes(key, name));
@@ -17,8 +13,8 @@
 }
 
 void test('each name gets its share of the keys, and keeps them when another one goes', () => {
-  const names = Array.from({length: RUNNERS}, (_, i) => bitsOf(`i-${i}`));
-  const keys = Array.from({length: KEYS}, (_, i) => bitsOf(`part ${i}`));
+  const names = Array.from({length: RUNNERS}, (_, i) => hashBits(`i-${i}`));
+  const keys = Array.from({length: KEYS}, (_, i) => hashBits(`part ${i}`));
   const counts = new Map<number, number>();
   for (const key of keys) {
     const home = homeOf(key, names);
--- a/packages/gateway/src/runners/prefix_book.ts
+++ b/packages/gateway/src/runners/prefix_book.ts
@@ -1,4 +1,4 @@
-import {hashText} from '@bayspool/decisions/calls';
+import {hashBits} from '@bayspool/decisions/calls';
 import type {Prompt, PromptPart} from '@bayspool/decisions/calls';
 import type {Clock} from '@bayspool/kernel';
 import type {PartNews} from './part_news.js';
@@ -22,7 +22,6 @@
 const TOLD_MS = 2_500;
 /** Parts that are told at once, so that what hosts tell each other stays bounded; the newest count. */
 const MAX_TOLD = 64;
-const KEY_RANGE = 2 ** 32;
 
 /** Which parts of prompts the hosts had each runner read lately, by model. */
 export class PrefixBook {
@@ -93,5 +92,5 @@
 }
 
 function keyOf(model: string, {id}: PromptPart): number {
-  return Math.floor(hashText(`${model}|${id}`) * KEY_RANGE);
+  return hashBits(`${model}|${id}`);
 }
--- a/packages/gateway/src/runners/runner.ts
+++ b/packages/gateway/src/runners/runner.ts
@@ -1,4 +1,4 @@
-import {hashText, RunnerHealth} from '@bayspool/decisions/calls';
+import {hashBits, RunnerHealth} from '@bayspool/decisions/calls';
 import type {RunnerEntry} from '@bayspool/decisions/calls';
 import type {Clock} from '@bayspool/kernel';
 import type {ConnectionPool} from './connection_pool.js';
@@ -34,9 +34,6 @@
 /** Weight of one request's reading in the mean. */
 const WORK_RATE = 0.1;
 
-/** How many values a hash in 32 bits has. */
-const HASH_RANGE = 2 ** 32;
-
 /** One start of a runner as this host knows it: its entry, connections, load and outcomes. */
 export class Runner {
   readonly health: RunnerHealth;
@@ -59,7 +56,7 @@
 
   constructor(private readonly options: Options) {
     this.current = options.entry;
-    this.idHash = Math.floor(hashText(options.entry.id) * HASH_RANGE);
+    this.idHash = hashBits(options.entry.id);
     this.pool = options.pool;
     this.health = new RunnerHealth({clock: options.clock});
     this.lastHeard = options.clock.now();
--- a/packages/gateway/src/runners/runner_chooser.ts
+++ b/packages/gateway/src/runners/runner_chooser.ts
@@ -1,4 +1,4 @@
-import {hashText, mixHashes} from '@bayspool/decisions/calls';
+import {hashBits, mixHashes} from '@bayspool/decisions/calls';
 import type {Prompt} from '@bayspool/decisions/calls';
 import type {RandomSource} from '@bayspool/kernel';
 import type {PrefixBook} from './prefix_book.js';
@@ -63,9 +63,6 @@
 /** Spread of random costs, in ms, so that hosts do not all take the same runner. */
 const SPREAD_MS = 3;
 
-/** How many values a hash in 32 bits has. */
-const HASH_RANGE = 2 ** 32;
-
 /** Chooses the runner with the least expected time to the first event, kept prefixes counted. */
 export class RunnerChooser {
   constructor(private readonly options: Options) {}
@@ -102,7 +99,7 @@
   ): Runner | undefined {
     const deepest = prompt?.parts[prompt.parts.length - 2];
     if (!deepest) return undefined;
-    const part = Math.floor(hashText(`${model}|${deepest.id}`) * HASH_RANGE);
+    const part = hashBits(`${model}|${deepest.id}`);
     const isFit = (runner: Runner) =>
       isOpen(runner, tried) && isSound(runner, lost);
     const home = firstFor(part, candidates);
