The version of a choice is noted where the choice is made

Cause: a function that gave the runners which may take a call also noted the decision, and asked for versions that wait for their order where a version was wished. Change: wishedOf only filters; choose notes. Behaviour as it was.

--- a/packages/gateway/src/calls/call_forwarder.ts
+++ b/packages/gateway/src/calls/call_forwarder.ts
@@ -120,13 +120,17 @@
     model = progress.model,
   ): RunnerChoice | undefined {
     const {directory, chooser} = this.options;
-    const {call, tried} = progress;
+    const {call, tried, begunBy} = progress;
     const takers = directory.takersOf(call.service);
     const wish = this.wishFor(progress, takers);
-    const able = this.ableFor(progress, wish, takers);
+    const wished = this.wishedOf(takers, wish, call.service);
+    const isGranted = wished.length > 0;
+    progress.version = {wish, isGranted};
+    // Without a runner of a wished version any will do, but for an answer that has begun.
+    const candidates = isGranted || begunBy !== undefined ? wished : takers;
     const {prompt, body} = call;
     const bodyBytes = body.length;
-    return chooser.choose({candidates: able, tried, bodyBytes, model, prompt});
+    return chooser.choose({candidates, tried, bodyBytes, model, prompt});
   }
 
   /** An answer is made by one version, whatever its session has by the time at which a runner breaks off. */
@@ -149,22 +153,18 @@
     });
   }
 
-  /** The runners that may take the call; without one of a wished version any does, but for a begun answer. */
-  private ableFor(
-    progress: CallProgress,
-    wish: VersionWish,
+  /** The runners of a version that is wished; one that appeared before its order waits for that. */
+  private wishedOf(
     takers: readonly Runner[],
+    {only, not}: VersionWish,
+    service: string,
   ): readonly Runner[] {
-    const {begunBy, call} = progress;
-    const held = this.options.directory.unexplainedVersions(call.service);
-    const wished = takers.filter(({entry: {version}}) =>
-      wish.only !== undefined
-        ? version === wish.only
-        : version !== wish.not && !held.has(version),
+    if (only !== undefined)
+      return takers.filter(({entry: {version}}) => version === only);
+    const held = this.options.directory.unexplainedVersions(service);
+    return takers.filter(
+      ({entry: {version}}) => version !== not && !held.has(version),
     );
-    const isGranted = wished.length > 0;
-    progress.version = {wish, isGranted};
-    return isGranted || begunBy !== undefined ? wished : takers;
   }
 
   private async attempt(
