Readers in doubt are named once; ranks, sound hosts and lapses said plainly

Cause: the first three hosts of a place were picked in two places; a getter changed what it was asked for (isInDoubt); two names stood for one empty set; a lapse's timer was forgotten twice. Change: doubtReaders, noteDoubt, soundCheck, one NONE. Behaviour as it was. Result: tests of peers, beliefs and runner_entries pass.

--- a/packages/gateway/src/beliefs/runner_directory.ts
+++ b/packages/gateway/src/beliefs/runner_directory.ts
@@ -188,7 +188,6 @@
     const {id, service} = runner.entry;
     log.write('runner_lapsed', {runner: id, service, keptMs: LAPSE_KEPT_MS});
     const timer = clock.after(LAPSE_KEPT_MS, () => {
-      this.lapses.delete(id);
       this.drop(id, 'entry not back after an outage of the store');
     });
     this.lapses.set(id, timer);
--- a/packages/gateway/src/peers/news_loop.ts
+++ b/packages/gateway/src/peers/news_loop.ts
@@ -96,7 +96,7 @@
 
   /** Whether this host is to read the operator's topic now. */
   get readsStore(): boolean {
-    if (this.isInDoubt) return this.mayReadInDoubt;
+    if (this.noteDoubt()) return this.mayReadInDoubt;
     return this.isSettled && this.isReader;
   }
 
@@ -110,8 +110,8 @@
     return Math.min(MAX_OLD_MS, bound);
   }
 
-  /** Whether what this host knows is old, or was a short time ago. */
-  private get isInDoubt(): boolean {
+  /** Notes if what this host knows is old. @returns whether it is, or was a short time ago */
+  private noteDoubt(): boolean {
     const now = this.options.clock.now();
     // A host that knows nothing yet reads whatever it needs to know at all.
     const isKnowing = Number.isFinite(this.ageMs);
@@ -131,10 +131,14 @@
   }
 
   private get mayReadInDoubt(): boolean {
+    const {name} = this.options.roster.self;
+    return this.doubtReaders().some(host => host.name === name);
+  }
+
+  /** The hosts of this place that may read the store while what is known is old. */
+  private doubtReaders(): HostEntry[] {
     const {roster} = this.options;
-    const {name, place} = roster.self;
-    const first = roster.readersOf(place).slice(0, DOUBT_READERS);
-    return first.some(host => host.name === name);
+    return roster.readersOf(roster.self.place).slice(0, DOUBT_READERS);
   }
 
   private get isSettled(): boolean {
@@ -199,13 +203,9 @@
    * only the first. Loads are not taken over: those of a host that asks this one would come back to it.
    */
   private async askNextReaders(): Promise<void> {
-    if (!this.isInDoubt) return;
-    const {roster} = this.options;
-    const {name, place} = roster.self;
-    const next = roster
-      .readersOf(place)
-      .slice(0, DOUBT_READERS)
-      .filter(host => host.name !== name);
+    if (!this.noteDoubt()) return;
+    const {name} = this.options.roster.self;
+    const next = this.doubtReaders().filter(host => host.name !== name);
     await Promise.all(next.map(host => this.askTopics(host)));
   }
 
--- a/packages/gateway/src/peers/roster.ts
+++ b/packages/gateway/src/peers/roster.ts
@@ -29,12 +29,12 @@
 /** Hosts of a place that have to be silent, with none answering since, before the place counts as lost. */
 const LOST_HOSTS = 3;
 /** Given out while no host is lost, so that nothing is made for each choice of a runner. */
-const NO_PLACES: ReadonlySet<string> = new Set();
-const NO_HOSTS = NO_PLACES;
+const NONE: ReadonlySet<string> = new Set();
 
 /** The hosts of the fleet, and which of them answer this host. */
 export class Roster {
   private readonly entries = new Map<string, HostEntry>();
+  /** Hosts by place, in the order in which they would read the store for it. */
   private readonly ranked = new Map<string, readonly HostEntry[]>();
   private readonly suspectedUntil = new Map<string, number>();
   private readonly lostSince = new Map<string, number>();
@@ -72,21 +72,18 @@
 
   /** Hosts of a place in the order in which they read the store for it; those in doubt are left out. */
   readersOf(place: string): HostEntry[] {
-    const isFit = this.fitness();
-    return this.rankedIn(place).filter(host => isFit(host));
+    return this.rankedIn(place).filter(this.soundCheck());
   }
 
   /** The host that reads the store for a place; undefined if there is none. */
   readerOf(place: string): HostEntry | undefined {
-    const isFit = this.fitness();
-    return this.rankedIn(place).find(host => isFit(host));
+    return this.rankedIn(place).find(this.soundCheck());
   }
 
   /** How many hosts of a place are taken to live. */
   sizeOf(place: string): number {
     const gone = this.gone();
-    const isLiving = ({name}: HostEntry) => !gone.has(name);
-    return this.rankedIn(place).filter(isLiving).length;
+    return this.rankedIn(place).filter(({name}) => !gone.has(name)).length;
   }
 
   /** Places other than this host's that have hosts. */
@@ -99,7 +96,7 @@
 
   /** Other places that are probably out of reach, their runners too: as seen here, or as told. */
   lostPlaces(): ReadonlySet<string> {
-    if (this.lostSince.size + this.toldLostUntil.size === 0) return NO_PLACES;
+    if (this.lostSince.size + this.toldLostUntil.size === 0) return NONE;
     const now = this.options.clock.now();
     const lost = this.seenLostPlaces();
     for (const [place, until] of this.toldLostUntil)
@@ -194,8 +191,8 @@
       this.answeredAt.set(place, this.options.clock.now());
   }
 
-  /** Tells of hosts whether they live and are not in doubt, as of now. */
-  private fitness(): (host: HostEntry) => boolean {
+  /** A check whether a host lives and is not in doubt, as of now. */
+  private soundCheck(): (host: HostEntry) => boolean {
     const now = this.options.clock.now();
     const gone = this.gone();
     return ({name}) =>
@@ -218,7 +215,7 @@
 
   /** Known hosts that nobody reached for so long that they are not counted. */
   private gone(): ReadonlySet<string> {
-    if (this.lostSince.size === 0) return NO_HOSTS;
+    if (this.lostSince.size === 0) return NONE;
     const now = this.options.clock.now();
     const gone = new Set<string>();
     for (const [name, since] of this.lostSince)
