--- a/packages/gateway/src/parts/knowledge.ts
+++ b/packages/gateway/src/parts/knowledge.ts
@@ -37,10 +37,10 @@
   readonly mirrors: Record<Topic, TopicMirror>;
   /** Whether the store answers this host. */
   readonly storeHealth: StoreHealth;
-  /** The hosts. */
   readonly metrics: GatewayMetrics;
   /** Parts of prompts that runners probably keep. */
   readonly prefixes: PrefixBook;
+  /** The hosts. */
   readonly roster: Roster;
   /** The configuration in force. */
   readonly belief: ConfigurationBelief;
--- a/packages/gateway/src/rollouts/rollout.ts
+++ b/packages/gateway/src/rollouts/rollout.ts
@@ -7,11 +7,11 @@
 import type {RolloutOrder, VersionTally} from '@bayspool/decisions/calls';
 import type {Clock} from '@bayspool/kernel';
 import type {EventLog} from '../observability/event_log.js';
-import {isAgeKnown} from './is_age_known.js';
 import {mergeRollouts} from './merge_rollouts.js';
 import type {RolloutAge} from './rollout_age.js';
 import type {RolloutDigest} from './rollout_digest.js';
 import {RolloutEvidence} from './rollout_evidence.js';
+import {tellsAge} from './tells_age.js';
 
 interface Options {
   readonly clock: Clock;
@@ -27,7 +27,7 @@
 
 /**
  * How long a host that did not see an order waits for others to tell its age, in ms: one that is asked for what it
- * knows now answers within some 50 ms. A clock that is ahead by seconds would end the watch of a new version
+ * knows now answers at once. A clock that is ahead by seconds would end the watch of a new version
  * early; a longer wait would keep sessions on the old version that others have moved.
  */
 const ASK_MS = 300;
@@ -113,7 +113,7 @@
    * of day, since that may have jumped by seconds.
    */
   noteElapsed(told: RolloutAge): void {
-    if (!isAgeKnown(told)) return;
+    if (!tellsAge(told)) return;
     const {elapsedMs, isSeen} = told;
     const startedAt = this.options.clock.now() - elapsedMs;
     const isAlike = isSeen === this.isSeen && this.isAgeKnown;
--- a/packages/gateway/src/rollouts/rollout_starts.ts
+++ b/packages/gateway/src/rollouts/rollout_starts.ts
@@ -1,7 +1,6 @@
 import type {RolloutOrder} from '@bayspool/decisions/calls';
 import type {Clock} from '@bayspool/kernel';
 import {Codec, number} from 'purify-ts/Codec';
-import type {GetType} from 'purify-ts/Codec';
 import {readEntry} from '../records/read_entry.js';
 import type {Refusals} from '../records/refusals.js';
 import type {RecordStore} from '../records/record_store.js';
@@ -19,10 +18,15 @@
 }
 
 /** What a host notes when it is the first to see an order. */
-const startNoteCodec = Codec.interface({
+interface StartNote {
   /** Time of day of the order, in ms. */
-  startedAtWall: number,
+  readonly startedAtWall: number;
   /** Position in the topic of states from which they are about the order. */
+  readonly statesFrom: number;
+}
+
+const startNoteCodec: Codec<StartNote> = Codec.interface({
+  startedAtWall: number,
   statesFrom: number,
 });
 
@@ -38,7 +42,7 @@
   /** Notes in the store when a roll-out started. */
   async note(rollout: Rollout): Promise<void> {
     const {clock, store} = this.options;
-    const note: GetType<typeof startNoteCodec> = {
+    const note: StartNote = {
       startedAtWall: Math.round(clock.wall() - rollout.elapsedMs),
       statesFrom: rollout.statesFrom,
     };
@@ -62,9 +66,7 @@
     return this.noteOf(order)?.statesFrom;
   }
 
-  private noteOf(
-    order: RolloutOrder,
-  ): GetType<typeof startNoteCodec> | undefined {
+  private noteOf(order: RolloutOrder): StartNote | undefined {
     const {mirror, refusals} = this.options;
     const record = mirror.get(startKey(order));
     if (record?.value === undefined) return undefined;
--- a/packages/gateway/src/rollouts/rollout_writer.ts
+++ b/packages/gateway/src/rollouts/rollout_writer.ts
@@ -49,8 +49,9 @@
   /** Starts to write the states of roll-outs where it is for this host to do. */
   start(): void {
     const {book, clock} = this.options;
-    const rollouts = book.all();
-    const isActive = rollouts.some(({phase}) => phase === RolloutPhase.ACTIVE);
+    const isActive = book
+      .all()
+      .some(({phase}) => phase === RolloutPhase.ACTIVE);
     this.timer = clock.after(isActive ? TICK_MS : IDLE_TICK_MS, () => {
       for (const rollout of book.all()) this.look(rollout);
       this.start();
