How early a cut place leaves follows from the bound on keys

Cause: the age at which a cut host says that it is not ready stood as a number of its own, 2.6 s, though it was chosen as two seconds before keys are refused. Change: the bound less two seconds; with the users' bound of 5 s it is 2.6 s as before.

--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -22,11 +22,10 @@
 /** Kept back from the bound on withdrawn keys, for the way of a request and slow timers, in ms. */
 const KEY_MARGIN_MS = 400;
 /**
- * Age of the configuration at which a host that reaches no other place says that it is not ready, in ms: over the
- * age in normal running, and some two seconds before keys are refused, which is what a balancer takes to send
- * callers to places that will serve them.
+ * How long before it has to refuse keys a host that reaches no other place says that it is not ready, in ms: two
+ * looks of a balancer, a second apart, after which it sends callers to places that will serve them.
  */
-const ISOLATED_MS = 2_600;
+const BALANCER_NOTICE_MS = 2_000;
 /** Pause between two rounds of closing rested connections, in ms. */
 const SWEEP_MS = 1_000;
 
@@ -178,7 +177,8 @@
   private get isCutOff(): boolean {
     if (this.settings.honoursStaleKeys) return false;
     const {belief, roster} = this.knowledge;
-    return belief.ageMs > ISOLATED_MS && roster.isIsolated;
+    const leavesAtMs = this.freshnessBoundMs - BALANCER_NOTICE_MS;
+    return belief.ageMs > leavesAtMs && roster.isIsolated;
   }
 
   /** Age of the configuration up to which keys are accepted, in ms. */
