Tests share a keyed route and a pair of models

Cause: two pairs of tests wrote the same lines, and two fixtures ran on the clock of the system for no reason. Change: keyed_route.ts, serveModels and callWhole; the same calls and expected values.

--- a/packages/gateway/src/calls/streams.test.ts
+++ b/packages/gateway/src/calls/streams.test.ts
@@ -153,11 +153,27 @@
   assert.deepEqual(models.sort(), ['large', 'small']);
 });
 
-void test('a repeat is kept for a stream that breaks off, and not spent on a better answer', async () => {
+/** Serves a small and a large model with a retry budget of a fixed allowance. */
+async function serveModels(retryExtra: number): Promise<void> {
   fixture.configure([{kind: CallKind.RESUMABLE, models: ['small', 'large']}]);
   for (const runner of [first, second]) await fixture.addRunner(runner);
-  await fixture.startHost({retryRatio: 0, retryExtra: 2});
+  await fixture.startHost({retryRatio: 0, retryExtra});
   await fixture.waitReady();
+}
+
+/** Makes a call that has to be answered whole. @returns the models that were asked for it, sorted */
+async function callWhole(): Promise<unknown[]> {
+  const headers = {[names.model]: '*', [names.promptSize]: '100,20'};
+  const answer = await fixture.call({headers});
+  assert.equal(answer.body, WHOLE);
+  assert.ok(answer.isWhole);
+  return [...first.received, ...second.received]
+    .map(request => request.headers[names.model])
+    .sort();
+}
+
+void test('a repeat is kept for a stream that breaks off, and not spent on a better answer', async () => {
+  await serveModels(2);
   let asked = 0;
   first.script = second.script = (request, response) => {
     if (asked++ > 0) return streamAll(request, response);
@@ -165,21 +181,11 @@
     response.write(event(1) + event(2));
     setTimeout(() => request.socket.destroy(), 30);
   };
-  const headers = {[names.model]: '*', [names.promptSize]: '100,20'};
-  const answer = await fixture.call({headers});
-  assert.equal(answer.body, WHOLE);
-  assert.ok(answer.isWhole);
-  const models = [...first.received, ...second.received].map(
-    request => request.headers[names.model],
-  );
-  assert.deepEqual(models, ['small', 'small']);
+  assert.deepEqual(await callWhole(), ['small', 'small']);
 });
 
 void test('an answer that has begun may use more of the budget than one that has not', async () => {
-  fixture.configure([{kind: CallKind.RESUMABLE, models: ['small', 'large']}]);
-  for (const runner of [first, second]) await fixture.addRunner(runner);
-  await fixture.startHost({retryRatio: 0, retryExtra: 2.6});
-  await fixture.waitReady();
+  await serveModels(2.6);
   first.script = second.script = (request, response) => {
     const isLarge = request.headers[names.model] === 'large';
     if (request.headers[names.lastEventId] !== undefined)
@@ -188,14 +194,7 @@
     response.write(event(1) + event(2));
     setTimeout(() => request.socket.destroy(), 30);
   };
-  const headers = {[names.model]: '*', [names.promptSize]: '100,20'};
-  const answer = await fixture.call({headers});
-  assert.equal(answer.body, WHOLE);
-  assert.ok(answer.isWhole);
-  const asked = [...first.received, ...second.received].map(
-    request => request.headers[names.model],
-  );
-  assert.deepEqual(asked.sort(), ['large', 'large', 'small']);
+  assert.deepEqual(await callWhole(), ['large', 'large', 'small']);
 });
 
 void test('a sure answer of a small model is used', async () => {
--- a/packages/gateway/src/lifecycle/cut_off.test.ts
+++ b/packages/gateway/src/lifecycle/cut_off.test.ts
@@ -1,13 +1,12 @@
 import assert from 'node:assert/strict';
 import {afterEach, beforeEach, test} from 'node:test';
-import {CallKind} from '@bayspool/decisions/calls';
 import {GatewayFixture} from '../testing/gateway_fixture.js';
+import {keyedRoute} from '../testing/keyed_route.js';
 import {MemoryRecordStore} from '../testing/memory_record_store.js';
-import {plainHeaderNames as names} from '../testing/plain_header_names.js';
 import {ScriptedRunner} from '../testing/scripted_runner.js';
 
 const PLACES = ['a', 'b', 'c'];
-const headers = {[names.apiKey]: 'key-1'};
+const {headers} = keyedRoute;
 
 let fixture: GatewayFixture;
 let runner: ScriptedRunner;
@@ -16,9 +15,7 @@
 beforeEach(async () => {
   fixture = new GatewayFixture();
   runner = new ScriptedRunner({id: 'one'});
-  fixture.configure([{kind: CallKind.SAFE, isPublic: false}], {
-    'key-1': {workspace: 'ws'},
-  });
+  fixture.configure(keyedRoute.routes, keyedRoute.keys);
   await fixture.addRunner(runner);
   ownStore = fixture.store.share();
 });
--- a/packages/gateway/src/peers/store_away.test.ts
+++ b/packages/gateway/src/peers/store_away.test.ts
@@ -1,9 +1,8 @@
 import assert from 'node:assert/strict';
 import {afterEach, beforeEach, test} from 'node:test';
-import {CallKind} from '@bayspool/decisions/calls';
 import {GatewayFixture} from '../testing/gateway_fixture.js';
+import {keyedRoute} from '../testing/keyed_route.js';
 import {MemoryRecordStore} from '../testing/memory_record_store.js';
-import {plainHeaderNames as names} from '../testing/plain_header_names.js';
 import {ScriptedRunner} from '../testing/scripted_runner.js';
 
 /** Hosts of one place: the three that may read the store in doubt, and others. */
@@ -17,9 +16,7 @@
 beforeEach(async () => {
   fixture = new GatewayFixture();
   runner = new ScriptedRunner({id: 'one'});
-  fixture.configure([{kind: CallKind.SAFE, isPublic: false}], {
-    'key-1': {workspace: 'ws'},
-  });
+  fixture.configure(keyedRoute.routes, keyedRoute.keys);
   await fixture.addRunner(runner);
   stores = Array.from({length: HOSTS}, () => fixture.store.share());
   for (const store of stores) await fixture.startHost({}, store);
@@ -49,7 +46,7 @@
 }
 
 function isServed(host: number): Promise<boolean> {
-  const headers = {[names.apiKey]: 'key-1'};
+  const {headers} = keyedRoute;
   return fixture.call({host, headers}).then(({status}) => status === 200);
 }
 
@@ -90,9 +87,7 @@
   for (let round = 0; round < 6; round++) {
     // Changes come at other times of the hosts' rounds.
     await pause(900 + 250 * round);
-    fixture.configure([{kind: CallKind.SAFE, isPublic: false}], {
-      'key-1': {workspace: 'ws'},
-    });
+    fixture.configure(keyedRoute.routes, keyedRoute.keys);
     const changedAt = performance.now();
     const count = fixture.events('configuration_in_force').length;
     await fixture.waitFor(
--- a/packages/gateway/src/testing/directory_fixture.ts
+++ b/packages/gateway/src/testing/directory_fixture.ts
@@ -1,4 +1,4 @@
-import {SystemClock, VirtualClock} from '@bayspool/kernel';
+import {VirtualClock} from '@bayspool/kernel';
 import {RunnerDirectory} from '../beliefs/runner_directory.js';
 import type {WireReader} from '../beliefs/wire_reader.js';
 import {EventLog} from '../observability/event_log.js';
@@ -25,7 +25,7 @@
   constructor(reader: WireReader) {
     const {clock, metrics, mirror, lines} = this;
     const log = new EventLog({
-      clock: new SystemClock(),
+      clock,
       host: 'host',
       sink: {
         write: line => {
--- a/packages/gateway/src/testing/unheard_refusals.ts
+++ b/packages/gateway/src/testing/unheard_refusals.ts
@@ -1,4 +1,4 @@
-import {SystemClock} from '@bayspool/kernel';
+import {VirtualClock} from '@bayspool/kernel';
 import {EventLog} from '../observability/event_log.js';
 import {GatewayMetrics} from '../observability/gateway_metrics.js';
 import {Refusals} from '../records/refusals.js';
@@ -6,6 +6,6 @@
 /** Refusals that no test reads. */
 export function unheardRefusals(): Refusals {
   const sink = {write: () => undefined};
-  const log = new EventLog({clock: new SystemClock(), host: 'host', sink});
+  const log = new EventLog({clock: new VirtualClock(), host: 'host', sink});
   return new Refusals({log, metrics: new GatewayMetrics()});
 }
