A test of who reads the store at the first start

Cause: no test held that only the seeds read until the others are entered; switched off, nothing failed. Change: a test of five hosts of one place; it fails with no time to settle.

--- a/packages/gateway/src/peers/seed_start.test.ts
+++ b/packages/gateway/src/peers/seed_start.test.ts
@@ -3,10 +3,13 @@
 import type {AddressInfo} from 'node:net';
 import {afterEach, beforeEach, test} from 'node:test';
 import {Topic} from '../records/topic.js';
+import {findPorts} from '../testing/find_ports.js';
 import {GatewayFixture} from '../testing/gateway_fixture.js';
 import {MemoryRecordStore} from '../testing/memory_record_store.js';
 import {ScriptedRunner} from '../testing/scripted_runner.js';
 
+const NO_READS = {newest: 0, read: 0};
+
 let fixture: GatewayFixture;
 let runner: ScriptedRunner;
 
@@ -145,3 +148,23 @@
   await fixture.waitReady(2);
   assert.equal(own.calls.newest, 0);
 });
+
+void test('at the first start only the seed reads the store, until the others are entered', async () => {
+  const [peerPort] = await findPorts(1);
+  const first = {isFirstStart: true, seeds: [`127.0.0.1:${peerPort}`]};
+  const stores = Array.from({length: 5}, () => fixture.store.share());
+  const [seedStore, ...others] = stores;
+  await fixture.startHost({...first, place: 'b', peerPort}, seedStore);
+  for (const store of others)
+    await fixture.startHost({...first, place: 'b'}, store);
+  await new Promise(resolve => setTimeout(resolve, 1_800));
+  assert.ok(seedStore.calls.newest > 0);
+  for (const {calls} of others)
+    assert.deepEqual({newest: calls.newest, read: calls.read}, NO_READS);
+  // Some seconds after the start, one host of the place reads it.
+  await new Promise(resolve => setTimeout(resolve, 15_000));
+  const before = stores.map(({calls}) => calls.read);
+  await new Promise(resolve => setTimeout(resolve, 2_500));
+  const reading = stores.filter(({calls}, i) => calls.read > before[i]);
+  assert.equal(reading.length, 1);
+});
