A request under which three runners ended is held back, at all hosts

Cause: what a call learns of the runners that end under it was forgotten with the call. A repeat by its caller, with a new id and at any host, began with all runners untried, so one request ended runner after runner; each end was put down to the runner. The class: what has to be known of a request was kept by call, host and runner only. Ruled out: more attempts than the route allows; counting all ends alike (an innocent request waited at five). Change: ends of runners are counted by what is asked and by whom (Quarantine), as sets that hosts tell each other with their loads, and what is held back stands in the hosts' topic for those that start later. A run that was begun and gave nothing, or had its runner alone, counts in full; others in a small part or not. A good answer clears. After its first end a request goes where nothing else runs. 1,000 requests are remembered, 200 held back, for ten minutes.

--- /dev/null
+++ b/packages/decisions/src/calls/quarantine.test.ts
@@ -0,0 +1,157 @@
+import assert from 'node:assert/strict';
+import {test} from 'node:test';
+import {VirtualClock} from '@bayspool/kernel';
+import fc from 'fast-check';
+import {Quarantine} from './quarantine.js';
+import type {QuarantineNews} from './quarantine_news.js';
+
+const FATAL = 'f';
+const MINUTE_MS = 60_000;
+const HOLD_MS = 10 * MINUTE_MS;
+const SETTLE_MS = 1_000;
+
+const begun = (start: number) => ({start, weight: 1});
+const doubtful = (start: number) => ({start, weight: 0.3});
+/** Doubtful ends that together weigh as much as three that leave no doubt. */
+const MANY = 10;
+
+function create(clock = new VirtualClock()): Quarantine {
+  return new Quarantine({clock});
+}
+
+/** What is told when it went through the wire. */
+function told(from: Quarantine): QuarantineNews {
+  return JSON.parse(JSON.stringify(from.news())) as QuarantineNews;
+}
+
+void test('three runners that ended under a request are enough, and two are not', () => {
+  const quarantine = create();
+  quarantine.noteEnds(FATAL, [begun(1), begun(2)]);
+  assert.equal(quarantine.heldForMs(FATAL), 0);
+  quarantine.noteEnds(FATAL, [begun(3)]);
+  assert.equal(quarantine.heldForMs(FATAL), HOLD_MS);
+  assert.equal(quarantine.heldForMs('another'), 0);
+});
+
+void test('one end counts once, however many copies of the request were there', () => {
+  const quarantine = create();
+  for (let copy = 0; copy < 9; copy++) quarantine.noteEnds(FATAL, [begun(1)]);
+  assert.equal(quarantine.heldForMs(FATAL), 0);
+});
+
+void test('hosts that tell each other in any order, and more than once, hold the same', () => {
+  const HOSTS = 4;
+  const end = fc.record({
+    host: fc.nat(HOSTS - 1),
+    request: fc.constantFrom('a', 'b', 'c'),
+    start: fc.nat(8),
+  });
+  const pass = fc.tuple(fc.nat(HOSTS - 1), fc.nat(HOSTS - 1));
+  fc.assert(
+    fc.property(fc.array(end), fc.array(pass), (ends, passes) => {
+      const hosts = Array.from({length: HOSTS}, () => create());
+      for (const {host, request, start} of ends)
+        hosts[host].noteEnds(request, [begun(start)]);
+      for (const [from, to] of passes) hosts[to].take(told(hosts[from]));
+      // In the end each host has heard of all.
+      for (let round = 0; round < HOSTS; round++)
+        hosts.forEach((host, i) => hosts[(i + 1) % HOSTS].take(told(host)));
+      for (const request of ['a', 'b', 'c']) {
+        const starts = ends.filter(one => one.request === request);
+        const count = new Set(starts.map(({start}) => start)).size;
+        const held = hosts.filter(host => host.heldForMs(request) > 0).length;
+        // Fewer ends than three never hold; more do, unless another request explains them.
+        if (count < 3) assert.equal(held, 0);
+        const isAlone = ends.every(one => one.request === request);
+        if (count >= 3 && isAlone) assert.equal(held, HOSTS);
+      }
+    }),
+  );
+});
+
+void test('a request that was answered well is let go, at all hosts', () => {
+  const [one, other] = [create(), create()];
+  one.noteEnds(FATAL, [begun(1), begun(2), begun(3)]);
+  other.take(told(one));
+  assert.ok(other.heldForMs(FATAL) > 0);
+  other.noteAnswer(FATAL);
+  one.take(told(other));
+  assert.equal(one.heldForMs(FATAL), 0);
+  // What was told before comes again, and counts no more.
+  other.take(told(one));
+  assert.equal(other.heldForMs(FATAL), 0);
+  assert.equal(other.weightOf(FATAL), 0);
+});
+
+void test('of requests that broke off together only the one is held that is there without the other', () => {
+  const clock = new VirtualClock();
+  const quarantine = create(clock);
+  const review = () => {
+    clock.advance(SETTLE_MS);
+    quarantine.review();
+  };
+  for (let start = 0; start < MANY; start++) {
+    quarantine.noteEnds('bystander', [doubtful(start)]);
+    quarantine.noteEnds(FATAL, [doubtful(start)]);
+  }
+  review();
+  assert.deepEqual(quarantine.held(), [], 'nobody knows which it is');
+  quarantine.noteEnds(FATAL, [doubtful(MANY)]);
+  review();
+  assert.deepEqual(quarantine.held(), [FATAL]);
+  for (let start = 0; start < 4; start++) review();
+  assert.deepEqual(quarantine.held(), [FATAL], 'its ends are explained');
+});
+
+void test('doubtful ends are judged when all hosts had time to tell', () => {
+  const clock = new VirtualClock();
+  const quarantine = create(clock);
+  for (let start = 0; start < MANY; start++)
+    quarantine.noteEnds(FATAL, [doubtful(start)]);
+  quarantine.review();
+  assert.deepEqual(quarantine.held(), []);
+  clock.advance(SETTLE_MS);
+  quarantine.review();
+  assert.deepEqual(quarantine.held(), [FATAL]);
+});
+
+void test('a request is tried again after a time, also if another host still tells of it', () => {
+  const clock = new VirtualClock();
+  const [one, late] = [create(clock), create(clock)];
+  one.noteEnds(FATAL, [begun(1), begun(2), begun(3)]);
+  clock.advance(MINUTE_MS);
+  late.take(told(one));
+  clock.advance(HOLD_MS - MINUTE_MS);
+  one.review();
+  one.take(told(late));
+  assert.equal(one.heldForMs(FATAL), 0);
+  clock.advance(MINUTE_MS);
+  late.review();
+  late.take(told(one));
+  one.take(told(late));
+  assert.equal(one.heldForMs(FATAL) + late.heldForMs(FATAL), 0);
+  one.noteEnds(FATAL, [begun(4), begun(5), begun(6)]);
+  assert.ok(one.heldForMs(FATAL) > 0);
+});
+
+void test('what is remembered and told is bounded, and what is held back goes before the rest', () => {
+  const quarantine = create();
+  quarantine.noteEnds(FATAL, [begun(1), begun(2), begun(3)]);
+  for (let i = 0; i < 20_000; i++) quarantine.noteEnds(`r${i}`, [begun(9)]);
+  assert.ok(quarantine.heldForMs(FATAL) > 0);
+  assert.equal(quarantine.weightOf('r0'), 0, 'forgotten');
+  assert.equal(quarantine.weightOf('r19999'), 1);
+  const {ends} = quarantine.news();
+  assert.equal(Object.keys(ends).length, 64);
+  assert.ok(FATAL in ends);
+});
+
+void test('no more requests are held back than a service can have wrong', () => {
+  const quarantine = create();
+  for (let i = 0; i < 1_000; i++)
+    quarantine.noteEnds(
+      `r${i}`,
+      [0, 1, 2].map(n => begun(3 * i + n)),
+    );
+  assert.equal(quarantine.held().length, 200);
+});
--- a/packages/gateway/src/calls/answer_reader.ts
+++ b/packages/gateway/src/calls/answer_reader.ts
@@ -13,6 +13,8 @@
   readonly connection: PooledConnection;
   /** How a failure at this time counts. */
   readonly failureKind: () => AttemptKind;
+  /** Whether this host has ended the attempt. */
+  readonly isEnded: () => boolean;
   /** Called when bytes came, before they are looked at. */
   readonly onBytes: () => void;
   /** Called when the answer came to its end. */
@@ -41,8 +43,8 @@
     const {answer} = this.options;
     answer.on('data', (chunk: Buffer) => this.take(chunk));
     answer.once('end', () => this.end());
-    answer.once('error', () => this.outcome.fail('answer broke off'));
-    answer.once('close', () => this.outcome.fail('answer closed'));
+    answer.once('error', () => this.outcome.cutOff('answer broke off'));
+    answer.once('close', () => this.outcome.cutOff('answer closed'));
     return this.outcome.promise;
   }
 
@@ -58,7 +60,7 @@
     if (this.outcome.isSettled) return;
     const {answer, connection, onWhole} = this.options;
     if (!isWhole(answer, connection))
-      return this.outcome.fail('answer broke off');
+      return this.outcome.cutOff('answer broke off');
     onWhole();
     const {status} = this;
     const kind =
--- a/packages/gateway/src/calls/attempt.ts
+++ b/packages/gateway/src/calls/attempt.ts
@@ -4,6 +4,7 @@
 import {ConnectFailure} from '../runners/connect_failure.js';
 import type {PooledConnection} from '../runners/pooled_connection.js';
 import type {RunnerChoice} from '../runners/runner_choice.js';
+import {ExchangeFailure} from '../runners/exchange_failure.js';
 import {sendRequest} from '../runners/send_request.js';
 import {AnswerReader} from './answer_reader.js';
 import {AttemptKind} from './attempt_kind.js';
@@ -49,7 +50,9 @@
   private eventCount = 0;
   private firstByteAt: number | undefined;
   private endedQuiet = false;
-  private hasBegun = false;
+  private headAt: number | undefined;
+  private wasAlone = false;
+  private sentAs = 0;
 
   constructor(private readonly options: Options) {
     this.startedAt = options.clock.now();
@@ -72,7 +75,20 @@
 
   /** Whether the runner sent the head of its answer: for a stream, that it runs the request. */
   get hasHead(): boolean {
-    return this.hasBegun;
+    return this.headAt !== undefined;
+  }
+
+  /** Time since the head of the answer came, in ms; 0 if none did. */
+  get sinceHeadMs(): number {
+    if (this.headAt === undefined) return 0;
+    return this.options.clock.now() - this.headAt;
+  }
+
+  /** Whether the runner had no other request all the while, as far as this host knows. */
+  get isAlone(): boolean {
+    const {runner} = this.options.choice;
+    const isLast = runner.sentCount === this.sentAs;
+    return this.wasAlone && isLast && runner.others.running === 0;
   }
 
   /** Sends the call and follows the answer to its end. */
@@ -82,7 +98,9 @@
     const follow = () => this.ended.abort(signal.reason);
     if (signal.aborted) follow();
     signal.addEventListener('abort', follow, {once: true});
+    this.wasAlone = runner.totalRunning === 0;
     runner.noteSent(workMs);
+    this.sentAs = runner.sentCount;
     this.watch.start();
     try {
       return await this.exchange();
@@ -115,7 +133,7 @@
       request: {method, path, headers, body},
       signal: this.ended.signal,
     });
-    this.hasBegun = true;
+    this.headAt = clock.now();
     this.watch.noteProgress();
     const report = readReport(answer, this.options.names.load);
     if (report) runner.noteReport(report);
@@ -202,6 +220,7 @@
       caller,
       confidence,
       failureKind: () => this.failureKind(),
+      isEnded: () => this.ended.signal.aborted,
       onBytes: () => this.noteStreamBytes(),
       onEvent: () => {
         this.eventCount += 1;
@@ -217,6 +236,7 @@
       answer,
       connection,
       failureKind: () => this.failureKind(),
+      isEnded: () => this.ended.signal.aborted,
       onBytes: () => this.watch.noteProgress(),
       onWhole: () => {
         this.firstByteAt = this.watch.lastProgressAt;
@@ -227,12 +247,10 @@
   private toOutcome(error: unknown): AttemptOutcome {
     if (error instanceof ConnectFailure)
       return {kind: AttemptKind.NOT_RUN, reason: error.reason};
-    const reason = this.ended.signal.aborted
-      ? this.endReason()
-      : error instanceof Error
-        ? error.message
-        : String(error);
-    return {kind: this.failureKind(), reason};
+    const kind = this.failureKind();
+    if (this.ended.signal.aborted) return {kind, reason: this.endReason()};
+    const reason = error instanceof Error ? error.message : String(error);
+    return {kind, reason, isCutOff: error instanceof ExchangeFailure};
   }
 
   /** A failure that this host caused by ending the call counts as its end. */
--- a/packages/gateway/src/calls/attempt_outcome.ts
+++ b/packages/gateway/src/calls/attempt_outcome.ts
@@ -11,4 +11,6 @@
   /** The runner's answer, where it can still be passed on. */
   readonly answer?: WholeAnswer;
   readonly confidence?: number;
+  /** Whether the runner closed the connection before its answer was whole: it may have ended. */
+  readonly isCutOff?: boolean;
 }
--- a/packages/gateway/src/calls/call_forwarder.ts
+++ b/packages/gateway/src/calls/call_forwarder.ts
@@ -1,5 +1,6 @@
 import type {
   CascadeRule,
+  Quarantine,
   RetryBudget,
   SessionVersions,
 } from '@bayspool/decisions/calls';
@@ -27,6 +28,7 @@
 import type {HeaderNames} from './header_names.js';
 import type {IncomingCall} from './incoming_call.js';
 import {RepeatRule} from './repeat_rule.js';
+import {RequestLessons} from './request_lessons.js';
 import {RunnerHeaders} from './runner_headers.js';
 
 interface Options {
@@ -42,6 +44,8 @@
   readonly prefixes: PrefixBook;
   readonly rates: ReadingRates;
   readonly cascade: CascadeRule;
+  /** Which requests are held back, as runners ended under them. */
+  readonly quarantine: Quarantine;
   /** The shortest latency target of a service's routes, in ms. */
   readonly targetOf: (service: string) => number;
   /** How old what other hosts told of loads is, in ms. */
@@ -56,6 +60,7 @@
 /** Brings a call to a runner, and to further ones where that is allowed and helps. */
 export class CallForwarder {
   private readonly lessons: AttemptLessons;
+  private readonly requestLessons: RequestLessons;
   private readonly repeats: RepeatRule;
   private readonly judge: AnswerJudge;
   private readonly final: FinalAnswer;
@@ -63,7 +68,7 @@
 
   constructor(private readonly options: Options) {
     const {clock, random, log, metrics, directory} = options;
-    const {rollouts, sessions, rates, cascade, budgetOf} = options;
+    const {rollouts, sessions, rates, cascade, quarantine, budgetOf} = options;
     this.lessons = new AttemptLessons({
       log,
       metrics,
@@ -72,12 +77,14 @@
       sessions,
       rates,
     });
+    this.requestLessons = new RequestLessons({log, quarantine});
     this.repeats = new RepeatRule({
       clock,
       log,
       metrics,
       directory,
       cascade,
+      quarantine,
       budgetOf,
     });
     this.judge = new AnswerJudge({
@@ -95,12 +102,14 @@
     caller: CallerAnswer,
     signal: AbortSignal,
   ): Promise<void> {
-    const {cascade, budgetOf} = this.options;
-    budgetOf(call.service).countFirst();
+    const {cascade, budgetOf, quarantine} = this.options;
     const {route} = call;
     const model =
       route.models.length > 0 ? cascade.firstModel(route) : call.model;
     const progress = new CallProgress({call, model});
+    const heldForMs = quarantine.heldForMs(call.fingerprint);
+    if (heldForMs > 0) return this.final.hold(progress, caller, heldForMs);
+    budgetOf(call.service).countFirst();
     for (;;) {
       const choice = this.choose(progress);
       if (!choice) return this.final.finish(progress, caller, 'no runner');
@@ -127,12 +136,30 @@
     const isGranted = wished.length > 0;
     progress.version = {wish, isGranted};
     // Without a runner of a wished version any will do, but for an answer that has begun.
-    const candidates = isGranted || begunBy !== undefined ? wished : takers;
+    const allowed = isGranted || begunBy !== undefined ? wished : takers;
+    const candidates = this.preferIdle(progress, allowed);
     const {prompt, body} = call;
     const bodyBytes = body.length;
     return chooser.choose({candidates, tried, bodyBytes, model, prompt});
   }
 
+  /**
+   * A request under which a runner ended goes where nothing else runs, if it can: what it may end there is only itself,
+   * and whether it was the cause is known then.
+   */
+  private preferIdle(
+    {call, tried}: CallProgress,
+    runners: readonly Runner[],
+  ): readonly Runner[] {
+    if (this.options.quarantine.weightOf(call.fingerprint) === 0)
+      return runners;
+    const idle = runners.filter(
+      ({entry, totalRunning, health}) =>
+        totalRunning === 0 && !health.isEjected && !tried.has(entry.id),
+    );
+    return idle.length > 0 ? idle : runners;
+  }
+
   /** An answer is made by one version, whatever its session has by the time at which a runner breaks off. */
   private wishFor(
     progress: CallProgress,
@@ -188,6 +215,7 @@
     const {wasQuiet} = attempt;
     const timing = {firstMs, expectedMs, isUnloaded, wasQuiet};
     this.lessons.learn(progress, choice, outcome, timing);
+    this.requestLessons.learn(call, choice.runner, attempt, outcome);
     this.options.log.write('attempt_ended', {
       request: call.id,
       attempt: progress.tries + 1,
--- a/packages/gateway/src/calls/event_pump.ts
+++ b/packages/gateway/src/calls/event_pump.ts
@@ -19,6 +19,8 @@
   readonly confidence?: number;
   /** How a failure at this time counts. */
   readonly failureKind: () => AttemptKind;
+  /** Whether this host has ended the attempt. */
+  readonly isEnded: () => boolean;
   /** Called when bytes came, before they are looked at. */
   readonly onBytes: () => void;
   /** Called for each event that is passed on, before it is. */
@@ -48,8 +50,8 @@
     const {answer} = this.options;
     answer.on('data', (chunk: Buffer) => this.take(chunk));
     answer.once('end', () => this.end());
-    answer.once('error', () => this.outcome.fail('stream broke off'));
-    answer.once('close', () => this.outcome.fail('stream closed'));
+    answer.once('error', () => this.outcome.cutOff('stream broke off'));
+    answer.once('close', () => this.outcome.cutOff('stream closed'));
     return this.outcome.promise;
   }
 
@@ -87,7 +89,7 @@
     const {answer, connection, caller, confidence} = this.options;
     const {status, isUnframed} = this.head;
     if (!isWhole(answer, connection) || this.splitter.pendingBytes > 0)
-      return this.outcome.fail('stream broke off');
+      return this.outcome.cutOff('stream broke off');
     if (isUnframed && !caller.acceptsUnframed)
       return this.outcome.fail('end of the stream is not certain');
     if (!caller.isClosed) caller.finishStream(this.head);
--- a/packages/gateway/src/calls/fatal_request.test.ts
+++ b/packages/gateway/src/calls/fatal_request.test.ts
@@ -27,16 +27,22 @@
 
 afterEach(() => fixture.stop());
 
-function configure(kind: CallKind): void {
-  const route = {kind, attempts: 3, timeLimitMs: 4_000};
-  const targets = [{service: 'llm', weight: 1}];
-  fixture.configure([{...route, targets}]);
+interface Setup {
+  readonly kind: CallKind;
+  readonly count?: number;
+  /** Runners that one call may be sent to. */
+  readonly attempts?: number;
 }
 
-async function startRunners(kind: CallKind): Promise<MortalRunners> {
-  configure(kind);
-  const isStreamed = kind === CallKind.RESUMABLE;
-  const options = {fixture, count: 5, service: 'llm', fatalBody: FATAL};
+async function startRunners({
+  kind,
+  count = 5,
+  attempts = 3,
+}: Setup): Promise<MortalRunners> {
+  const targets = [{service: 'llm', weight: 1}];
+  fixture.configure([{kind, attempts, targets, timeLimitMs: 4_000}]);
+  const isStreamed = kind !== CallKind.SAFE;
+  const options = {fixture, count, service: 'llm', fatalBody: FATAL};
   const runners = new MortalRunners({...options, isStreamed});
   await runners.start();
   return runners;
@@ -61,7 +67,7 @@
 }
 
 void test('a stream under which three runners ended is sent to none any more, whichever host it comes to', async () => {
-  const runners = await startRunners(CallKind.RESUMABLE);
+  const runners = await startRunners({kind: CallKind.RESUMABLE});
   await startHosts(3);
   await send(FATAL);
   await waitHeld(3);
@@ -77,7 +83,7 @@
 });
 
 void test('ends seen by different hosts count together', async () => {
-  const runners = await startRunners(CallKind.STREAM);
+  const runners = await startRunners({kind: CallKind.STREAM});
   await startHosts(3);
   // A stream that may run once only is sent to one runner a call.
   for (const host of [0, 1, 2]) await send(FATAL, host);
@@ -89,7 +95,7 @@
 });
 
 void test('a host that starts later knows of it, also after all others have ended', async () => {
-  const runners = await startRunners(CallKind.RESUMABLE);
+  const runners = await startRunners({kind: CallKind.RESUMABLE});
   await startHosts(2);
   await send(FATAL);
   await waitHeld(2);
@@ -101,23 +107,73 @@
   assert.equal(runners.ended, ENDS_TO_KNOW);
 });
 
-void test('a request that waits at runners which end is never held back', async () => {
-  const runners = await startRunners(CallKind.RESUMABLE);
+void test('hosts tell each other of it while the store is away', async () => {
+  const runners = await startRunners({kind: CallKind.RESUMABLE});
   await startHosts(2);
-  runners.waiting.add(BYSTANDER);
-  // Both go the same way: the bystander waits wherever the other one ends a runner.
-  for (let round = 0; round < 2; round++) {
-    const calls = [send(BYSTANDER, 0), send(BYSTANDER, 1)];
-    await fixture.waitFor(
-      () =>
-        runners.arrivals.filter(body => body === BYSTANDER).length > 2 * round,
-    );
-    await send(FATAL, round);
-    runners.waiting.clear();
-    await Promise.all(calls);
-    runners.waiting.add(BYSTANDER);
-  }
-  runners.waiting.clear();
+  await fixture.waitFor(() => fixture.events('peer_seen').length >= 2);
+  fixture.store.isDown = true;
+  // Runners that are back can't be known now; five are enough.
+  await send(FATAL);
+  await waitHeld(2);
+  assert.equal((await send(FATAL, 1)).status, UNAVAILABLE);
+  assert.equal(runners.ended, ENDS_TO_KNOW);
+});
+
+void test('a whole answer under which three runners ended that had nothing else is held back', async () => {
+  const runners = await startRunners({kind: CallKind.SAFE});
+  await startHosts(2);
+  await send(FATAL);
+  await waitHeld(2);
+  assert.equal(runners.ended, ENDS_TO_KNOW);
   for (const host of [0, 1])
-    assert.equal((await send(BYSTANDER, host)).status, 200);
+    assert.equal((await send(FATAL, host)).status, UNAVAILABLE);
+  assert.equal(runners.ended, ENDS_TO_KNOW);
+});
+
+void test('after one end a request goes where nothing else runs', async () => {
+  const runners = await startRunners({kind: CallKind.SAFE});
+  await startHosts(1);
+  const others = ['a', 'b', 'c', 'd'].map(name => `long ${name}`);
+  for (const body of others) runners.waiting.add(body);
+  const waiting = others.slice(0, 3).map(body => send(body));
+  await fixture.waitFor(() => runners.arrivals.length === 3);
+  await send(FATAL);
+  const counted = fixture.events('runner_end_counted');
+  const fatal = counted.filter(({isAlone}) => isAlone);
+  assert.ok(fatal.length >= 2, JSON.stringify(counted));
+  await Promise.all(waiting);
 });
+
+/** Sends a bystander that waits at the only runner, which then ends under a fatal request. */
+async function waitWhereOneEnds(
+  runners: MortalRunners,
+  fatal: string,
+  host: number,
+): Promise<void> {
+  const {arrivals, ended} = runners;
+  const before = arrivals.length;
+  const waiting = send(BYSTANDER, host);
+  await fixture.waitFor(() => arrivals.length > before);
+  await send(fatal, host);
+  await waiting;
+  assert.equal(runners.ended, ended + 1);
+  await fixture.waitFor(() => {
+    const id = `runner-${runners.ended + 1}`;
+    const seen = fixture.events('runner_seen').filter(e => e.runner === id);
+    return seen.length === fixture.hosts.length;
+  });
+}
+
+for (const kind of [CallKind.RESUMABLE, CallKind.SAFE])
+  void test(`a request that waits at runners which end is never held back: ${kind}`, async () => {
+    const runners = await startRunners({kind, count: 1, attempts: 1});
+    await startHosts(2);
+    runners.waiting.add(BYSTANDER);
+    for (const fatal of ['one', 'two', 'three', 'one', 'two', 'three'])
+      await waitWhereOneEnds(runners, `${FATAL} ${fatal}`, runners.ended % 2);
+    // The time after which doubtful ends are judged.
+    await new Promise(resolve => setTimeout(resolve, 2_500));
+    runners.waiting.clear();
+    for (const host of [0, 1])
+      assert.equal((await send(BYSTANDER, host)).status, 200);
+  });
--- a/packages/gateway/src/calls/final_answer.ts
+++ b/packages/gateway/src/calls/final_answer.ts
@@ -53,6 +53,15 @@
     });
   }
 
+  /** Refuses a call whose request is held back: it has not run, and would only be refused again before then. */
+  hold(progress: CallProgress, caller: CallerAnswer, forMs: number): void {
+    const retryAfterMs = Math.round(forMs);
+    const reason = 'held back: runners end under this request';
+    const own = {status: STATUS.UNAVAILABLE, reason, retryAfterMs};
+    if (!caller.isClosed) caller.sendOwn(own);
+    this.noteFailed(progress, own);
+  }
+
   /** Gives the final answer of a call that no runner answered well. */
   finish(progress: CallProgress, caller: CallerAnswer, reason: string): void {
     const {clock, log, metrics} = this.options;
@@ -78,15 +87,25 @@
     if (failed && !caller.isClosed) caller.sendWhole(failed);
     const own = this.ownAnswer(progress, reason);
     if (!failed && !caller.isClosed) caller.sendOwn(own);
+    this.noteFailed(progress, failed ? {status: failed.status, reason} : own);
+  }
+
+  private noteFailed(
+    {call, tries, mayHaveRun}: CallProgress,
+    {status, reason, retryAfterMs}: OwnAnswer,
+  ): void {
+    const {clock, log, metrics} = this.options;
+    const {name: route, kind} = call.route;
+    const why = reasonLabel(reason);
     metrics.requests.inc({route, kind, outcome: 'failed', reason: why});
     log.write('request_failed', {
-      request,
-      status: failed?.status ?? own.status,
+      request: call.id,
+      status,
       reason,
-      attempts,
-      hasRun: progress.mayHaveRun ? 'maybe' : 'no',
-      retryAfterMs: failed ? undefined : own.retryAfterMs,
-      forMs,
+      attempts: tries,
+      hasRun: mayHaveRun ? 'maybe' : 'no',
+      retryAfterMs,
+      forMs: Math.round(clock.now() - call.acceptedAt),
     });
   }
 
--- a/packages/gateway/src/calls/pending_outcome.ts
+++ b/packages/gateway/src/calls/pending_outcome.ts
@@ -6,6 +6,8 @@
   readonly connection: PooledConnection;
   /** How a failure at this time counts. */
   readonly failureKind: () => AttemptKind;
+  /** Whether this host has ended the attempt. */
+  readonly isEnded: () => boolean;
   readonly status: number;
   /** The model's opinion of its answer, if it gave one. */
   readonly confidence?: number;
@@ -41,10 +43,20 @@
    * the outcome is known and the connection sound then.
    */
   fail(reason: string): void {
+    this.settleFailed(reason, false);
+  }
+
+  /** The runner closed the connection before its answer was whole. */
+  cutOff(reason: string): void {
+    this.settleFailed(reason, !this.options.isEnded());
+  }
+
+  private settleFailed(reason: string, isCutOff: boolean): void {
     if (this.settled) return;
     this.settled = true;
     const {connection, failureKind, status, confidence} = this.options;
     connection.discard();
-    this.resolve({kind: failureKind(), reason, status, confidence});
+    const kind = failureKind();
+    this.resolve({kind, reason, status, confidence, isCutOff});
   }
 }
--- a/packages/gateway/src/calls/repeat_rule.ts
+++ b/packages/gateway/src/calls/repeat_rule.ts
@@ -1,5 +1,9 @@
 import {CallKind, isRepeatable} from '@bayspool/decisions/calls';
-import type {CascadeRule, RetryBudget} from '@bayspool/decisions/calls';
+import type {
+  CascadeRule,
+  Quarantine,
+  RetryBudget,
+} from '@bayspool/decisions/calls';
 import type {Clock} from '@bayspool/kernel';
 import type {RunnerDirectory} from '../beliefs/runner_directory.js';
 import type {EventLog} from '../observability/event_log.js';
@@ -16,6 +20,7 @@
   readonly metrics: GatewayMetrics;
   readonly directory: RunnerDirectory;
   readonly cascade: CascadeRule;
+  readonly quarantine: Quarantine;
   /** The retry budget of a service. */
   readonly budgetOf: (service: string) => RetryBudget;
 }
@@ -81,6 +86,7 @@
   ): boolean {
     const {call} = progress;
     if (leftMs < MIN_LEFT_MS || progress.tries >= MAX_TRIES) return false;
+    if (this.options.quarantine.heldForMs(call.fingerprint) > 0) return false;
     if (progress.sent >= call.route.attempts) return false;
     if (outcome.kind === AttemptKind.NOT_RUN) return true;
     if (outcome.kind === AttemptKind.WEAK) return true;
--- /dev/null
+++ b/packages/gateway/src/calls/request_lessons.ts
@@ -0,0 +1,61 @@
+import {isStreamed, hashBits, weighRunnerEnd} from '@bayspool/decisions/calls';
+import type {Quarantine} from '@bayspool/decisions/calls';
+import type {EventLog} from '../observability/event_log.js';
+import type {Runner} from '../runners/runner.js';
+import {startOf} from '../runners/start_of.js';
+import type {Attempt} from './attempt.js';
+import {AttemptKind} from './attempt_kind.js';
+import type {AttemptOutcome} from './attempt_outcome.js';
+import type {IncomingCall} from './incoming_call.js';
+import {roundHundredths} from './round_hundredths.js';
+
+interface Options {
+  readonly log: EventLog;
+  readonly quarantine: Quarantine;
+}
+
+/** What an attempt teaches of its request: whether it may be what ends the runners that run it. */
+export class RequestLessons {
+  constructor(private readonly options: Options) {}
+
+  /**
+   * Takes the outcome into what is believed of the request. It has to outlive the call and go by what is asked: callers
+   * repeat such a request with a new id, at any host.
+   */
+  learn(
+    call: IncomingCall,
+    runner: Runner,
+    attempt: Attempt,
+    outcome: AttemptOutcome,
+  ): void {
+    const {quarantine} = this.options;
+    if (outcome.kind === AttemptKind.ANSWERED)
+      quarantine.noteAnswer(call.fingerprint);
+    else if (outcome.isCutOff) this.noteEnd(call, runner, attempt);
+  }
+
+  private noteEnd(call: IncomingCall, runner: Runner, attempt: Attempt): void {
+    const {log, quarantine} = this.options;
+    const {fingerprint, id: request, route} = call;
+    const {hasHead, sinceHeadMs, firstAt, isAlone} = attempt;
+    const weight = weighRunnerEnd({
+      isStreamed: isStreamed(route.kind),
+      hasHead,
+      sinceHeadMs,
+      isAlone,
+      hasPieces: firstAt !== undefined,
+    });
+    if (weight === 0) return;
+    const start = startOf(runner.entry);
+    quarantine.noteEnds(fingerprint, [{start: hashBits(start), weight}]);
+    log.write('runner_end_counted', {
+      request,
+      fingerprint,
+      runner: runner.entry.id,
+      weight,
+      sum: roundHundredths(quarantine.weightOf(fingerprint)),
+      isAlone,
+      sinceHeadMs: Math.round(sinceHeadMs),
+    });
+  }
+}
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -146,6 +146,7 @@
     this.registration.stop();
     this.exchange.unfollow();
     this.writer.stop();
+    this.knowledge.quarantineKeeper.stop();
     this.sweepTimer?.cancel();
     this.lag.stop();
     this.exchange.close();
@@ -230,8 +231,8 @@
 
   private createForwarder(): CallForwarder {
     const {clock, random, log, headerNames, settings} = this.options;
-    const {directory, limits, loads, prefixes, rollouts, roster, sessions} =
-      this.knowledge;
+    const {directory, limits, loads, prefixes, quarantine} = this.knowledge;
+    const {rollouts, roster, sessions} = this.knowledge;
     const rates = new ReadingRates({
       costFactorOf: model => limits.costFactorOf(model),
     });
@@ -241,6 +242,7 @@
       log,
       sessions,
       prefixes,
+      quarantine,
       rates,
       metrics: this.metrics,
       names: headerNames,
@@ -263,9 +265,10 @@
 
   private sweep(): void {
     const {clock, log} = this.options;
-    const {belief, directory} = this.knowledge;
+    const {belief, directory, quarantine} = this.knowledge;
     this.sweepTimer = clock.after(SWEEP_MS, () => this.sweep());
     for (const {pool} of directory.all()) pool.sweep();
+    quarantine.review();
     const ageMs = Math.round(belief.ageMs);
     const boundMs = this.freshnessBoundMs;
     const isFresh = ageMs <= boundMs;
--- a/packages/gateway/src/observability/event_fields.ts
+++ b/packages/gateway/src/observability/event_fields.ts
@@ -77,6 +77,25 @@
     lastEvent?: number;
     forMs: number;
   };
+  runner_end_counted: {
+    request: string;
+    fingerprint: string;
+    runner: string;
+    /** How much this end speaks against the request, 0 to 1, and all of them together. */
+    weight: number;
+    sum: number;
+    /** Whether the runner had no other request, as far as the host knows. */
+    isAlone: boolean;
+    sinceHeadMs: number;
+  };
+  request_quarantined: {fingerprint: string; ends: number; weight: number};
+  request_released: {fingerprint: string; reason: string};
+  quarantine_written: {fingerprint: string; isHeld: boolean};
+  quarantine_write_failed: {
+    fingerprint: string;
+    isHeld: boolean;
+    reason: string;
+  };
   answer_weighed: {
     request: string;
     model: string;
--- a/packages/gateway/src/parts/host_loads.test.ts
+++ b/packages/gateway/src/parts/host_loads.test.ts
@@ -1,5 +1,6 @@
 import assert from 'node:assert/strict';
 import {test} from 'node:test';
+import {Quarantine} from '@bayspool/decisions/calls';
 import type {RolloutBook} from '../rollouts/rollout_book.js';
 import {DirectoryFixture} from '../testing/directory_fixture.js';
 import {PlainReader} from '../testing/plain_reader.js';
@@ -22,7 +23,14 @@
     noteRemote: () => undefined,
   } as unknown as RolloutBook;
   const {clock} = fixture;
-  const loads = new HostLoads({clock, directory, prefixes, rollouts});
+  const quarantine = new Quarantine({clock});
+  const loads = new HostLoads({
+    clock,
+    directory,
+    prefixes,
+    rollouts,
+    quarantine,
+  });
   return {fixture, loads};
 }
 
--- a/packages/gateway/src/parts/host_loads.ts
+++ b/packages/gateway/src/parts/host_loads.ts
@@ -1,3 +1,4 @@
+import type {Quarantine} from '@bayspool/decisions/calls';
 import type {Clock} from '@bayspool/kernel';
 import type {RunnerDirectory} from '../beliefs/runner_directory.js';
 import type {LoadDigest} from '../peers/load_digest.js';
@@ -12,6 +13,7 @@
   readonly directory: RunnerDirectory;
   readonly rollouts: RolloutBook;
   readonly prefixes: PrefixBook;
+  readonly quarantine: Quarantine;
 }
 
 /** Weight of outcomes under which a runner without running requests is not told of. */
@@ -52,11 +54,12 @@
           rollout.digest(this.oldRunning(rollout)),
         ]),
     );
-    return {runners, rollouts, parts: this.ownParts()};
+    const quarantine = this.options.quarantine.news();
+    return {runners, rollouts, parts: this.ownParts(), quarantine};
   }
 
   /** Takes over what the other hosts told, summed over them. */
-  takeRemote({runners, rollouts, parts = {}}: LoadDigest): void {
+  takeRemote({runners, rollouts, parts = {}, quarantine}: LoadDigest): void {
     const {clock, directory, prefixes} = this.options;
     this.takenAt = clock.now();
     for (const runner of directory.all()) {
@@ -68,6 +71,7 @@
       if (keys) prefixes.takeNews(runner.entry.id, keys);
     }
     this.options.rollouts.noteRemote(rollouts);
+    if (quarantine) this.options.quarantine.take(quarantine);
   }
 
   private ownParts(): PartNews {
--- a/packages/gateway/src/parts/knowledge.ts
+++ b/packages/gateway/src/parts/knowledge.ts
@@ -1,10 +1,11 @@
-import {SessionVersions} from '@bayspool/decisions/calls';
+import {Quarantine, SessionVersions} from '@bayspool/decisions/calls';
 import type {RunnerEntry} from '@bayspool/decisions/calls';
 import {ConfigurationBelief} from '../beliefs/configuration_belief.js';
 import {RunnerDirectory} from '../beliefs/runner_directory.js';
 import type {GatewaySettings} from '../gateway_settings.js';
 import type {GatewayMetrics} from '../observability/gateway_metrics.js';
 import {Roster} from '../peers/roster.js';
+import {QuarantineKeeper} from '../quarantine/quarantine_keeper.js';
 import {Refusals} from '../records/refusals.js';
 import {StoreHealth} from '../records/store_health.js';
 import {TopicMirror} from '../records/topic_mirror.js';
@@ -54,6 +55,10 @@
   readonly starts: RolloutStarts;
   /** The roll-outs. */
   readonly rollouts: RolloutBook;
+  /** Which requests are held back, as runners ended under them. */
+  readonly quarantine: Quarantine;
+  /** Keeps that in the store. */
+  readonly quarantineKeeper: QuarantineKeeper;
   /** Loads at the runners. */
   readonly loads: HostLoads;
   private readonly patience = new ConnectPatience();
@@ -128,8 +133,25 @@
       isInTouch: () => clock.now() - freshness.provenAt < TOUCH_MS,
       starts: this.starts,
     });
-    const {directory, rollouts, prefixes} = this;
-    this.loads = new HostLoads({clock, directory, rollouts, prefixes});
+    this.quarantine = new Quarantine({clock});
+    const {directory, rollouts, prefixes, quarantine, roster} = this;
+    this.quarantineKeeper = new QuarantineKeeper({
+      clock,
+      log,
+      store,
+      refusals,
+      quarantine,
+      mirror: mirrors[Topic.HOSTS],
+      host: settings.host,
+      hosts: () => roster.living().map(({name}) => name),
+    });
+    this.loads = new HostLoads({
+      clock,
+      directory,
+      rollouts,
+      prefixes,
+      quarantine,
+    });
   }
 
   private createRunner(entry: RunnerEntry): Runner {
--- a/packages/gateway/src/parts/observe_parts.ts
+++ b/packages/gateway/src/parts/observe_parts.ts
@@ -1,3 +1,4 @@
+import type {Quarantine} from '@bayspool/decisions/calls';
 import type {ConfigurationBelief} from '../beliefs/configuration_belief.js';
 import type {RunnerDirectory} from '../beliefs/runner_directory.js';
 import type {CallDoor} from '../calls/call_door.js';
@@ -22,6 +23,7 @@
   readonly roster: Roster;
   readonly limits: ServiceLimits;
   readonly rollouts: RolloutBook;
+  readonly quarantine: Quarantine;
 }
 
 /** Registers the figures that are read from a host's parts when the metrics are asked for. */
@@ -70,7 +72,13 @@
   );
 }
 
-function observeRunners({metrics, directory, limits}: Options): void {
+function observeRunners(options: Options): void {
+  const {metrics, directory, limits, quarantine} = options;
+  metrics.observe(
+    'quarantined_requests',
+    'Requests that are held back, as runners ended under them',
+    () => quarantine.held().length,
+  );
   metrics.observeEach(
     'runners',
     'Runners known, by what holds of them first',
--- a/packages/gateway/src/peers/merge_loads.ts
+++ b/packages/gateway/src/peers/merge_loads.ts
@@ -1,3 +1,4 @@
+import {mergeQuarantineNews} from '../quarantine/merge_quarantine_news.js';
 import {mergeRollouts} from '../rollouts/merge_rollouts.js';
 import type {RolloutDigest} from '../rollouts/rollout_digest.js';
 import type {LoadDigest} from './load_digest.js';
@@ -27,5 +28,8 @@
     }
   }
   const parts = mergeParts(digests.map(digest => digest.parts ?? {}));
-  return {runners, rollouts, parts};
+  const quarantine = mergeQuarantineNews(
+    digests.map(digest => digest.quarantine),
+  );
+  return {runners, rollouts, parts, quarantine};
 }
--- /dev/null
+++ b/packages/gateway/src/quarantine/merge_quarantine_news.ts
@@ -0,0 +1,37 @@
+import type {QuarantineNews, RunnerEnd} from '@bayspool/decisions/calls';
+
+/** Requests in what several hosts tell together, at most: some 25 KB of what one host of a place answers another. */
+const MAX_REQUESTS = 256;
+
+/** What several hosts tell of requests under which runners ended: ends are sets, so it counts each of them once. */
+export function mergeQuarantineNews(
+  all: ReadonlyArray<QuarantineNews | undefined>,
+): QuarantineNews | undefined {
+  const told = all.filter(news => news !== undefined);
+  if (told.length === 0) return undefined;
+  const ends = new Map<string, Map<number, RunnerEnd>>();
+  for (const news of told)
+    for (const [fingerprint, list] of Object.entries(news.ends))
+      addAll(ends, fingerprint, list);
+  const answered = new Set(told.flatMap(news => news.answered));
+  return {
+    ends: Object.fromEntries(
+      [...ends].map(([fingerprint, list]) => [fingerprint, [...list.values()]]),
+    ),
+    answered: [...answered].slice(0, MAX_REQUESTS),
+  };
+}
+
+function addAll(
+  ends: Map<string, Map<number, RunnerEnd>>,
+  fingerprint: string,
+  list: readonly RunnerEnd[],
+): void {
+  if (!ends.has(fingerprint) && ends.size >= MAX_REQUESTS) return;
+  const known = ends.get(fingerprint) ?? new Map<number, RunnerEnd>();
+  ends.set(fingerprint, known);
+  for (const end of list) {
+    const weight = known.get(end.start)?.weight ?? -Infinity;
+    if (end.weight > weight) known.set(end.start, end);
+  }
+}
--- /dev/null
+++ b/packages/gateway/src/quarantine/quarantine_keeper.ts
@@ -0,0 +1,144 @@
+import {rankByHash} from '@bayspool/decisions/calls';
+import type {
+  Quarantine,
+  QuarantineEnd as End,
+  RunnerEnd,
+} from '@bayspool/decisions/calls';
+import {QuarantineEnd} from '@bayspool/decisions/calls';
+import type {Clock, Timer} from '@bayspool/kernel';
+import type {EventLog} from '../observability/event_log.js';
+import type {KeyedRecord} from '../records/keyed_record.js';
+import type {MirrorUpdate} from '../records/mirror_update.js';
+import {readEntry} from '../records/read_entry.js';
+import type {RecordStore} from '../records/record_store.js';
+import type {Refusals} from '../records/refusals.js';
+import {Topic} from '../records/topic.js';
+import type {TopicMirror} from '../records/topic_mirror.js';
+import {quarantineKey} from './quarantine_key.js';
+import {quarantineRecordCodec} from './quarantine_record_codec.js';
+
+interface Options {
+  readonly clock: Clock;
+  readonly log: EventLog;
+  readonly store: RecordStore;
+  /** The copy of the topic in which such requests stand. */
+  readonly mirror: TopicMirror;
+  readonly refusals: Refusals;
+  readonly quarantine: Quarantine;
+  readonly host: string;
+  /** Hosts that are taken to live, this one included. */
+  readonly hosts: () => readonly string[];
+}
+
+/** How long each next host waits for the one before it to write, in ms: a write, and the way back of its record. */
+const TURN_MS = 900;
+/** Pause after a failed write, in ms. */
+const RETRY_MS = 1_000;
+
+/**
+ * Keeps in the store which requests are held back, so that a host which starts knows of them when all that saw the ends
+ * are gone. The hosts judge by what they tell each other; one of them writes, the others stand by.
+ */
+export class QuarantineKeeper {
+  private readonly due = new Map<string, Timer>();
+  private isStopped = false;
+
+  constructor(private readonly options: Options) {
+    const {mirror, quarantine} = options;
+    mirror.onUpdate(update => this.take(update));
+    quarantine.onChange({
+      onHeld: (fingerprint, ends) => this.noteHeld(fingerprint, ends),
+      onReleased: (fingerprint, reason) =>
+        this.noteReleased(fingerprint, reason),
+    });
+  }
+
+  /** Writes no more. */
+  stop(): void {
+    this.isStopped = true;
+    for (const timer of this.due.values()) timer.cancel();
+  }
+
+  private take({changed, isReload}: MirrorUpdate): void {
+    for (const record of changed) {
+      if (!quarantineKey.isOne(record.key)) continue;
+      if (record.value !== undefined) this.takeRecord(record);
+      // What a copy that is loaded anew lacks may only have been left out of its pages.
+      else if (!isReload) this.takeRemoval(record);
+    }
+  }
+
+  private takeRecord(record: KeyedRecord): void {
+    const {quarantine, refusals, mirror} = this.options;
+    try {
+      const {ends} = readEntry(quarantineRecordCodec, record);
+      quarantine.noteEnds(quarantineKey.fingerprintOf(record.key), ends);
+    } catch (error) {
+      // The request is not held back for it; the hosts that saw the ends do so by themselves.
+      refusals.note(mirror.topic, record, error);
+    }
+  }
+
+  private takeRemoval({key}: KeyedRecord): void {
+    const {quarantine} = this.options;
+    quarantine.release(quarantineKey.fingerprintOf(key), QuarantineEnd.REMOVED);
+  }
+
+  private noteHeld(fingerprint: string, ends: readonly RunnerEnd[]): void {
+    const weight = ends.reduce((sum, end) => sum + end.weight, 0);
+    this.options.log.write('request_quarantined', {
+      fingerprint,
+      ends: ends.length,
+      weight: Math.round(weight * 10) / 10,
+    });
+    const value = JSON.stringify({ends});
+    this.writeInTurn(fingerprint, value);
+  }
+
+  private noteReleased(fingerprint: string, reason: End): void {
+    this.options.log.write('request_released', {fingerprint, reason});
+    this.writeInTurn(fingerprint, undefined);
+  }
+
+  /** @param value absent to remove the request from the store */
+  private writeInTurn(fingerprint: string, value: string | undefined): void {
+    const {hosts, host} = this.options;
+    const turn = rankByHash(fingerprint, hosts()).indexOf(host);
+    this.schedule(fingerprint, value, turn * TURN_MS);
+  }
+
+  private schedule(
+    fingerprint: string,
+    value: string | undefined,
+    delayMs: number,
+  ): void {
+    if (this.isStopped) return;
+    this.due.get(fingerprint)?.cancel();
+    const timer = this.options.clock.after(delayMs, () => {
+      this.due.delete(fingerprint);
+      void this.write(fingerprint, value);
+    });
+    this.due.set(fingerprint, timer);
+  }
+
+  private async write(
+    fingerprint: string,
+    value: string | undefined,
+  ): Promise<void> {
+    const {log, store, mirror} = this.options;
+    const key = quarantineKey.of(fingerprint);
+    const isHeld = value !== undefined;
+    const stands = mirror.get(key)?.value !== undefined;
+    if (stands === isHeld) return;
+    try {
+      await store.append({topic: Topic.HOSTS, key, value});
+      log.write('quarantine_written', {fingerprint, isHeld});
+    } catch (error) {
+      const reason = String(error);
+      log.write('quarantine_write_failed', {fingerprint, isHeld, reason});
+      // A later change of the same request has gone before it.
+      if (this.due.has(fingerprint)) return;
+      this.schedule(fingerprint, value, RETRY_MS);
+    }
+  }
+}
--- a/packages/gateway/src/records/field_codecs.ts
+++ b/packages/gateway/src/records/field_codecs.ts
@@ -43,6 +43,12 @@
     value => Number.isFinite(value) && value >= 0,
     'needs a number from 0 on',
   ),
+  /** A number from 0 to 1. */
+  share: refine(
+    number,
+    value => value >= 0 && value <= 1,
+    'needs a number from 0 to 1',
+  ),
   /** A number over 0. */
   positive: refine(
     number,
--- a/packages/gateway/src/runners/runner.ts
+++ b/packages/gateway/src/runners/runner.ts
@@ -44,6 +44,7 @@
   readonly idHash: number;
   private current: RunnerEntry;
   private running = 0;
+  private sent = 0;
   private pendingMs = 0;
   private replaced = false;
   private lastHeard: number;
@@ -100,6 +101,11 @@
     };
   }
 
+  /** Requests that this host has sent there so far. */
+  get sentCount(): number {
+    return this.sent;
+  }
+
   /** Requests that all hosts have there. */
   get totalRunning(): number {
     return this.running + this.others.running;
@@ -167,6 +173,7 @@
     this.workMs += WORK_RATE * (workMs - this.workMs);
     if (this.running === 0) this.lastHeard = this.options.clock.now();
     this.running += 1;
+    this.sent += 1;
     this.pendingMs += workMs;
   }
 
--- a/packages/gateway/src/testing/mortal_runners.ts
+++ b/packages/gateway/src/testing/mortal_runners.ts
@@ -10,7 +10,7 @@
   readonly fixture: GatewayFixture;
   readonly count: number;
   readonly service?: string;
-  /** The body of the request under which a runner ends. */
+  /** How the bodies of requests begin under which a runner ends. */
   readonly fatalBody: string;
   /** Whether answers are streams: the head of one tells that its run has begun. */
   readonly isStreamed: boolean;
@@ -57,7 +57,7 @@
   ): void {
     const {fatalBody, isStreamed} = this.options;
     this.arrivals.push(body);
-    const isFatal = body === fatalBody;
+    const isFatal = body.startsWith(fatalBody);
     if (!isFatal && this.waiting.has(body)) return;
     const head = {[names.requestId]: id, [names.signature]: runner.entry.id};
     if (isFatal) {
