What is known of the store ages while a machine is suspended

Cause: all ages rest on the steady clock, which leaves out the time in which a machine is suspended. A host that wakes took its configuration for as young as before, and honoured keys that were withdrawn meanwhile. Ruled out: the time since boot. Change: AgeClock counts jumps ahead of the time of day; used for copies of the store, configuration, keys, who reads. Result: new tests fail with the steady clock in its place. Partial: time left to calls, the daemon, a soak fault are open.

--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -194,10 +194,10 @@
   }
 
   private createWriter(): RolloutWriter {
-    const {clock, log, store, reader, settings} = this.options;
+    const {ageClock, log, store, reader, settings} = this.options;
     const {mirrors, roster, rollouts, loads, starts} = this.knowledge;
     return new RolloutWriter({
-      clock,
+      clock: ageClock,
       log,
       store,
       reader,
--- a/packages/gateway/src/observability/gateway_metrics.ts
+++ b/packages/gateway/src/observability/gateway_metrics.ts
@@ -48,6 +48,11 @@
     'Entries of the store that could not be used',
     ['topic', 'kind'],
   );
+  readonly timeGaps = this.counter(
+    'time_gap_seconds_total',
+    'Time that the steady clock left out, or by which the time of day was set ahead',
+    [],
+  );
   readonly storeSeconds = this.histogram(
     'store_call_seconds',
     'Time to the answer of the store, the wait for a record included',
--- a/packages/gateway/src/parts/exchange.ts
+++ b/packages/gateway/src/parts/exchange.ts
@@ -89,7 +89,7 @@
     const {mirrors, roster, storeHealth} = this.knowledge;
     return new SyncDesk({
       health: storeHealth,
-      clock: this.options.clock,
+      clock: this.options.ageClock,
       freshness: mirrors[Topic.OPERATOR],
       mirrors: Object.values(mirrors),
       board: this.board,
@@ -98,10 +98,10 @@
   }
 
   private createSeedStart(): SeedStart {
-    const {settings, clock, log} = this.options;
+    const {settings, ageClock, log} = this.options;
     const {mirrors, roster} = this.knowledge;
     return new SeedStart({
-      clock,
+      clock: ageClock,
       log,
       client: this.client,
       desk: this.desk,
@@ -114,10 +114,10 @@
   }
 
   private createNews(): NewsLoop {
-    const {clock, random, log, settings} = this.options;
+    const {ageClock, random, log, settings} = this.options;
     const {mirrors, roster, metrics} = this.knowledge;
     return new NewsLoop({
-      clock,
+      clock: ageClock,
       random,
       log,
       metrics,
@@ -133,9 +133,9 @@
   }
 
   private createFollower(mirror: TopicMirror): TopicFollower {
-    const {clock, random, store, log} = this.options;
+    const {ageClock, random, store, log} = this.options;
     return new TopicFollower({
-      clock,
+      clock: ageClock,
       random,
       store,
       mirror,
--- a/packages/gateway/src/parts/gateway_options.ts
+++ b/packages/gateway/src/parts/gateway_options.ts
@@ -9,7 +9,10 @@
 export interface GatewayOptions {
   /** The settings at the start. */
   readonly settings: GatewaySettings;
+  /** For durations, and for ages that must never be too old. */
   readonly clock: Clock;
+  /** For ages that must never be too young: what is known of the store. */
+  readonly ageClock: Clock;
   readonly random: RandomSource;
   readonly log: EventLog;
   readonly store: RecordStore;
--- a/packages/gateway/src/parts/knowledge.ts
+++ b/packages/gateway/src/parts/knowledge.ts
@@ -64,7 +64,8 @@
   private readonly patience = new ConnectPatience();
 
   constructor(private readonly options: Options) {
-    const {settings, liveSettings, clock, log, store, reader} = options;
+    const {settings, liveSettings, clock, ageClock} = options;
+    const {log, store, reader} = options;
     this.mirrors = {
       [Topic.OPERATOR]: new TopicMirror(Topic.OPERATOR),
       [Topic.RUNNERS]: new TopicMirror(Topic.RUNNERS),
@@ -90,7 +91,7 @@
       },
     });
     this.belief = new ConfigurationBelief({
-      clock,
+      clock: ageClock,
       log,
       reader,
       mirror: freshness,
@@ -103,7 +104,7 @@
       retryWindowMs: settings.retryWindowMs,
     });
     this.directory = new RunnerDirectory({
-      clock,
+      clock: ageClock,
       log,
       reader,
       freshness,
@@ -130,7 +131,7 @@
       sessions: this.sessions,
       orders: freshness,
       states: mirrors[Topic.STATUS],
-      isInTouch: () => clock.now() - freshness.provenAt < TOUCH_MS,
+      isInTouch: () => ageClock.now() - freshness.provenAt < TOUCH_MS,
       starts: this.starts,
     });
     this.quarantine = new Quarantine({clock});
--- a/packages/gateway/src/testing/gateway_fixture.ts
+++ b/packages/gateway/src/testing/gateway_fixture.ts
@@ -1,7 +1,7 @@
 import {Agent, request as startRequest} from 'node:http';
 import {CallKind} from '@bayspool/decisions/calls';
 import type {CallRoute, KeyHolder} from '@bayspool/decisions/calls';
-import {SeededRandom, SystemClock} from '@bayspool/kernel';
+import {AgeClock, SeededRandom, SystemClock} from '@bayspool/kernel';
 import {Gateway} from '../gateway.js';
 import type {GatewaySettings} from '../gateway_settings.js';
 import {EventLog} from '../observability/event_log.js';
@@ -29,6 +29,8 @@
 }
 
 interface Host {
+  /** Lets the host's machine seem to have been suspended for this long, in ms. */
+  readonly suspend: (forMs: number) => void;
   readonly gateway: Gateway;
   readonly store: MemoryRecordStore;
   readonly settings: GatewaySettings;
@@ -82,12 +84,16 @@
       ...overrides,
     };
     const clock = new SystemClock();
+    let suspendedMs = 0;
+    const timeOfDay = () => Date.now() + suspendedMs;
+    const ageClock = new AgeClock({clock, timeOfDay});
     const sink = {
       write: (line: string) => void this.lines.push(JSON.parse(line) as Line),
     };
     const gateway = new Gateway({
       settings,
       clock,
+      ageClock,
       store,
       random: new SeededRandom(this.hosts.length + 1),
       log: new EventLog({clock, host: settings.host, sink}),
@@ -95,7 +101,10 @@
       headerNames: names,
     });
     await gateway.start();
-    const host = {gateway, store, settings};
+    const suspend = (forMs: number) => {
+      suspendedMs += forMs;
+    };
+    const host = {gateway, store, settings, suspend};
     this.hosts.push(host);
     return host;
   }
--- a/packages/kernel/src/index.ts
+++ b/packages/kernel/src/index.ts
@@ -1,4 +1,5 @@
 /** The domain-free base of every bayspool program. */
+export {AgeClock} from './clock/age_clock.js';
 export type {Clock} from './clock/clock.js';
 export type {Timer} from './clock/timer.js';
 export {SystemClock} from './clock/system_clock.js';
