--- a/packages/gateway/src/calls/attempt.ts
+++ b/packages/gateway/src/calls/attempt.ts
@@ -51,7 +51,9 @@
   private firstByteAt: number | undefined;
   private endedQuiet = false;
   private headAt: number | undefined;
+  /** Whether the runner had no other request when it was sent. */
   private wasAlone = false;
+  /** Which of all requests that this host sent to the runner it is. */
   private sentAs = 0;
 
   constructor(private readonly options: Options) {
--- a/packages/gateway/src/calls/call_forwarder.ts
+++ b/packages/gateway/src/calls/call_forwarder.ts
@@ -108,7 +108,8 @@
       route.models.length > 0 ? cascade.firstModel(route) : call.model;
     const progress = new CallProgress({call, model});
     const heldForMs = quarantine.heldForMs(call.fingerprint);
-    if (heldForMs > 0) return this.final.hold(progress, caller, heldForMs);
+    if (heldForMs > 0)
+      return this.final.refuseHeld(progress, caller, heldForMs);
     budgetOf(call.service).countFirst();
     for (;;) {
       const choice = this.choose(progress);
--- a/packages/gateway/src/calls/final_answer.ts
+++ b/packages/gateway/src/calls/final_answer.ts
@@ -54,7 +54,11 @@
   }
 
   /** Refuses a call whose request is held back: it has not run, and would only be refused again before then. */
-  hold(progress: CallProgress, caller: CallerAnswer, forMs: number): void {
+  refuseHeld(
+    progress: CallProgress,
+    caller: CallerAnswer,
+    forMs: number,
+  ): void {
     const retryAfterMs = Math.round(forMs);
     const reason = 'held back: runners end under this request';
     const own = {status: STATUS.UNAVAILABLE, reason, retryAfterMs};
--- a/packages/gateway/src/testing/mortal_runners.ts
+++ b/packages/gateway/src/testing/mortal_runners.ts
@@ -23,6 +23,8 @@
 export class MortalRunners {
   /** Runners that have ended so far. */
   ended = 0;
+  /** Bodies of the requests that arrived, at all runners that ever ran. */
+  readonly arrivals: string[] = [];
   /** Bodies of requests that runners leave waiting until they end. */
   readonly waiting = new Set<string>();
   private readonly running = new Set<ScriptedRunner>();
@@ -35,9 +37,6 @@
     for (let i = 0; i < this.options.count; i++) await this.add();
   }
 
-  /** Arrivals of requests with a body, at all runners that ever ran. */
-  readonly arrivals: string[] = [];
-
   private async add(): Promise<void> {
     const {fixture, service} = this.options;
     const id = `runner-${++this.started}`;
@@ -57,17 +56,13 @@
   ): void {
     const {fatalBody, isStreamed} = this.options;
     this.arrivals.push(body);
-    const isFatal = body.startsWith(fatalBody);
-    if (!isFatal && this.waiting.has(body)) return;
     const head = {[names.requestId]: id, [names.signature]: runner.entry.id};
-    if (isFatal) {
-      if (isStreamed) {
-        response.writeHead(200, {...head, 'content-type': 'text/event-stream'});
-        response.flushHeaders();
-      }
+    if (body.startsWith(fatalBody)) {
+      if (isStreamed) response.writeHead(200, head).flushHeaders();
       setTimeout(() => void this.end(runner), FATAL_MS);
       return;
     }
+    if (this.waiting.has(body)) return;
     response.writeHead(200, head);
     response.end(isStreamed ? 'id: 1\ndata: a\n\n' : 'whole');
   }
