Sight: a line a second of what was given to the versions of a roll-out

Cause: the lines had the choice of each call, but not the sum that the bound is about, nor what hosts knew together when a share rose; above 400 lines a second choices are left out. Change: attempts are counted by version when they begin, summed over hosts with what they tell each other anyway; rollout_counted once a second while a roll-out is active, metric bayspool_rollout_sent. No decision changes.

--- a/packages/gateway/src/calls/answer_judge.ts
+++ b/packages/gateway/src/calls/answer_judge.ts
@@ -12,7 +12,7 @@
 import type {CallProgress} from './call_progress.js';
 import {expectedFirstMs} from './expected_first_ms.js';
 import type {RepeatRule} from './repeat_rule.js';
-import {roundHundredths} from './round_hundredths.js';
+import {roundHundredths} from '../observability/round_hundredths.js';
 
 interface Options {
   readonly clock: Clock;
--- a/packages/gateway/src/calls/attempt_lessons.ts
+++ b/packages/gateway/src/calls/attempt_lessons.ts
@@ -3,6 +3,7 @@
 import type {RunnerDirectory} from '../beliefs/runner_directory.js';
 import type {EventLog} from '../observability/event_log.js';
 import type {GatewayMetrics} from '../observability/gateway_metrics.js';
+import type {Rollout} from '../rollouts/rollout.js';
 import type {RolloutBook} from '../rollouts/rollout_book.js';
 import type {ReadingRates} from '../runners/reading_rates.js';
 import type {Runner} from '../runners/runner.js';
@@ -11,7 +12,7 @@
 import type {AttemptOutcome} from './attempt_outcome.js';
 import type {AttemptTiming} from './attempt_timing.js';
 import type {CallProgress} from './call_progress.js';
-import {roundHundredths} from './round_hundredths.js';
+import {roundHundredths} from '../observability/round_hundredths.js';
 
 interface Options {
   readonly log: EventLog;
@@ -35,6 +36,12 @@
 export class AttemptLessons {
   constructor(private readonly options: Options) {}
 
+  /** Counts an attempt that begins for a version that is being rolled out. */
+  begin({call}: CallProgress, {entry}: Runner): void {
+    const rollout = this.activeRollout(call.service);
+    rollout?.evidence.noteSent(entry.version === rollout.order.version);
+  }
+
   /** Takes the outcome into what is believed of the runner and its version. */
   learn(
     progress: CallProgress,
@@ -110,13 +117,18 @@
     hasFailed: boolean,
     firstMs: number | undefined,
   ): void {
-    const rollout = this.options.rollouts.get(call.service);
-    if (!rollout || rollout.phase !== RolloutPhase.ACTIVE) return;
+    const rollout = this.activeRollout(call.service);
+    if (!rollout) return;
     const isFresh = runner.entry.version === rollout.order.version;
     const cell = `${call.route.name}/${model ?? ''}`;
     rollout.evidence.note(cell, isFresh, hasFailed, firstMs);
   }
 
+  private activeRollout(service: string): Rollout | undefined {
+    const rollout = this.options.rollouts.get(service);
+    return rollout?.phase === RolloutPhase.ACTIVE ? rollout : undefined;
+  }
+
   private countFailure(runner: Runner, reason: string, weight: number): void {
     const {directory, log} = this.options;
     const {health, entry} = runner;
--- a/packages/gateway/src/calls/call_forwarder.ts
+++ b/packages/gateway/src/calls/call_forwarder.ts
@@ -209,6 +209,7 @@
     this.noteChoice(progress, choice);
     const eventsBefore = caller.events;
     const attempt = this.prepare(progress, choice, caller, signal);
+    this.lessons.begin(progress, choice.runner);
     const outcome = await attempt.run();
     if (caller.hasBegun) progress.begunBy ??= choice.runner.entry.version;
     const firstMs =
--- a/packages/gateway/src/calls/repeat_rule.ts
+++ b/packages/gateway/src/calls/repeat_rule.ts
@@ -12,7 +12,7 @@
 import {AttemptKind} from './attempt_kind.js';
 import type {AttemptOutcome} from './attempt_outcome.js';
 import type {CallProgress} from './call_progress.js';
-import {roundHundredths} from './round_hundredths.js';
+import {roundHundredths} from '../observability/round_hundredths.js';
 
 interface Options {
   readonly clock: Clock;
--- a/packages/gateway/src/calls/request_lessons.ts
+++ b/packages/gateway/src/calls/request_lessons.ts
@@ -7,7 +7,7 @@
 import {AttemptKind} from './attempt_kind.js';
 import type {AttemptOutcome} from './attempt_outcome.js';
 import type {IncomingCall} from './incoming_call.js';
-import {roundHundredths} from './round_hundredths.js';
+import {roundHundredths} from '../observability/round_hundredths.js';
 
 interface Options {
   readonly log: EventLog;
--- a/packages/gateway/src/observability/event_fields.ts
+++ b/packages/gateway/src/observability/event_fields.ts
@@ -208,6 +208,22 @@
     oldSlow: number;
     elapsedMs: number;
   };
+  /** What all hosts gave the versions of a roll-out so far and saw of them, as this host knows it. */
+  rollout_counted: {
+    service: string;
+    version: string;
+    elapsedMs: number;
+    share: number;
+    sessionShare: number;
+    newSent: number;
+    oldSent: number;
+    newEnded: number;
+    newFailed: number;
+    newSlow: number;
+    oldEnded: number;
+    /** The part of newSent that this host itself sent. */
+    ownNewSent: number;
+  };
   rollout_written: {service: string; version: string; phase: string};
   rollout_write_failed: {
     service: string;
--- a/packages/gateway/src/parts/observe_parts.ts
+++ b/packages/gateway/src/parts/observe_parts.ts
@@ -11,6 +11,7 @@
 import {countRunners} from './count_runners.js';
 import type {ServiceLimits} from './service_limits.js';
 import {tellEvidence} from './tell_evidence.js';
+import {tellSent} from './tell_sent.js';
 
 interface Options {
   readonly metrics: GatewayMetrics;
@@ -121,6 +122,12 @@
     ['service', 'phase'],
     readShares(true),
   );
+  metrics.observeEach(
+    'rollout_sent',
+    'Attempts that all hosts made at the versions of a roll-out',
+    ['service', 'version'],
+    () => rollouts.all().flatMap(tellSent),
+  );
   metrics.observeEach(
     'rollout_answers',
     'What all hosts saw of the versions of a roll-out',
--- /dev/null
+++ b/packages/gateway/src/parts/tell_sent.ts
@@ -0,0 +1,11 @@
+import type {MetricSample} from '../observability/metric_sample.js';
+import type {Rollout} from '../rollouts/rollout.js';
+
+/** Attempts that all hosts made at the versions of a roll-out, as series of a metric. */
+export function tellSent({order, sent}: Rollout): MetricSample[] {
+  const {service} = order;
+  return [
+    {labels: {service, version: 'new'}, value: sent.fresh},
+    {labels: {service, version: 'old'}, value: sent.old},
+  ];
+}
--- a/packages/gateway/src/peers/take_off.ts
+++ b/packages/gateway/src/peers/take_off.ts
@@ -16,6 +16,8 @@
     rollouts[service] = {
       ...all,
       oldRunning: less(all.oldRunning, own.oldRunning),
+      freshSent: less(all.freshSent ?? 0, own.freshSent ?? 0),
+      oldSent: less(all.oldSent ?? 0, own.oldSent ?? 0),
       fresh: lessCells(all.fresh, own.fresh),
       old: lessCells(all.old, own.old),
     };
--- /dev/null
+++ b/packages/gateway/src/rollouts/log_rollout_counts.ts
@@ -0,0 +1,23 @@
+import {roundHundredths} from '../observability/round_hundredths.js';
+import type {EventLog} from '../observability/event_log.js';
+import type {Rollout} from './rollout.js';
+
+/** Writes what all hosts gave the versions of a roll-out so far and saw of them. */
+export function logRolloutCounts(log: EventLog, rollout: Rollout): void {
+  const {service, version} = rollout.order;
+  const {fresh, old} = rollout.tallies;
+  log.write('rollout_counted', {
+    service,
+    version,
+    elapsedMs: Math.round(rollout.elapsedMs),
+    share: roundHundredths(rollout.shareOf({hasSession: false})),
+    sessionShare: roundHundredths(rollout.shareOf({hasSession: true})),
+    newSent: rollout.sent.fresh,
+    oldSent: rollout.sent.old,
+    newEnded: fresh.ended,
+    newFailed: fresh.failed,
+    newSlow: fresh.slow,
+    oldEnded: old.ended,
+    ownNewSent: rollout.evidence.sent.fresh,
+  });
+}
--- a/packages/gateway/src/rollouts/merge_rollouts.ts
+++ b/packages/gateway/src/rollouts/merge_rollouts.ts
@@ -15,6 +15,8 @@
     ...toAge(olderAge(a, b)),
     isBad: a.isBad || b.isBad,
     oldRunning: a.oldRunning + b.oldRunning,
+    freshSent: (a.freshSent ?? 0) + (b.freshSent ?? 0),
+    oldSent: (a.oldSent ?? 0) + (b.oldSent ?? 0),
     fresh: mergeCells(a.fresh, b.fresh),
     old: mergeCells(a.old, b.old),
   };
--- a/packages/gateway/src/rollouts/rollout.ts
+++ b/packages/gateway/src/rollouts/rollout.ts
@@ -139,11 +139,22 @@
       isSeen: this.isSeen,
       isBad: this.bad,
       oldRunning,
+      freshSent: this.evidence.sent.fresh,
+      oldSent: this.evidence.sent.old,
       fresh: toCells(this.evidence.fresh),
       old: toCells(this.evidence.old),
     };
   }
 
+  /** Attempts at the new version and at the others since the order, at all hosts as far as this one knows. */
+  get sent(): {readonly fresh: number; readonly old: number} {
+    const {fresh, old} = this.evidence.sent;
+    return {
+      fresh: fresh + (this.remote?.freshSent ?? 0),
+      old: old + (this.remote?.oldSent ?? 0),
+    };
+  }
+
   /** What all hosts saw of the two versions, on all routes together. */
   get tallies(): {readonly fresh: VersionTally; readonly old: VersionTally} {
     const {fresh, old} = this.pooled();
--- a/packages/gateway/src/rollouts/rollout_digest.ts
+++ b/packages/gateway/src/rollouts/rollout_digest.ts
@@ -11,6 +11,9 @@
   readonly isBad: boolean;
   /** Requests that still run on the old version. */
   readonly oldRunning: number;
+  /** Attempts at the new version so far, and at the others; hosts of an earlier version tell none. */
+  readonly freshSent?: number;
+  readonly oldSent?: number;
   readonly fresh: Cells;
   readonly old: Cells;
 }
--- a/packages/gateway/src/rollouts/rollout_evidence.ts
+++ b/packages/gateway/src/rollouts/rollout_evidence.ts
@@ -19,8 +19,15 @@
 export class RolloutEvidence {
   readonly fresh = new Map<string, TallyCell>();
   readonly old = new Map<string, TallyCell>();
+  /** Attempts at the new version so far, and at the others. */
+  readonly sent = {fresh: 0, old: 0};
   private readonly baselines = new Map<string, Baseline>();
 
+  /** Counts an attempt that begins: what a version got is known before it answers. */
+  noteSent(isFresh: boolean): void {
+    this.sent[isFresh ? 'fresh' : 'old'] += 1;
+  }
+
   /** @param firstMs time to the first byte; absent if none came */
   note(
     cellName: string,
--- a/packages/gateway/src/rollouts/rollout_writer.ts
+++ b/packages/gateway/src/rollouts/rollout_writer.ts
@@ -5,6 +5,7 @@
 import type {RecordStore} from '../records/record_store.js';
 import {Topic} from '../records/topic.js';
 import type {TopicMirror} from '../records/topic_mirror.js';
+import {logRolloutCounts} from './log_rollout_counts.js';
 import type {RolloutBook} from './rollout_book.js';
 import type {Rollout} from './rollout.js';
 
@@ -28,6 +29,8 @@
 const TICK_MS = 200;
 /** The same while no roll-out is active: each look wakes an idle process. */
 const IDLE_TICK_MS = 500;
+/** Least pause between two lines of what was given to the versions of a roll-out, in ms. */
+const COUNT_PAUSE_MS = 1_000;
 /** How long each next host waits for the one before it to write, in ms. */
 const TURN_MS = 900;
 /** Part of the duration after which a good version is complete once the old one has nothing left. */
@@ -41,6 +44,7 @@
 export class RolloutWriter {
   private timer: Timer | undefined;
   private readonly dueSince = new Map<Rollout, number>();
+  private readonly countedAt = new Map<Rollout, number>();
   private readonly announced = new Set<Rollout>();
   private isWriting = false;
 
@@ -66,6 +70,7 @@
   private look(rollout: Rollout): void {
     rollout.judge();
     if (rollout.phase !== RolloutPhase.ACTIVE) return;
+    this.logCounts(rollout);
     // What is due meanwhile, of this roll-out or another one, is looked at again after the pause.
     if (this.isWriting) return;
     // A start that is noted by a host that does not know the age would mislead all that restart later.
@@ -86,6 +91,14 @@
     void this.writeAlone(() => this.write(rollout, phase));
   }
 
+  private logCounts(rollout: Rollout): void {
+    const {clock, log} = this.options;
+    const countedAt = this.countedAt.get(rollout) ?? -Infinity;
+    if (clock.now() - countedAt < COUNT_PAUSE_MS) return;
+    this.countedAt.set(rollout, clock.now());
+    logRolloutCounts(log, rollout);
+  }
+
   private duePhase(rollout: Rollout): RolloutPhase | undefined {
     if (rollout.isBad) return RolloutPhase.REVERTED;
     const part = rollout.elapsedMs / rollout.order.durationMs;
