The reader of the only place takes over what the others tell it

What callers saw: nothing yet. In a fleet of one place the host that reads the store never took over loads, nor what others saw and gave of roll-outs: it only does so when it has asked another host, and it asks none. It judged versions by its own calls. Change: with no other place it takes over what the others told with their questions, as often as it would ask. Why it holds: what is taken is the same sum that it gives them; nothing more is sent. Result: the test of three hosts in one place, which waits for the sum at each of them, fails without it.

--- a/packages/gateway/src/peers/news_loop.ts
+++ b/packages/gateway/src/peers/news_loop.ts
@@ -195,6 +195,8 @@
       if (this.stopped || !this.readsStore) continue;
       const asked = places.map(place => this.askPlace(place));
       await Promise.all([...asked, this.askNextReaders()]);
+      // The reader of the only place asks nobody: what the others tell it with their questions is its news.
+      if (places.length === 0) this.options.onNews();
     }
   }
 
--- a/packages/gateway/src/rollouts/rollouts.test.ts
+++ b/packages/gateway/src/rollouts/rollouts.test.ts
@@ -167,3 +167,21 @@
   await fixture.waitFor(() => fixture.events('rollout_ordered').length === 1);
   assert.equal((await fixture.call()).status, 200);
 });
+
+void test('what hosts gave to the versions is summed at each of them, also where all are in one place', async () => {
+  fixture.order({durationMs: 60_000});
+  for (const host of [0, 1, 2]) {
+    await fixture.startHost({sessionKeptMs: 10});
+    await fixture.waitReady(host);
+  }
+  for (let i = 0; i < 30; i++) await fixture.call({host: i % 3});
+  const knownAt = (host: string) => {
+    const line = fixture
+      .events('rollout_counted')
+      .findLast(counted => counted.host === host);
+    return Number(line?.newSent) + Number(line?.oldSent);
+  };
+  await fixture.waitFor(() =>
+    ['host-1', 'host-2', 'host-3'].every(host => knownAt(host) === 30),
+  );
+});
