What a new version gets is bounded by what is known of it

What users saw: a bad version got up to half of a service's calls between the order and its time limit, where 0.15 of them and 30 are allowed, and was made the only one. Cause: the share of a new version followed from the time since the order. It rose to all calls at 0.74 of it, whether answers were many, few or none; nothing counted what it got. At few calls there was no evidence by then, and a fault that needs load or comes late leaves none at any rate. Change: calls are given by evidence (12 first, 3 for each good answer), under a limit by what was counted up to then: half of what the users allow while it is watched. All calls move only when those up to the limit fit into the rest, also if they come faster; the roll-out is complete shortly before its limit, not while it seems worse. Shares of sessions are told a second before they hold, so that all hosts agree. What is seen lately is judged by itself, as a late fault was diluted by all good answers before. Where the old runners are loaded, the few calls go to few new runners, which bear the usual load. Why it holds: no answer shows that the next ones will be good, so the limit holds for every version. It is kept at each moment by what was counted up to it, so counts that a restart loses only add to it; the calls besides are not given again when nobody saw the order. The load of a fault in the simulation is counted at its runner, an eighth of what it was at all eight, which is the same where they share calls evenly.

--- /dev/null
+++ b/packages/decisions/src/calls/watched_runners.test.ts
@@ -0,0 +1,42 @@
+import assert from 'node:assert/strict';
+import {test} from 'node:test';
+import {watchedRunners} from './watched_runners.js';
+
+const SLOTS = 64;
+
+function runners(name: string, loads: readonly number[]) {
+  return loads.map((totalRunning, i) => ({
+    id: `${name}-${i}`,
+    totalRunning,
+    slots: SLOTS,
+  }));
+}
+
+void test('calls of a watched version fill one runner up to the usual load before the next one gets any', () => {
+  const fresh = runners('new', [0, 0, 0, 0]);
+  const old = runners('old', [30, 34]);
+  const seen: number[] = [];
+  for (let i = 0; i < 64; i++) {
+    const some = watchedRunners({fresh, old});
+    assert.equal(some.length, 1);
+    some[0].totalRunning += 1;
+    seen.push(fresh.filter(({totalRunning}) => totalRunning > 0).length);
+  }
+  assert.equal(seen[31], 1);
+  assert.equal(seen[32], 2);
+  assert.equal(seen[63], 2);
+});
+
+void test('all hosts take the runners in the same order', () => {
+  const fresh = runners('new', [0, 0, 0, 0]);
+  const old = runners('old', [30, 34]);
+  const [first] = watchedRunners({fresh, old});
+  const [again] = watchedRunners({fresh: [...fresh].reverse(), old});
+  assert.equal(first.id, again.id);
+});
+
+void test('while the old runners have little to do, calls go to all runners of a watched version', () => {
+  const fresh = runners('new', [0, 0, 0, 0]);
+  const old = runners('old', [7, 9]);
+  assert.deepEqual(watchedRunners({fresh, old}), fresh);
+});
--- a/packages/gateway/src/calls/call_forwarder.ts
+++ b/packages/gateway/src/calls/call_forwarder.ts
@@ -1,3 +1,4 @@
+import {watchedRunners} from '@bayspool/decisions/calls';
 import type {
   CascadeRule,
   Quarantine,
@@ -138,7 +139,8 @@
     progress.version = {wish, isGranted};
     // Without a runner of a wished version any will do, but for an answer that has begun.
     const allowed = isGranted || begunBy !== undefined ? wished : takers;
-    const candidates = this.preferIdle(progress, allowed);
+    const watched = this.watchedOf(takers, allowed, call.service);
+    const candidates = this.preferIdle(progress, watched);
     const {prompt, body} = call;
     const bodyBytes = body.length;
     return chooser.choose({candidates, tried, bodyBytes, model, prompt});
@@ -195,6 +197,22 @@
     );
   }
 
+  /** Few calls of a version that is watched go to few of its runners, so that these bear the usual load. */
+  private watchedOf(
+    takers: readonly Runner[],
+    allowed: readonly Runner[],
+    service: string,
+  ): readonly Runner[] {
+    const rollout = this.options.rollouts.get(service);
+    if (!rollout?.isWatched) return allowed;
+    const {version} = rollout.order;
+    if (allowed.some(({entry}) => entry.version !== version)) return allowed;
+    const old = takers.filter(({entry}) => entry.version !== version);
+    const fresh = allowed.filter(({health}) => !health.isEjected);
+    if (old.length === 0 || fresh.length === 0) return allowed;
+    return watchedRunners({fresh, old});
+  }
+
   private async attempt(
     progress: CallProgress,
     choice: RunnerChoice,
--- a/packages/gateway/src/gateway_settings.ts
+++ b/packages/gateway/src/gateway_settings.ts
@@ -32,4 +32,7 @@
   readonly retryRatio: number;
   readonly retryExtra: number;
   readonly retryWindowMs: number;
+  /** Part of a service's calls that a new version may get until the limit of its roll-out, and calls besides. */
+  readonly exposureShare: number;
+  readonly exposureCalls: number;
 }
--- a/packages/gateway/src/parts/knowledge.ts
+++ b/packages/gateway/src/parts/knowledge.ts
@@ -133,6 +133,11 @@
       states: mirrors[Topic.STATUS],
       isInTouch: () => ageClock.now() - freshness.provenAt < TOUCH_MS,
       starts: this.starts,
+      hosts: () => this.roster.livingCount,
+      exposureBounds: () => {
+        const {exposureShare: share, exposureCalls: calls} = liveSettings();
+        return {share, calls};
+      },
     });
     this.quarantine = new Quarantine({clock});
     const {directory, rollouts, prefixes, quarantine, roster} = this;
--- a/packages/gateway/src/rollouts/merge_rollouts.ts
+++ b/packages/gateway/src/rollouts/merge_rollouts.ts
@@ -1,3 +1,4 @@
+import {mergeShareSteps} from './merge_share_steps.js';
 import {olderAge} from './older_age.js';
 import type {RolloutAge} from './rollout_age.js';
 import type {RolloutDigest} from './rollout_digest.js';
@@ -14,6 +15,7 @@
     offset: a.offset,
     ...toAge(olderAge(a, b)),
     isBad: a.isBad || b.isBad,
+    shares: mergeShareSteps(a.shares, b.shares),
     oldRunning: a.oldRunning + b.oldRunning,
     freshSent: (a.freshSent ?? 0) + (b.freshSent ?? 0),
     oldSent: (a.oldSent ?? 0) + (b.oldSent ?? 0),
--- /dev/null
+++ b/packages/gateway/src/rollouts/recent_evidence.ts
@@ -0,0 +1,61 @@
+import type {Clock} from '@bayspool/kernel';
+import type {RolloutDigest} from './rollout_digest.js';
+
+type Cells = RolloutDigest['fresh'];
+type Counts = Cells[string];
+
+interface Options {
+  readonly clock: Clock;
+}
+
+/** What was seen of both versions. */
+interface Evidence {
+  readonly fresh: Cells;
+  readonly old: Cells;
+}
+
+interface Snapshot extends Evidence {
+  readonly at: number;
+}
+
+const NOTHING: Counts = [0, 0, 0];
+/** Pause between two snapshots, in ms. */
+const SNAPSHOT_MS = 500;
+/** Snapshots kept: evidence of the last three seconds, in which a fault that shows now gives some tens of bad answers. */
+const SNAPSHOTS = 7;
+
+/**
+ * What hosts saw of the two versions lately. A fault that shows late, or under load, is diluted by all good answers before:
+ * 80 calls a second of which 0.4 failed were judged 1.0 to 1.4 s later (simulation) when these counted in.
+ */
+export class RecentEvidence {
+  private readonly snapshots: Snapshot[] = [];
+
+  constructor(private readonly options: Options) {}
+
+  /** Takes all that was seen so far, and gives what of it is recent. */
+  take({fresh, old}: Evidence): Evidence {
+    const at = this.options.clock.now();
+    const last = this.snapshots.at(-1);
+    if (!last || at - last.at >= SNAPSHOT_MS) this.keep({at, fresh, old});
+    const [first] = this.snapshots;
+    return {fresh: since(fresh, first.fresh), old: since(old, first.old)};
+  }
+
+  private keep(snapshot: Snapshot): void {
+    this.snapshots.push(snapshot);
+    if (this.snapshots.length > SNAPSHOTS) this.snapshots.shift();
+  }
+}
+
+/** Counts that go back, as a host's are not told any more, are no evidence of anything. */
+function since(now: Cells, before: Cells): Cells {
+  const recent: Record<string, Counts> = {};
+  for (const [name, counts] of Object.entries(now)) {
+    const [ended, failed, slow] = before[name] ?? NOTHING;
+    const grown = [counts[0] - ended, counts[1] - failed, counts[2] - slow];
+    const isWhole = grown.every(count => count >= 0);
+    recent[name] = isWhole ? [grown[0], grown[1], grown[2]] : NOTHING;
+  }
+  return recent;
+}
--- a/packages/gateway/src/rollouts/rollout.ts
+++ b/packages/gateway/src/rollouts/rollout.ts
@@ -1,17 +1,25 @@
 import {
+  isRecentlyWorse,
   isVersionSuspect,
   judgeVersion,
   RolloutPhase,
-  rolloutShare,
 } from '@bayspool/decisions/calls';
-import type {RolloutOrder, VersionTally} from '@bayspool/decisions/calls';
+import type {
+  ExposureBounds,
+  RolloutFacts,
+  RolloutOrder,
+  VersionTally,
+} from '@bayspool/decisions/calls';
 import type {Clock} from '@bayspool/kernel';
 import type {EventLog} from '../observability/event_log.js';
 import {mergeRollouts} from './merge_rollouts.js';
+import {RecentEvidence} from './recent_evidence.js';
 import type {RolloutAge} from './rollout_age.js';
 import type {RolloutDigest} from './rollout_digest.js';
 import {RolloutEvidence} from './rollout_evidence.js';
+import {RolloutExposure} from './rollout_exposure.js';
 import {tellsAge} from './tells_age.js';
+import {VersionRates} from './version_rates.js';
 
 interface Options {
   readonly clock: Clock;
@@ -23,8 +31,16 @@
   readonly isSeen: boolean;
   /** Position in the topic of states from which they are about this order. */
   readonly statesFrom: number;
+  /** How much of the service's calls the new version may get until the limit. */
+  readonly exposureBounds?: ExposureBounds;
+  /** Hosts that live, this one included. */
+  readonly hosts?: () => number;
 }
 
+/** What holds where the platform sets no bound: the calls in which a version that is bad can be told from a good one. */
+const DEFAULT_BOUNDS: ExposureBounds = {share: 0.15, calls: 30};
+/** How long what was summed of all hosts' evidence is used again, in ms: it is asked for with each call. */
+const SUM_KEPT_MS = 100;
 /**
  * How long a host that did not see an order waits for others to tell its age, in ms: one that is asked for what it
  * knows now answers at once. A clock that is ahead by seconds would end the watch of a new version
@@ -50,12 +66,30 @@
   private isTold = false;
   private readonly learnedAt: number;
   private bad = false;
+  private readonly exposure: RolloutExposure;
+  private readonly rates: VersionRates;
+  private readonly ownRates: VersionRates;
+  private readonly recent: RecentEvidence;
+  private seemsWorse = false;
+  private sum: {readonly good: number; readonly isSuspect: boolean};
+  private summedAt = -Infinity;
 
   constructor(private readonly options: Options) {
     this.learnedAt = options.clock.now();
     this.startedAt = this.learnedAt - options.elapsedMs;
     this.isSeen = options.isSeen;
     this.statesFrom = options.statesFrom;
+    this.rates = new VersionRates(options);
+    this.ownRates = new VersionRates(options);
+    this.recent = new RecentEvidence(options);
+    this.sum = {good: 0, isSuspect: false};
+    this.exposure = new RolloutExposure({
+      bounds: options.exposureBounds ?? DEFAULT_BOUNDS,
+      facts: () => this.facts(this.rates.take(this.sent, this.elapsedMs)),
+      ownFacts: () =>
+        this.facts(this.ownRates.take(this.evidence.sent, this.elapsedMs)),
+      hosts: options.hosts ?? (() => 1),
+    });
   }
 
   /** The order that started it. */
@@ -96,9 +130,24 @@
   shareOf({hasSession}: {readonly hasSession: boolean}): number {
     if (this.isTakenBack) return 0;
     if (this.phase === RolloutPhase.COMPLETE) return 1;
-    const {elapsedMs} = this;
-    const {durationMs} = this.order;
-    return rolloutShare({elapsedMs, durationMs, hasSession});
+    const {sessionShare, callShare} = this.exposure;
+    return hasSession ? sessionShare : callShare;
+  }
+
+  /** Whether one more call without a session may go to the new version now. */
+  get hasRoom(): boolean {
+    return this.exposure.hasRoom;
+  }
+
+  /** Whether the new version only gets some calls now, by which it is watched. */
+  get isWatched(): boolean {
+    const isActive = this.phase === RolloutPhase.ACTIVE;
+    return isActive && !this.exposure.isMovingAll;
+  }
+
+  /** Whether it may be complete, while so many calls still run on the old version. */
+  mayComplete(oldRunning: number): boolean {
+    return this.exposure.mayComplete(oldRunning);
   }
 
   /** Takes over how it ended, and where the state that says so stands. */
@@ -123,6 +172,13 @@
     this.isTold = true;
   }
 
+  /** Takes over what the other hosts told, summed over them. */
+  noteRemote(told: RolloutDigest): void {
+    this.remote = told;
+    this.noteElapsed(told);
+    this.exposure.noteTold(told.shares);
+  }
+
   /** Takes over what the note in the store and this host's time of day say, while nobody told better. */
   guessElapsed(elapsedMs: number): void {
     if (this.isSeen || this.isTold) return;
@@ -138,6 +194,7 @@
       elapsedMs: Math.floor(this.elapsedMs),
       isSeen: this.isSeen,
       isBad: this.bad,
+      shares: this.exposure.toldSteps,
       oldRunning,
       freshSent: this.evidence.sent.fresh,
       oldSent: this.evidence.sent.old,
@@ -169,15 +226,58 @@
     if (this.bad || this.phase !== RolloutPhase.ACTIVE) return;
     const all = this.pooled();
     if (all.isBad) return this.convict('told by another host', all);
-    const names = Object.keys(all.fresh);
+    const recent = this.recent.take(all);
+    this.seemsWorse = this.mayBeWorse(all, recent);
+    this.judgeBy(all, 'all answers');
+    this.judgeBy({...all, ...recent}, 'recent answers');
+  }
+
+  /** Whether lately, or on one route, the new version fails more than the old one. */
+  private mayBeWorse(all: RolloutDigest, recent: Pick<RolloutDigest, 'fresh'>) {
+    const old = sumOfAll(all.old);
+    if (isRecentlyWorse({fresh: sumOfAll(recent.fresh), old})) return true;
+    return Object.keys(all.fresh).some(name =>
+      isVersionSuspect({
+        fresh: sumOf(all.fresh, [name]),
+        old: sumOf(all.old, [name]),
+      }),
+    );
+  }
+
+  /** Judges by all routes together and by each one: a version may be bad on one of them. */
+  private judgeBy(seen: RolloutDigest, of: string): void {
+    if (this.bad) return;
+    const names = Object.keys(seen.fresh);
     for (const chosen of [names, ...names.map(name => [name])]) {
-      const fresh = sumOf(all.fresh, chosen);
-      const old = sumOf(all.old, chosen);
+      const fresh = sumOf(seen.fresh, chosen);
+      const old = sumOf(seen.old, chosen);
       if (judgeVersion({fresh, old}) === 'bad')
-        return this.convict(chosen.join(' '), all, fresh, old);
+        return this.convict(`${of}, ${chosen.join(' ')}`, seen, fresh, old);
     }
   }
 
+  /** What hosts know together, as far as this one has heard, with some of their counts. */
+  private facts(counts: ReturnType<VersionRates['take']>): RolloutFacts {
+    this.sumEvidence();
+    return {
+      ...counts,
+      elapsedMs: this.elapsedMs,
+      durationMs: this.order.durationMs,
+      goodFresh: this.sum.good,
+      isSuspect: this.sum.isSuspect || this.seemsWorse,
+      isSeen: this.isSeen,
+    };
+  }
+
+  private sumEvidence(): void {
+    const now = this.options.clock.now();
+    if (now - this.summedAt < SUM_KEPT_MS) return;
+    this.summedAt = now;
+    const {fresh, old} = this.tallies;
+    const good = Math.max(0, fresh.ended - fresh.failed - fresh.slow);
+    this.sum = {good, isSuspect: isVersionSuspect({fresh, old})};
+  }
+
   /** The evidence of all hosts. */
   private pooled(): RolloutDigest {
     const own = this.digest(0);
--- a/packages/gateway/src/rollouts/rollout_book.ts
+++ b/packages/gateway/src/rollouts/rollout_book.ts
@@ -1,5 +1,6 @@
 import {hashText, RolloutPhase} from '@bayspool/decisions/calls';
 import type {
+  ExposureBounds,
   RolloutOrder,
   RolloutState,
   SessionVersions,
@@ -29,6 +30,10 @@
   readonly refusals: Refusals;
   /** What hosts noted in the store when an order was first seen. */
   readonly starts: RolloutStarts;
+  /** How much of a service's calls a new version may get until the limit of its roll-out. */
+  readonly exposureBounds?: () => ExposureBounds;
+  /** Hosts that live, this one included. */
+  readonly hosts?: () => number;
 }
 
 /** A call that needs a version. */
@@ -115,8 +120,7 @@
     for (const [service, digest] of Object.entries(digests)) {
       const rollout = this.rollouts.get(service);
       if (!rollout || rollout.order.offset !== digest.offset) continue;
-      rollout.remote = digest;
-      rollout.noteElapsed(digest);
+      rollout.noteRemote(digest);
     }
   }
 
@@ -130,15 +134,18 @@
     question: VersionQuestion,
   ): VersionReason {
     const {key, session, remembered} = question;
-    const share = rollout.shareOf({hasSession: session !== undefined});
+    const {phase} = rollout;
     const {version, offset} = rollout.order;
     if (rollout.isTakenBack) return VersionReason.TAKEN_BACK;
-    if (share === 1) return VersionReason.WHOLE;
+    if (phase === RolloutPhase.COMPLETE) return VersionReason.WHOLE;
     if (leavesNewVersion(rollout, question)) return VersionReason.FAILED_THERE;
     if (remembered === version) return VersionReason.SESSION_NEW;
-    if (!this.options.isInTouch()) return VersionReason.OUT_OF_TOUCH;
+    if (!this.options.isInTouch()) return outOfTouch(rollout);
+    const share = rollout.shareOf({hasSession: session !== undefined});
     const isInShare = hashText(`${offset}|${session ?? key}`) < share;
-    return isInShare ? VersionReason.IN_SHARE : VersionReason.OUTSIDE_SHARE;
+    if (!isInShare) return VersionReason.OUTSIDE_SHARE;
+    if (session === undefined && !rollout.hasRoom) return VersionReason.NO_ROOM;
+    return share === 1 ? VersionReason.WHOLE : VersionReason.IN_SHARE;
   }
 
   private order(record: KeyedRecord, isReload: boolean): void {
@@ -158,6 +165,7 @@
       elapsedMs,
       isSeen: this.hadOrders,
       statesFrom,
+      exposureBounds: this.options.exposureBounds?.(),
     });
     this.rollouts.set(order.service, rollout);
     this.logOrder(order, elapsedMs);
@@ -260,6 +268,12 @@
   return rollout.isSuspect || !hasUntried(version);
 }
 
+/** A host that hears nothing takes a roll-out whose time is over for complete: the old runners are gone by then. */
+function outOfTouch({elapsedMs, order}: Rollout): VersionReason {
+  const isOver = elapsedMs >= order.durationMs;
+  return isOver ? VersionReason.WHOLE : VersionReason.OUT_OF_TOUCH;
+}
+
 /** States of an earlier roll-out to the same version stand before the note of this one's start. */
 function isAbout(state: RolloutState, rollout: Rollout): boolean {
   const {order, statesFrom} = rollout;
--- a/packages/gateway/src/rollouts/rollout_writer.ts
+++ b/packages/gateway/src/rollouts/rollout_writer.ts
@@ -33,10 +33,6 @@
 const COUNT_PAUSE_MS = 1_000;
 /** How long each next host waits for the one before it to write, in ms. */
 const TURN_MS = 900;
-/** Part of the duration after which a good version is complete once the old one has nothing left. */
-const EARLIEST_COMPLETE_PART = 0.77;
-/** Part of the duration at which it is complete whatever still runs on the old one. */
-const LATEST_COMPLETE_PART = 0.88;
 /** Pause after a failed write, in ms. */
 const RETRY_MS = 500;
 
@@ -101,12 +97,9 @@
 
   private duePhase(rollout: Rollout): RolloutPhase | undefined {
     if (rollout.isBad) return RolloutPhase.REVERTED;
-    const part = rollout.elapsedMs / rollout.order.durationMs;
-    if (part < EARLIEST_COMPLETE_PART) return undefined;
-    const running =
+    const oldRunning =
       this.options.oldRunning(rollout) + (rollout.remote?.oldRunning ?? 0);
-    if (running > 0 && part < LATEST_COMPLETE_PART) return undefined;
-    return RolloutPhase.COMPLETE;
+    return rollout.mayComplete(oldRunning) ? RolloutPhase.COMPLETE : undefined;
   }
 
   private turnOf(rollout: Rollout): number {
--- a/packages/gateway/src/rollouts/version_reason.ts
+++ b/packages/gateway/src/rollouts/version_reason.ts
@@ -8,6 +8,7 @@
   SESSION_NEW: 'session runs on the new version',
   OUT_OF_TOUCH: 'host out of touch',
   IN_SHARE: 'in the share',
+  NO_ROOM: 'in the share, but over what is allowed by now',
   OUTSIDE_SHARE: 'outside the share',
 } as const;
 type VersionReason = (typeof VersionReason)[keyof typeof VersionReason];
--- a/packages/gateway/src/runners/runner.ts
+++ b/packages/gateway/src/runners/runner.ts
@@ -69,6 +69,16 @@
     return this.current;
   }
 
+  /** Its id, which each start of a runner has anew. */
+  get id(): string {
+    return this.current.id;
+  }
+
+  /** Requests that it can run at once. */
+  get slots(): number {
+    return this.current.slots;
+  }
+
   /** Whether another runner answered at its address. */
   get isReplaced(): boolean {
     return this.replaced;
--- a/packages/gateway/src/testing/gateway_fixture.ts
+++ b/packages/gateway/src/testing/gateway_fixture.ts
@@ -81,6 +81,8 @@
       retryRatio: 0.9,
       retryExtra: 40,
       retryWindowMs: 10_000,
+      exposureShare: 0.15,
+      exposureCalls: 30,
       ...overrides,
     };
     const clock = new SystemClock();
--- a/packages/gateway/src/testing/rollout_world_host.ts
+++ b/packages/gateway/src/testing/rollout_world_host.ts
@@ -72,6 +72,7 @@
       starts,
       sessions: this.sessions,
       isInTouch: () => !this.isCutOff,
+      hosts: () => options.living().length,
     });
     this.writer = new RolloutWriter({
       clock,
--- a/packages/gateway/src/testing/version_model.ts
+++ b/packages/gateway/src/testing/version_model.ts
@@ -3,7 +3,7 @@
 /** What the answer of a version depends on. */
 interface ModelCall {
   readonly route: string;
-  /** Calls that run at the version's runners, this one included. */
+  /** Calls that run at its runner, this one included. */
   readonly running: number;
   /** Time since the order, in ms. */
   readonly elapsedMs: number;
