A slow version is known by its answers under way, and sessions do not go back at the end

What callers saw: of a version whose answers take several times as long, 147 of 369 calls were given where 85 are allowed, and calls went there for over 5 s after its fiftieth bad answer. Cause: slowness was told by the first byte alone, against the mean of a route's prompts of all lengths, and noted when an attempt ended; a small model's answer that is not used, an answer awaited for long, and one that a limit ended told nothing. Change: times count against what was expected of the prompt; time between events, overdue answers, and heads of answers that are not used count. They do not where calls are put at few runners or all move at once: runners that have read nothing yet wait for each other there. Besides: hosts heard of the end one after the other, and sessions went back at the next host for half a second (test of hosts that take calls by turns, 7,695 ms of 8,000; also 6,858 ms, as a roll-out could be complete before calls moved). From the time of the latest end on all hosts put sessions on the new version, and complete early only once all move. The test's last line asked for a round begun in the last quarter, when the time alone had moved all; it asks now that a round begun after the limit finds all on the new version, and is as strict on every move back. Result: rollouts, decisions 63 tests pass.

--- a/packages/decisions/src/calls/index.ts
+++ b/packages/decisions/src/calls/index.ts
@@ -20,6 +20,7 @@
 export {isVersionSuspect} from './is_version_suspect.js';
 export {judgeVersion} from './judge_version.js';
 export type {KeyHolder} from './key_holder.js';
+export {latestCompleteMs} from './latest_complete_ms.js';
 export type {LargestOutlook} from './largest_outlook.js';
 export type {Prompt} from './prompt.js';
 export type {PromptPart} from './prompt_part.js';
--- a/packages/decisions/src/calls/is_recently_worse.test.ts
+++ b/packages/decisions/src/calls/is_recently_worse.test.ts
@@ -12,6 +12,11 @@
   assert.equal(isWorse(4, 80), false);
 });
 
+void test('slow answers count as failures do', () => {
+  const fresh = {ended: 12, failed: 0, slow: 3};
+  assert.equal(isRecentlyWorse({fresh, old}), true);
+});
+
 void test('failures that both versions have are no reason to wait', () => {
   const troubled = {ended: 500, failed: 150, slow: 0};
   const fresh = {ended: 20, failed: 6, slow: 0};
--- a/packages/decisions/src/calls/may_complete.ts
+++ b/packages/decisions/src/calls/may_complete.ts
@@ -23,12 +23,13 @@
   facts: RolloutFacts,
   oldRunning: number,
 ): boolean {
-  const {elapsedMs, durationMs, isSuspect} = facts;
+  const {elapsedMs, durationMs, isSuspect, isMovingAll} = facts;
   if (isSuspect) return false;
   if (elapsedMs >= durationMs - LAST_MS) return true;
   if (elapsedMs >= latestCompleteMs(durationMs))
     return fits(bounds, facts, UNHEARD_TIMES);
-  if (oldRunning > 0 || elapsedMs < durationMs * EARLIEST_PART) return false;
+  if (!isMovingAll || oldRunning > 0) return false;
+  if (elapsedMs < durationMs * EARLIEST_PART) return false;
   return fits(bounds, facts, SURGE_TIMES);
 }
 
--- a/packages/decisions/src/calls/rollout_exposure.test.ts
+++ b/packages/decisions/src/calls/rollout_exposure.test.ts
@@ -24,6 +24,7 @@
     goodFresh: 40,
     callsPerMs: 0.08,
     freshPerMs: 0.005,
+    isMovingAll: false,
     isSuspect: false,
     isSeen: true,
     ...overrides,
@@ -108,8 +109,15 @@
 });
 
 void test('a roll-out is complete early only with nothing left on the old version and few calls to come', () => {
-  const few = facts({elapsedMs: 13_000, callsPerMs: 0.002, sentAll: 26});
+  const few = facts({
+    elapsedMs: 13_000,
+    callsPerMs: 0.002,
+    sentAll: 26,
+    isMovingAll: true,
+  });
   assert.equal(mayComplete(BOUNDS, {...few, sentFresh: 8}, 0), true);
   assert.equal(mayComplete(BOUNDS, {...few, sentFresh: 8}, 1), false);
+  const watched = {...few, sentFresh: 8, isMovingAll: false};
+  assert.equal(mayComplete(BOUNDS, watched, 0), false);
   assert.equal(mayComplete(BOUNDS, facts({elapsedMs: 13_000}), 0), false);
 });
--- a/packages/decisions/src/calls/rollout_facts.ts
+++ b/packages/decisions/src/calls/rollout_facts.ts
@@ -13,6 +13,8 @@
   readonly callsPerMs: number;
   /** The same of calls that the new version gets. */
   readonly freshPerMs: number;
+  /** Whether all calls are to go to the new version already. */
+  readonly isMovingAll: boolean;
   /** Whether the new version seems worse than the old one, though it is not judged yet. */
   readonly isSuspect: boolean;
   /**
--- a/packages/gateway/src/calls/attempt_lessons.ts
+++ b/packages/gateway/src/calls/attempt_lessons.ts
@@ -12,6 +12,7 @@
 import type {AttemptOutcome} from './attempt_outcome.js';
 import type {AttemptTiming} from './attempt_timing.js';
 import type {CallProgress} from './call_progress.js';
+import {expectedFirstMs} from './expected_first_ms.js';
 import {roundHundredths} from '../observability/round_hundredths.js';
 
 interface Options {
@@ -36,10 +37,25 @@
 export class AttemptLessons {
   constructor(private readonly options: Options) {}
 
-  /** Counts an attempt that begins for a version that is being rolled out. */
-  begin({call}: CallProgress, {entry}: Runner): void {
-    const rollout = this.activeRollout(call.service);
-    rollout?.evidence.noteSent(entry.version === rollout.order.version);
+  /**
+   * Counts an attempt that begins for a version that is being rolled out, and watches it.
+   *
+   * @returns what is to be called at its end
+   */
+  begin(
+    progress: CallProgress,
+    choice: RunnerChoice,
+    waitedMs: () => number | undefined,
+  ): () => void {
+    const rollout = this.activeRollout(progress.call.service);
+    if (!rollout) return () => undefined;
+    const {version} = choice.runner.entry;
+    const isFresh = version === rollout.order.version;
+    const cellName = cellOf(progress);
+    const expectedMs = expectedOf(progress, expectedFirstMs(choice));
+    rollout.evidence.noteSent(isFresh);
+    if (!tellsBySpeed(progress, rollout)) return () => undefined;
+    return rollout.evidence.watch({cellName, isFresh, expectedMs, waitedMs});
   }
 
   /** Takes the outcome into what is believed of the runner and its version. */
@@ -57,13 +73,7 @@
     if (timing.firstMs !== undefined)
       this.learnSpeed(progress, choice, timing.firstMs, timing);
     this.learnHealth(runner, outcome, timing.wasQuiet);
-    if (tellsOfVersion(outcome.kind))
-      this.noteEvidence(
-        progress,
-        runner,
-        isFailure(outcome.kind),
-        timing.firstMs,
-      );
+    this.noteEvidence(progress, runner, outcome.kind, timing);
   }
 
   /** Its session goes on from the end of a call; a long answer of the old version does not take it back. */
@@ -112,16 +122,31 @@
   }
 
   private noteEvidence(
-    {call, model}: CallProgress,
+    progress: CallProgress,
     runner: Runner,
-    hasFailed: boolean,
-    firstMs: number | undefined,
+    kind: AttemptKind,
+    timing: AttemptTiming,
   ): void {
-    const rollout = this.activeRollout(call.service);
+    const rollout = this.activeRollout(progress.call.service);
     if (!rollout) return;
-    const isFresh = runner.entry.version === rollout.order.version;
-    const cell = `${call.route.name}/${model ?? ''}`;
-    rollout.evidence.note(cell, isFresh, hasFailed, firstMs);
+    const {evidence, order} = rollout;
+    const isFresh = runner.entry.version === order.version;
+    const cell = cellOf(progress);
+    const {forMs} = timing;
+    const expectedMs = expectedOf(progress, timing.expectedMs);
+    // A small model's answer that is not used ends with its head, of which a slow version's comes late too.
+    const headMs = kind === AttemptKind.WEAK ? forMs : timing.firstMs;
+    const isTelling = tellsBySpeed(progress, rollout);
+    const firstMs = isTelling ? headMs : undefined;
+    const eventMs = isTelling ? timing.eventMs : undefined;
+    if (isTelling && kind === AttemptKind.ENDED && headMs === undefined)
+      evidence.noteUnanswered(cell, isFresh, {firstMs: forMs, expectedMs});
+    if (tellsOfVersion(kind))
+      evidence.note(cell, isFresh, isFailure(kind), {
+        firstMs,
+        expectedMs,
+        eventMs,
+      });
   }
 
   private activeRollout(service: string): Rollout | undefined {
@@ -153,6 +178,28 @@
   }
 }
 
+/** Answers are compared by route and model. */
+function cellOf({call, model}: CallProgress): string {
+  return `${call.route.name}/${model ?? ''}`;
+}
+
+/**
+ * Whether the times of an answer tell of the version. Where hosts put their calls at few runners that have read no prompt yet, or
+ * all calls move to such runners at once, these wait for each other: at 180 calls a second three of three good versions were
+ * not complete in time when that counted as slow.
+ */
+function tellsBySpeed(
+  {isConcentrated}: CallProgress,
+  {isWatched}: Rollout,
+): boolean {
+  return isWatched && !isConcentrated;
+}
+
+/** What was expected by the prompt's length; without a prompt nothing tells. */
+function expectedOf({call}: CallProgress, expectedMs: number): number {
+  return call.prompt ? expectedMs : 0;
+}
+
 /** Whether the outcome says something of the version that the runner has. */
 function tellsOfVersion(kind: AttemptKind): boolean {
   return (
--- a/packages/gateway/src/calls/call_forwarder.ts
+++ b/packages/gateway/src/calls/call_forwarder.ts
@@ -25,6 +25,7 @@
 import type {CallerAnswer} from './caller_answer.js';
 import {CallProgress} from './call_progress.js';
 import {expectedFirstMs} from './expected_first_ms.js';
+import {meanEventMs} from './mean_event_ms.js';
 import {FinalAnswer} from './final_answer.js';
 import type {HeaderNames} from './header_names.js';
 import type {IncomingCall} from './incoming_call.js';
@@ -140,6 +141,7 @@
     // Without a runner of a wished version any will do, but for an answer that has begun.
     const allowed = isGranted || begunBy !== undefined ? wished : takers;
     const watched = this.watchedOf(takers, allowed, call.service);
+    progress.isConcentrated = watched.length < allowed.length;
     const candidates = this.preferIdle(progress, watched);
     const {prompt, body} = call;
     const bodyBytes = body.length;
@@ -210,7 +212,8 @@
     const old = takers.filter(({entry}) => entry.version !== version);
     const fresh = allowed.filter(({health}) => !health.isEjected);
     if (old.length === 0 || fresh.length === 0) return allowed;
-    return watchedRunners({fresh, old});
+    const watched = watchedRunners({fresh, old});
+    return watched.length < fresh.length ? watched : allowed;
   }
 
   private async attempt(
@@ -227,13 +230,19 @@
     this.noteChoice(progress, choice);
     const eventsBefore = caller.events;
     const attempt = this.prepare(progress, choice, caller, signal);
-    this.lessons.begin(progress, choice.runner);
+    const endWatch = this.lessons.begin(progress, choice, () =>
+      attempt.firstAt === undefined ? clock.now() - startedAt : undefined,
+    );
     const outcome = await attempt.run();
+    endWatch();
     if (caller.hasBegun) progress.begunBy ??= choice.runner.entry.version;
     const firstMs =
       attempt.firstAt === undefined ? undefined : attempt.firstAt - startedAt;
     const {wasQuiet} = attempt;
-    const timing = {firstMs, expectedMs, isUnloaded, wasQuiet};
+    const forMs = clock.now() - startedAt;
+    const events = caller.events - eventsBefore;
+    const eventMs = meanEventMs(forMs, firstMs, events);
+    const timing = {firstMs, eventMs, forMs, expectedMs, isUnloaded, wasQuiet};
     this.lessons.learn(progress, choice, outcome, timing);
     this.requestLessons.learn(call, choice.runner, attempt, outcome);
     this.options.log.write('attempt_ended', {
@@ -247,7 +256,7 @@
       confidence: outcome.confidence,
       firstMs: firstMs === undefined ? undefined : Math.round(firstMs),
       lastEvent: caller.events > eventsBefore ? caller.lastEventId : undefined,
-      forMs: Math.round(clock.now() - startedAt),
+      forMs: Math.round(forMs),
     });
     return outcome;
   }
--- a/packages/gateway/src/calls/call_progress.ts
+++ b/packages/gateway/src/calls/call_progress.ts
@@ -37,6 +37,8 @@
   readonly failedVersions: string[] = [];
   /** On what the version of the last runner was decided. */
   version: VersionDecision | undefined;
+  /** Whether the last choice was among few runners, so that these bear the usual load. */
+  isConcentrated = false;
   /** The version that made what the caller holds of the answer; undefined while it holds nothing. */
   begunBy: string | undefined;
   /** The last answer of a runner that failed, which can still be passed on. */
--- a/packages/gateway/src/rollouts/rollout.ts
+++ b/packages/gateway/src/rollouts/rollout.ts
@@ -198,8 +198,8 @@
       oldRunning,
       freshSent: this.evidence.sent.fresh,
       oldSent: this.evidence.sent.old,
-      fresh: toCells(this.evidence.fresh),
-      old: toCells(this.evidence.old),
+      fresh: toCells(this.evidence.fresh, this.evidence.overdue(true)),
+      old: toCells(this.evidence.old, this.evidence.overdue(false)),
     };
   }
 
@@ -266,6 +266,7 @@
       goodFresh: this.sum.good,
       isSuspect: this.sum.isSuspect || this.seemsWorse,
       isSeen: this.isSeen,
+      isMovingAll: false,
     };
   }
 
@@ -307,15 +308,18 @@
   }
 }
 
+/** Counts by cell; what is overdue counts as an answer that is slow. */
 function toCells(
   cells: RolloutEvidence['fresh'],
+  overdue: ReadonlyMap<string, number>,
 ): Record<string, readonly [number, number, number]> {
-  return Object.fromEntries(
-    [...cells].map(([name, {ended, failed, slow}]) => [
-      name,
-      [ended, failed, slow] as const,
-    ]),
-  );
+  const counts: Record<string, readonly [number, number, number]> = {};
+  for (const name of new Set([...cells.keys(), ...overdue.keys()])) {
+    const {ended = 0, failed = 0, slow = 0} = cells.get(name) ?? {};
+    const late = overdue.get(name) ?? 0;
+    counts[name] = [ended + late, failed, slow + late];
+  }
+  return counts;
 }
 
 function sumOfAll(cells: RolloutDigest['fresh']): VersionTally {
--- a/packages/gateway/src/rollouts/rollout_counts.test.ts
+++ b/packages/gateway/src/rollouts/rollout_counts.test.ts
@@ -52,7 +52,7 @@
 
 void test('a line tells what was given to the versions and what was seen of them', () => {
   const rollout = createRollout(2, 10);
-  rollout.evidence.note('route/', true, true, undefined);
+  rollout.evidence.note('route/', true, true, {expectedMs: 0});
   logRolloutCounts(log, rollout);
   const line = JSON.parse(lines.at(-1)!) as Record<string, unknown>;
   assert.equal(line.event, 'rollout_counted');
--- a/packages/gateway/src/rollouts/rollout_exposure.ts
+++ b/packages/gateway/src/rollouts/rollout_exposure.ts
@@ -1,4 +1,5 @@
 import {
+  latestCompleteMs,
   mayComplete,
   mayMoveAll,
   mayMoveMore,
@@ -32,7 +33,11 @@
   /** The share of sessions that are to be on the new version now, 0 to 1. */
   get sessionShare(): number {
     const facts = this.review();
-    return mayMoveSessions(facts) ? this.sessions.at(facts.elapsedMs) : 0;
+    const {elapsedMs, durationMs, isSuspect} = facts;
+    if (!mayMoveSessions(facts)) return 0;
+    // Hosts hear of the end one after the other: sessions went back at the next host for half a second without this.
+    if (elapsedMs >= latestCompleteMs(durationMs) && !isSuspect) return ALL;
+    return this.sessions.at(elapsedMs);
   }
 
   /** The share of calls without a session that are to go there now, 0 to 1. */
@@ -66,8 +71,9 @@
 
   /** Whether the roll-out may be complete, while so many calls still run on the old version. */
   mayComplete(oldRunning: number): boolean {
-    const {bounds, facts} = this.options;
-    return mayComplete(bounds, facts(), oldRunning);
+    const {bounds} = this.options;
+    const facts = {...this.options.facts(), isMovingAll: this.isMovingAll};
+    return mayComplete(bounds, facts, oldRunning);
   }
 
   /** Each host keeps its part of the bounds by what it counts itself; the parts add up to the whole. */
--- a/packages/gateway/src/rollouts/sessions_and_hosts.test.ts
+++ b/packages/gateway/src/rollouts/sessions_and_hosts.test.ts
@@ -147,8 +147,7 @@
   await waitKnown(2);
   const moved = new Set<string>();
   for (let round = 0; moved.size < SESSIONS.length; round++) {
-    // A round that began in time counts, however long a busy machine takes for it.
-    assert.ok(performance.now() - orderedAt < durationMs, 'not all in time');
+    const isOver = performance.now() - orderedAt >= durationMs;
     // A host that has just started knows no session at all.
     if (round % 2 === 0)
       await fixture.startHost({sessionKeptMs: SESSION_KEPT_MS});
@@ -162,6 +161,8 @@
     const back = [...moved].filter(session => versions.get(session) !== NEW);
     assert.deepEqual(back, [], `back on the old version at ${elapsedMs} ms`);
     now.forEach(session => moved.add(session));
+    // The last sessions may move shortly before the limit: a round that begins after it finds all on the new version.
+    if (isOver) assert.equal(moved.size, SESSIONS.length, 'not all in time');
   }
 });
 
--- a/packages/gateway/src/testing/rollout_world.ts
+++ b/packages/gateway/src/testing/rollout_world.ts
@@ -1,7 +1,9 @@
 import {RolloutPhase, watchedRunners} from '@bayspool/decisions/calls';
 import type {RolloutState} from '@bayspool/decisions/calls';
 import {SeededRandom, VirtualClock} from '@bayspool/kernel';
+import {meanEventMs} from '../calls/mean_event_ms.js';
 import {Topic} from '../records/topic.js';
+import type {Rollout} from '../rollouts/rollout.js';
 import type {RolloutDigest} from '../rollouts/rollout_digest.js';
 import {mergeRollouts} from '../rollouts/merge_rollouts.js';
 import {MemoryRecordStore} from './memory_record_store.js';
@@ -279,17 +281,41 @@
     const isActive = rollout?.phase === RolloutPhase.ACTIVE;
     if (isActive) rollout.evidence.noteSent(isFresh);
     const forMs = Math.min(answer.forMs, CALLER_PATIENCE_MS);
+    const {firstMs, events} = answer;
+    const endWatch = this.watch(rollout, route, isFresh, firstMs);
     this.clock.after(forMs, () => {
+      endWatch();
       runner.totalRunning -= 1;
       if (!isFresh) host.oldRunning -= 1;
       const isEnded = answer.forMs > CALLER_PATIENCE_MS;
+      const eventMs = meanEventMs(forMs, firstMs, events);
       if (isActive && !isEnded)
-        rollout.evidence.note(route, isFresh, answer.hasFailed, answer.firstMs);
+        rollout.evidence.note(route, isFresh, answer.hasFailed, {
+          firstMs,
+          eventMs,
+          expectedMs: 0,
+        });
       if (isFresh) this.noteAnswer(answer, isEnded);
       if (answer.hasFailed) this.repeat(index, call, version);
     });
   }
 
+  /** Lets the evidence know how long an answer has been awaited. */
+  private watch(
+    rollout: Rollout | undefined,
+    cellName: string,
+    isFresh: boolean,
+    firstMs: number,
+  ): () => void {
+    const sentAt = this.clock.now();
+    const waitedMs = () => {
+      const waited = this.clock.now() - sentAt;
+      return waited < firstMs ? waited : undefined;
+    };
+    const attempt = {cellName, isFresh, waitedMs, expectedMs: 0};
+    return rollout?.evidence.watch(attempt) ?? (() => undefined);
+  }
+
   /** The runner with the fewest calls, of those among which a call may choose. */
   private choose(isFresh: boolean, isWatched: boolean): WorldRunner {
     const {fresh, old} = this.runners;
