A request that waited at a host that stood still does not run under a newer configuration

Cause: a host that stands still leaves requests in its sockets. When it goes on it reads some of them only once it has heard of the newest configuration, which holds the key again, and takes them for just sent.

Change: StandstillWatch notices that its looks come late, on the clock that counts suspension too. For 2 s after a standstill requests with keys are refused as not run if the configuration changed since it began; the first configuration of a process is not doubted.

Why it holds: a request that is read has waited at most since the begin of a standstill; with no change of the configuration since then its key held all the while.

--- a/packages/gateway/src/beliefs/configuration_belief.ts
+++ b/packages/gateway/src/beliefs/configuration_belief.ts
@@ -18,6 +18,7 @@
 /** The configuration in force at this host. It never goes back to an older version. */
 export class ConfigurationBelief {
   private configuration: CallConfiguration | undefined;
+  private replacedAt: number | undefined;
   private table = new RouteTable([]);
   private readonly listeners: Listener[] = [];
 
@@ -32,6 +33,11 @@
     return this.configuration;
   }
 
+  /** When the configuration in force took the place of another one; undefined if it is the first of this process. */
+  get changedAt(): number | undefined {
+    return this.replacedAt;
+  }
+
   /** The routes of the configuration in force. */
   get routes(): RouteTable {
     return this.table;
@@ -65,6 +71,7 @@
     const previous = this.configuration;
     if (previous && next.version <= previous.version) return;
     this.configuration = next;
+    if (previous) this.replacedAt = this.options.clock.now();
     this.table = new RouteTable(next.routes);
     this.report(next, previous, offset);
     for (const listener of this.listeners) listener(next);
--- a/packages/gateway/src/calls/call_door.ts
+++ b/packages/gateway/src/calls/call_door.ts
@@ -35,6 +35,8 @@
   readonly maxKeyAgeMs: () => number;
   /** Age of the configuration up to which an unknown route or key is refused as such, in ms. */
   readonly maxDenialAgeMs: () => number;
+  /** Whether a request that is read now may have been sent before the configuration in force was. */
+  readonly mayPredateConfiguration: () => boolean;
   /** Whether connections are closed behind their answers now. */
   readonly isClosing: () => boolean;
 }
@@ -58,14 +60,7 @@
   private readonly ended = new WeakSet<Socket>();
 
   constructor(private readonly options: Options) {
-    const {random, names, belief, maxKeyAgeMs, maxDenialAgeMs} = options;
-    this.checks = new RequestCheck({
-      random,
-      names,
-      belief,
-      maxKeyAgeMs,
-      maxDenialAgeMs,
-    });
+    this.checks = new RequestCheck(options);
     this.record = new DoorRecord(options);
     this.server = createServer(
       {maxHeaderSize: MAX_HEADER_BYTES, noDelay: true},
@@ -75,7 +70,7 @@
     this.server.on('clientError', (error, socket) =>
       this.refuseFraming(error, socket as Socket),
     );
-    belief.onChange(configuration => this.applyLimits(configuration));
+    options.belief.onChange(({limits}) => this.applyLimits(limits));
   }
 
   /** Requests that are not answered yet. */
@@ -114,7 +109,7 @@
     socket.destroySoon();
   }
 
-  private applyLimits({limits}: CallConfiguration): void {
+  private applyLimits(limits: CallConfiguration['limits']): void {
     this.server.keepAliveTimeout = limits.idleTimeoutMs;
     this.server.headersTimeout = limits.headerTimeoutMs;
   }
--- a/packages/gateway/src/calls/request_check.ts
+++ b/packages/gateway/src/calls/request_check.ts
@@ -19,6 +19,8 @@
   readonly maxKeyAgeMs: () => number;
   /** Age of the configuration up to which an unknown route or key is refused as such, in ms. */
   readonly maxDenialAgeMs: () => number;
+  /** Whether a request that is read now may have been sent before the configuration in force was. */
+  readonly mayPredateConfiguration: () => boolean;
 }
 
 /** Statuses of refusals. */
@@ -87,8 +89,11 @@
     route: CallRoute,
     holder: KeyHolder | undefined,
   ): OwnAnswer | undefined {
-    const {belief, maxKeyAgeMs} = this.options;
+    const {belief, maxKeyAgeMs, mayPredateConfiguration} = this.options;
     if (!keys || route.isPublic) return undefined;
+    // It may have waited here since a time at which its key was withdrawn, and was sent to be refused.
+    if (mayPredateConfiguration())
+      return this.later('may be older than the configuration');
     if (belief.ageMs > maxKeyAgeMs())
       return this.later('configuration too old to trust keys');
     if (holder) return undefined;
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -7,6 +7,7 @@
 import {Leaving} from './lifecycle/leaving.js';
 import {MetricsServer} from './lifecycle/metrics_server.js';
 import {ReadinessServer} from './lifecycle/readiness_server.js';
+import {StandstillWatch} from './lifecycle/standstill_watch.js';
 import {GatewayMetrics} from './observability/gateway_metrics.js';
 import {LoopLag} from './observability/loop_lag.js';
 import {Exchange} from './parts/exchange.js';
@@ -35,6 +36,7 @@
   private readonly knowledge: Knowledge;
   private readonly exchange: Exchange;
   private readonly lag: LoopLag;
+  private readonly standstill: StandstillWatch;
   private readonly writer: RolloutWriter;
   private readonly door: CallDoor;
   private readonly readiness: ReadinessServer;
@@ -55,6 +57,11 @@
       liveSettings: () => this.settings,
     });
     this.lag = new LoopLag({clock});
+    this.standstill = new StandstillWatch({
+      log,
+      clock: options.ageClock,
+      changedAt: () => this.knowledge.belief.changedAt,
+    });
     this.exchange = new Exchange(options, this.knowledge);
     const {roster} = this.knowledge;
     this.registration = new HostRegistration({
@@ -106,6 +113,7 @@
     void this.exchange.follow().then(() => this.registration.run());
     this.writer.start();
     this.lag.start();
+    this.standstill.start();
     this.sweep();
     log.write('process_started', {
       host: settings.host,
@@ -149,6 +157,7 @@
     this.knowledge.quarantineKeeper.stop();
     this.sweepTimer?.cancel();
     this.lag.stop();
+    this.standstill.stop();
     this.exchange.close();
     this.readiness.stop();
     this.metricsServer.stop();
@@ -225,6 +234,7 @@
       port: settings.callerPort,
       maxKeyAgeMs: () => this.maxKeyAgeMs(),
       maxDenialAgeMs: () => this.settings.configurationBoundMs,
+      mayPredateConfiguration: () => this.standstill.mayPredateConfiguration(),
       isClosing: () => this.leaving.hasBegun,
     });
   }
--- a/packages/gateway/src/observability/event_fields.ts
+++ b/packages/gateway/src/observability/event_fields.ts
@@ -234,6 +234,8 @@
   rollout_phase: {service: string; version: string; phase: string};
   /** The machine was suspended for this long, or its time of day was set ahead. */
   time_gap: {forMs: number};
+  /** This process did nothing for this long, or was that far behind. */
+  stood_still: {forMs: number};
   store_lost: {reason: string};
   store_regained: {afterMs: number};
   topic_reloaded: {topic: string; position: number};
