Runners of a place that operators cordon get no new calls

Cause: no part of the program read these orders.

Change: the platform's reader decodes the order, Cordons keeps which places are under one, and the directory leaves their runners out of those that take calls: first attempts, repeats, cascades, sessions, homes of prompts, watched versions and resumptions all choose among these. RunnerGate is asked again once a connection is up. Orders travel in the operator's topic, so hosts hear of them as they hear of withdrawn keys: by store, others and seeds. A service with no other runner is refused at once as not run. Streams that run there end well. Lines place_cordoned, place_uncordoned, a gauge cordoned_places.

Two ways were weighed: to take the runners out of the directory as if they had gone, which would forget their loads, connections and kept prompts and cut nothing less; and to leave them known and not choose them, which is built.

--- a/packages/decisions/src/calls/index.ts
+++ b/packages/decisions/src/calls/index.ts
@@ -22,6 +22,7 @@
 export type {KeyHolder} from './key_holder.js';
 export {latestCompleteMs} from './latest_complete_ms.js';
 export type {LargestOutlook} from './largest_outlook.js';
+export type {PlaceOrder} from './place_order.js';
 export type {Prompt} from './prompt.js';
 export type {PromptPart} from './prompt_part.js';
 export {mayComplete} from './may_complete.js';
--- a/packages/gateway/src/beliefs/runner_directory.ts
+++ b/packages/gateway/src/beliefs/runner_directory.ts
@@ -18,6 +18,8 @@
   readonly freshness: TopicMirror;
   /** Told of each runner that is no longer known. */
   readonly onGone: (id: string) => void;
+  /** Whether operators keep new calls from the runners of a place. */
+  readonly isCordoned: (place: string) => boolean;
   readonly refusals: Refusals;
   readonly createRunner: (entry: RunnerEntry) => Runner;
 }
@@ -63,6 +65,7 @@
     for (const runner of this.runners.values()) {
       const {entry, isReplaced} = runner;
       if (entry.service !== service || entry.isDraining || isReplaced) continue;
+      if (this.options.isCordoned(entry.place)) continue;
       if (!this.unreadable.has(entry.id)) takers.push(runner);
     }
     return takers;
--- a/packages/gateway/src/beliefs/wire_reader.ts
+++ b/packages/gateway/src/beliefs/wire_reader.ts
@@ -1,5 +1,6 @@
 import type {
   CallConfiguration,
+  PlaceOrder,
   RolloutOrder,
   RolloutState,
   RunnerEntry,
@@ -13,6 +14,8 @@
   readConfiguration(record: KeyedRecord): CallConfiguration;
   /** Undefined if the record is no order for a roll-out. */
   readOrder(record: KeyedRecord): RolloutOrder | undefined;
+  /** Undefined if the record is no order on a place; one that was removed is the end of the order. */
+  readPlaceOrder(record: KeyedRecord): PlaceOrder | undefined;
   readRunner(record: KeyedRecord): RunnerEntry;
   /** Undefined if the record is not about a roll-out. */
   readState(record: KeyedRecord): RolloutState | undefined;
--- a/packages/gateway/src/calls/attempt.test.ts
+++ b/packages/gateway/src/calls/attempt.test.ts
@@ -62,7 +62,11 @@
   return new Runner({clock, entry, pool: deafPool});
 }
 
-function makeAttempt(runner: Runner, signal: AbortSignal): Attempt {
+function makeAttempt(
+  runner: Runner,
+  signal: AbortSignal,
+  refusalNow: () => string | undefined = () => undefined,
+): Attempt {
   const choice = {
     runner,
     workMs: 0,
@@ -79,6 +83,7 @@
     choice,
     caller: {isFull: false, longestPauseMs: 0} as unknown as CallerAnswer,
     signal,
+    refusalNow,
     isGoodEnough: () => true,
     hasOtherRunner: () => false,
   });
@@ -106,3 +111,19 @@
   assert.equal(progress.mayHaveRun, false);
   assert.equal(progress.sent, 0);
 });
+
+void test('a request that must not be sent any more when its connection is up is kept back, and blames nobody', async () => {
+  const runner = makeRunner();
+  let released = 0;
+  const connection = {release: () => void (released += 1)};
+  const pool = {acquire: async () => connection} as unknown as ConnectionPool;
+  const attempt = makeAttempt(
+    new Runner({clock, entry: runner.entry, pool}),
+    new AbortController().signal,
+    () => 'place cordoned',
+  );
+  const outcome = await attempt.run();
+  assert.equal(outcome.kind, AttemptKind.NOT_RUN);
+  assert.ok(outcome.isWithheld);
+  assert.equal(released, 1);
+});
--- a/packages/gateway/src/calls/attempt_lessons.ts
+++ b/packages/gateway/src/calls/attempt_lessons.ts
@@ -103,10 +103,10 @@
 
   private learnHealth(
     runner: Runner,
-    {kind, reason, status}: AttemptOutcome,
+    {kind, reason, status, isWithheld}: AttemptOutcome,
     wasQuiet: boolean,
   ): void {
-    if (kind === AttemptKind.UNSENT) return;
+    if (kind === AttemptKind.UNSENT || isWithheld) return;
     if (kind === AttemptKind.ENDED) {
       // A runner that sent nothing until the time limit is as good as gone.
       if (wasQuiet)
--- a/packages/gateway/src/calls/attempt_outcome.ts
+++ b/packages/gateway/src/calls/attempt_outcome.ts
@@ -11,6 +11,8 @@
   /** The runner's answer, where it can still be passed on. */
   readonly answer?: WholeAnswer;
   readonly confidence?: number;
+  /** Whether this host itself kept the request back, which says nothing of the runner. */
+  readonly isWithheld?: boolean;
   /** Whether the runner closed the connection before its answer was whole: it may have ended. */
   readonly isCutOff?: boolean;
 }
--- a/packages/gateway/src/calls/call_forwarder.ts
+++ b/packages/gateway/src/calls/call_forwarder.ts
@@ -16,6 +16,7 @@
 import type {ReadingRates} from '../runners/reading_rates.js';
 import type {Runner} from '../runners/runner.js';
 import type {RunnerChoice} from '../runners/runner_choice.js';
+import type {RunnerGate} from '../runners/runner_gate.js';
 import type {RunnerChooser} from '../runners/runner_chooser.js';
 import {AnswerJudge} from './answer_judge.js';
 import {Attempt} from './attempt.js';
@@ -43,6 +44,7 @@
   readonly rollouts: RolloutBook;
   readonly sessions: SessionVersions;
   readonly chooser: RunnerChooser;
+  readonly gate: RunnerGate;
   readonly prefixes: PrefixBook;
   readonly rates: ReadingRates;
   readonly cascade: CascadeRule;
@@ -267,11 +269,12 @@
     caller: CallerAnswer,
     signal: AbortSignal,
   ): Attempt {
-    const {clock, names} = this.options;
+    const {clock, names, gate} = this.options;
     const {call, model} = progress;
     return new Attempt({
       clock,
       names,
+      refusalNow: () => gate.refusalOf(choice.runner),
       runnerHeaders: this.runnerHeaders,
       call,
       choice,
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -241,7 +241,8 @@
 
   private createForwarder(): CallForwarder {
     const {clock, random, log, headerNames, settings} = this.options;
-    const {directory, limits, loads, prefixes, quarantine} = this.knowledge;
+    const {directory, gate, limits, loads, prefixes, quarantine} =
+      this.knowledge;
     const {rollouts, roster, sessions} = this.knowledge;
     const rates = new ReadingRates({
       costFactorOf: model => limits.costFactorOf(model),
@@ -257,6 +258,7 @@
       metrics: this.metrics,
       names: headerNames,
       directory,
+      gate,
       rollouts,
       chooser: new RunnerChooser({
         random,
--- a/packages/gateway/src/observability/event_fields.ts
+++ b/packages/gateway/src/observability/event_fields.ts
@@ -238,6 +238,9 @@
   stood_still: {forMs: number};
   store_lost: {reason: string};
   store_regained: {afterMs: number};
+  /** Runners of the place get no new calls from now on; `ageMs` is the age of what the host knows. */
+  place_cordoned: {place: string; offset: number; ageMs: number};
+  place_uncordoned: {place: string; offset: number; forMs: number};
   topic_reloaded: {topic: string; position: number};
   host_entered: {peer: string; isNew: boolean; forMs: number};
   peer_seen: {peer: string; place: string; address: string};
--- a/packages/gateway/src/parts/knowledge.ts
+++ b/packages/gateway/src/parts/knowledge.ts
@@ -1,5 +1,6 @@
 import {Quarantine, SessionVersions} from '@bayspool/decisions/calls';
 import type {RunnerEntry} from '@bayspool/decisions/calls';
+import {Cordons} from '../beliefs/cordons.js';
 import {ConfigurationBelief} from '../beliefs/configuration_belief.js';
 import {RunnerDirectory} from '../beliefs/runner_directory.js';
 import type {GatewaySettings} from '../gateway_settings.js';
@@ -16,6 +17,7 @@
 import {ConnectionPool} from '../runners/connection_pool.js';
 import {PrefixBook} from '../runners/prefix_book.js';
 import {Runner} from '../runners/runner.js';
+import {RunnerGate} from '../runners/runner_gate.js';
 import type {GatewayOptions} from './gateway_options.js';
 import {HostLoads} from './host_loads.js';
 import {ServiceLimits} from './service_limits.js';
@@ -47,6 +49,10 @@
   readonly belief: ConfigurationBelief;
   /** What this host may use of each service. */
   readonly limits: ServiceLimits;
+  /** Places that operators keep new calls from. */
+  readonly cordons: Cordons;
+  /** What keeps requests from runners. */
+  readonly gate: RunnerGate;
   /** The runners. */
   readonly directory: RunnerDirectory;
   /** Which version each session has. */
@@ -96,6 +102,12 @@
       reader,
       mirror: freshness,
     });
+    this.cordons = new Cordons({
+      clock: ageClock,
+      log,
+      reader,
+      mirror: freshness,
+    });
     this.limits = new ServiceLimits({
       clock,
       belief: this.belief,
@@ -103,6 +115,8 @@
       settings: liveSettings,
       retryWindowMs: settings.retryWindowMs,
     });
+    const {cordons} = this;
+    this.gate = new RunnerGate({cordons});
     this.directory = new RunnerDirectory({
       clock: ageClock,
       log,
@@ -110,9 +124,11 @@
       freshness,
       mirror: mirrors[Topic.RUNNERS],
       refusals,
+      isCordoned: place => cordons.has(place),
       onGone: id => this.prefixes.forget(id),
       createRunner: entry => this.createRunner(entry),
     });
+    cordons.onChange(() => this.directory.forgetTakers());
     this.starts = new RolloutStarts({
       clock,
       refusals,
--- a/packages/gateway/src/parts/observe_parts.ts
+++ b/packages/gateway/src/parts/observe_parts.ts
@@ -1,5 +1,6 @@
 import type {Quarantine} from '@bayspool/decisions/calls';
 import type {ConfigurationBelief} from '../beliefs/configuration_belief.js';
+import type {Cordons} from '../beliefs/cordons.js';
 import type {RunnerDirectory} from '../beliefs/runner_directory.js';
 import type {CallDoor} from '../calls/call_door.js';
 import type {EventLog} from '../observability/event_log.js';
@@ -18,6 +19,7 @@
   readonly log: EventLog;
   readonly lag: LoopLag;
   readonly belief: ConfigurationBelief;
+  readonly cordons: Cordons;
   readonly directory: RunnerDirectory;
   readonly door: CallDoor;
   readonly news: NewsLoop;
@@ -56,7 +58,8 @@
   );
 }
 
-function observeBeliefs({metrics, belief, roster, news}: Options): void {
+function observeBeliefs(options: Options): void {
+  const {metrics, belief, cordons, roster, news} = options;
   metrics.observe(
     'configuration_version',
     'Configuration in force',
@@ -67,6 +70,11 @@
     'Time since it was known to be the newest',
     () => belief.ageMs / 1000,
   );
+  metrics.observe(
+    'cordoned_places',
+    'Places whose runners get no new calls, by order',
+    () => cordons.places().length,
+  );
   metrics.observe('hosts', 'Hosts known to live', () => roster.living().length);
   metrics.observe('reads_store', 'Whether this host reads the store', () =>
     Number(news.readsStore),
--- a/packages/gateway/src/testing/directory_fixture.ts
+++ b/packages/gateway/src/testing/directory_fixture.ts
@@ -39,6 +39,7 @@
       log,
       mirror,
       reader,
+      isCordoned: () => false,
       refusals: new Refusals({log, metrics}),
       freshness: mirror,
       onGone: id => this.prefixes.forget(id),
--- a/packages/gateway/src/testing/plain_reader.ts
+++ b/packages/gateway/src/testing/plain_reader.ts
@@ -2,6 +2,7 @@
   CallConfiguration,
   CallRoute,
   KeyHolder,
+  PlaceOrder,
   RolloutOrder,
   RolloutState,
   RunnerEntry,
@@ -19,6 +20,7 @@
 }
 
 const ROLLOUT_PREFIX = 'rollout/';
+const CORDON_PREFIX = 'cordon/';
 
 /** Reads records in which the gateway's own types stand as JSON. */
 export class PlainReader implements WireReader {
@@ -41,6 +43,12 @@
     return {...(JSON.parse(value) as RolloutOrder), offset};
   }
 
+  readPlaceOrder({key, value}: KeyedRecord): PlaceOrder | undefined {
+    if (!key.startsWith(CORDON_PREFIX)) return undefined;
+    const place = key.slice(CORDON_PREFIX.length);
+    return {place, isCordoned: value !== undefined};
+  }
+
   readRunner({value = ''}: KeyedRecord): RunnerEntry {
     return JSON.parse(value) as RunnerEntry;
   }
