Cold runners get what they bear from all hosts together

Cause: nothing read that a runner is cold. A runner that has just started looks idle to each of 65 hosts.

Change: entries tell how much longer a runner is cold (they are renewed with each heartbeat until it is warm), the configuration how many calls a second it bears, the settings how far over that is allowed. coldShare draws a few hosts of the runner's place by hash, which send it three calls a second or more each, all others none; runners that have had their share are passed over, and what nobody bears is refused at once as not run. The share is asked again right before a call is sent. Times of cold runners are not learned.

--- a/packages/decisions/src/calls/index.ts
+++ b/packages/decisions/src/calls/index.ts
@@ -7,6 +7,8 @@
 export type {CallService} from './call_service.js';
 export {CascadeRule} from './cascade_rule.js';
 export {chooseService} from './choose_service.js';
+export type {ColdLimits} from './cold_limits.js';
+export {coldShare} from './cold_share.js';
 export type {EngineProfile} from './engine_profile.js';
 export {EventSplitter} from './event_splitter.js';
 export type {ExposureBounds} from './exposure_bounds.js';
--- a/packages/decisions/src/calls/runner_entry.ts
+++ b/packages/decisions/src/calls/runner_entry.ts
@@ -12,6 +12,8 @@
   readonly version: string;
   /** Requests that run at once. */
   readonly slots: number;
+  /** How much longer it was slow from its start when it wrote this, in ms; absent or 0 if it is not. */
+  readonly coldLeftMs?: number;
   /** Whether it announced its end and takes no new requests. */
   readonly isDraining: boolean;
 }
--- a/packages/gateway/src/calls/attempt.test.ts
+++ b/packages/gateway/src/calls/attempt.test.ts
@@ -65,7 +65,7 @@
 function makeAttempt(
   runner: Runner,
   signal: AbortSignal,
-  refusalNow: () => string | undefined = () => undefined,
+  admit: () => string | undefined = () => undefined,
 ): Attempt {
   const choice = {
     runner,
@@ -83,7 +83,7 @@
     choice,
     caller: {isFull: false, longestPauseMs: 0} as unknown as CallerAnswer,
     signal,
-    refusalNow,
+    admit,
     isGoodEnough: () => true,
     hasOtherRunner: () => false,
   });
--- a/packages/gateway/src/calls/attempt.ts
+++ b/packages/gateway/src/calls/attempt.ts
@@ -29,8 +29,8 @@
   readonly caller: CallerAnswer;
   /** Aborted when the call ends before the attempt does; the reason is a short text. */
   readonly signal: AbortSignal;
-  /** Why the request must not be sent to the runner now; undefined if it may be. */
-  readonly refusalNow: () => string | undefined;
+  /** Why the request must not be sent to the runner now; undefined if it is. */
+  readonly admit: () => string | undefined;
   /** Whether an answer of this model with this confidence is used. */
   readonly isGoodEnough: (confidence: number | undefined) => boolean;
   /** Whether the call could be sent to another runner if this one falls silent. */
@@ -124,7 +124,7 @@
     const {runner} = choice;
     const connection = await this.connect();
     if (!connection) return this.endUnsent();
-    const refusal = this.options.refusalNow();
+    const refusal = this.options.admit();
     if (refusal !== undefined) {
       connection.release();
       return {kind: AttemptKind.NOT_RUN, reason: refusal, isWithheld: true};
--- a/packages/gateway/src/calls/attempt_lessons.ts
+++ b/packages/gateway/src/calls/attempt_lessons.ts
@@ -91,6 +91,8 @@
     firstMs: number,
     {expectedMs, isUnloaded}: AttemptTiming,
   ): void {
+    // What a runner does while it is slow from its start says nothing of the time after.
+    if (runner.isCold) return;
     if (!call.prompt) {
       const usualMs = call.route.latencyTargetMs * USUAL_TARGET_PART;
       runner.learnSlowness(firstMs, usualMs);
--- a/packages/gateway/src/calls/call_forwarder.ts
+++ b/packages/gateway/src/calls/call_forwarder.ts
@@ -133,9 +133,9 @@
     progress: CallProgress,
     model = progress.model,
   ): RunnerChoice | undefined {
-    const {directory, chooser} = this.options;
+    const {directory, chooser, gate} = this.options;
     const {call, tried, begunBy} = progress;
-    const takers = directory.takersOf(call.service);
+    const takers = gate.openOf(directory.takersOf(call.service));
     const wish = this.wishFor(progress, takers);
     const wished = this.wishedOf(takers, wish, call.service);
     const isGranted = wished.length > 0;
@@ -274,7 +274,7 @@
     return new Attempt({
       clock,
       names,
-      refusalNow: () => gate.refusalOf(choice.runner),
+      admit: () => gate.admit(choice.runner),
       runnerHeaders: this.runnerHeaders,
       call,
       choice,
--- a/packages/gateway/src/gateway_settings.ts
+++ b/packages/gateway/src/gateway_settings.ts
@@ -35,4 +35,7 @@
   /** Part of a service's calls that a new version may get until the limit of its roll-out, and calls besides. */
   readonly exposureShare: number;
   readonly exposureCalls: number;
+  /** Calls in any second that a runner which is slow from its start may get: its rate times this, and so many besides. */
+  readonly coldOverage: number;
+  readonly coldSlack: number;
 }
--- a/packages/gateway/src/parts/count_runners.ts
+++ b/packages/gateway/src/parts/count_runners.ts
@@ -22,5 +22,6 @@
   if (runner.isReplaced) return 'replaced';
   if (runner.entry.isDraining) return 'leaving';
   if (runner.health.isEjected) return 'ejected';
+  if (runner.isCold) return 'cold';
   return runner.isQuiet ? 'quiet' : 'ready';
 }
--- a/packages/gateway/src/parts/knowledge.ts
+++ b/packages/gateway/src/parts/knowledge.ts
@@ -13,6 +13,7 @@
 import {Topic} from '../records/topic.js';
 import {RolloutBook} from '../rollouts/rollout_book.js';
 import {RolloutStarts} from '../rollouts/rollout_starts.js';
+import {ColdGate} from '../runners/cold_gate.js';
 import {ConnectPatience} from '../runners/connect_patience.js';
 import {ConnectionPool} from '../runners/connection_pool.js';
 import {PrefixBook} from '../runners/prefix_book.js';
@@ -116,7 +117,14 @@
       retryWindowMs: settings.retryWindowMs,
     });
     const {cordons} = this;
-    this.gate = new RunnerGate({cordons});
+    const cold = new ColdGate({
+      clock,
+      host: settings.host,
+      hostsOf: place => this.roster.enteredIn(place),
+      allHosts: () => this.roster.entered(),
+      limitsOf: service => this.limits.coldLimitsOf(service),
+    });
+    this.gate = new RunnerGate({cordons, cold});
     this.directory = new RunnerDirectory({
       clock: ageClock,
       log,
@@ -125,7 +133,10 @@
       mirror: mirrors[Topic.RUNNERS],
       refusals,
       isCordoned: place => cordons.has(place),
-      onGone: id => this.prefixes.forget(id),
+      onGone: id => {
+        this.prefixes.forget(id);
+        cold.forget(id);
+      },
       createRunner: entry => this.createRunner(entry),
     });
     cordons.onChange(() => this.directory.forgetTakers());
--- a/packages/gateway/src/parts/service_limits.ts
+++ b/packages/gateway/src/parts/service_limits.ts
@@ -1,4 +1,5 @@
 import {RetryBudget} from '@bayspool/decisions/calls';
+import type {ColdLimits} from '@bayspool/decisions/calls';
 import type {Clock} from '@bayspool/kernel';
 import type {ConfigurationBelief} from '../beliefs/configuration_belief.js';
 import type {GatewaySettings} from '../gateway_settings.js';
@@ -37,6 +38,15 @@
     return Math.max(MIN_CONNECTIONS, Math.floor(share));
   }
 
+  /** What runners of the service bear while they are slow from their start; undefined if nothing bounds it. */
+  coldLimitsOf(service: string): ColdLimits | undefined {
+    const {belief, settings} = this.options;
+    const perSecond = belief.current?.services.get(service)?.coldCallsPerSecond;
+    if (perSecond === undefined) return undefined;
+    const {coldOverage: overage, coldSlack: slack} = settings();
+    return {perSecond, overage, slack};
+  }
+
   /** The retry budget of a service. */
   budgetOf(service: string): RetryBudget {
     const known = this.budgets.get(service);
--- a/packages/gateway/src/peers/roster.ts
+++ b/packages/gateway/src/peers/roster.ts
@@ -70,6 +70,16 @@
     return 1 + this.entries.size - this.gone().size;
   }
 
+  /** Names of the hosts that are entered in a place, whether they answer or not. */
+  enteredIn(place: string): string[] {
+    return this.rankedIn(place).map(({name}) => name);
+  }
+
+  /** Names of all hosts that are entered, this one included, whether they answer or not. */
+  entered(): string[] {
+    return [this.options.self.name, ...this.entries.keys()];
+  }
+
   /** Hosts of a place in the order in which they read the store for it; those in doubt are left out. */
   readersOf(place: string): HostEntry[] {
     return this.rankedIn(place).filter(this.soundCheck());
--- a/packages/gateway/src/runners/runner.ts
+++ b/packages/gateway/src/runners/runner.ts
@@ -54,9 +54,12 @@
   private durationMs = 0;
   private unread = 0;
   private workMs = 0;
+  /** 0 for a runner that is not cold. */
+  private coldUntil = 0;
 
   constructor(private readonly options: Options) {
     this.current = options.entry;
+    this.noteCold(options.entry);
     this.idHash = hashBits(options.entry.id);
     this.pool = options.pool;
     this.health = new RunnerHealth({clock: options.clock});
@@ -151,6 +154,16 @@
   /** Takes over a newer entry of the same start. */
   update(entry: RunnerEntry): void {
     this.current = entry;
+    this.noteCold(entry);
+  }
+
+  /** Whether it is still slow from its start. */
+  get isCold(): boolean {
+    return this.coldUntil > 0 && this.options.clock.now() < this.coldUntil;
+  }
+
+  private noteCold({coldLeftMs = 0}: RunnerEntry): void {
+    this.coldUntil = coldLeftMs > 0 ? this.options.clock.now() + coldLeftMs : 0;
   }
 
   /** Notes that bytes came from it. */
--- a/packages/gateway/src/runners/runner_gate.ts
+++ b/packages/gateway/src/runners/runner_gate.ts
@@ -1,20 +1,32 @@
 import type {Cordons} from '../beliefs/cordons.js';
+import type {ColdGate} from './cold_gate.js';
 import type {Runner} from './runner.js';
 
 interface Options {
   readonly cordons: Cordons;
+  readonly cold: ColdGate;
 }
 
 /** What keeps this host from sending a request to a runner that would take it. */
 export class RunnerGate {
   constructor(private readonly options: Options) {}
 
+  /** Those of the runners to which a request may be sent now. */
+  openOf(runners: readonly Runner[]): readonly Runner[] {
+    const {cold} = this.options;
+    if (runners.every(runner => cold.isOpen(runner))) return runners;
+    return runners.filter(runner => cold.isOpen(runner));
+  }
+
   /**
-   * Why a request must not be sent now; undefined if it may be. Asked again right before it is sent, as a connection may
-   * take long enough to come up for an order to arrive.
+   * Why a request must not be sent now; undefined if it is, which counts. Asked right before it is sent, as a connection may
+   * take long enough to come up for an order to arrive, or for others to be sent first.
    */
-  refusalOf({entry}: Runner): string | undefined {
-    if (this.options.cordons.has(entry.place)) return 'place cordoned';
+  admit(runner: Runner): string | undefined {
+    const {cordons, cold} = this.options;
+    if (cordons.has(runner.entry.place)) return 'place cordoned';
+    if (!cold.isOpen(runner)) return 'cold runner has its share';
+    cold.noteSent(runner);
     return undefined;
   }
 }
--- a/packages/gateway/src/testing/gateway_fixture.ts
+++ b/packages/gateway/src/testing/gateway_fixture.ts
@@ -83,6 +83,8 @@
       retryWindowMs: 10_000,
       exposureShare: 0.15,
       exposureCalls: 30,
+      coldOverage: 1.5,
+      coldSlack: 5,
       ...overrides,
     };
     const clock = new SystemClock();
@@ -115,6 +117,7 @@
   configure(
     routes: ReadonlyArray<Partial<CallRoute>>,
     keys?: Readonly<Record<string, KeyHolder>>,
+    extra: {readonly coldCallsPerSecond?: number} = {},
   ): void {
     this.version += 3;
     this.store.put(Topic.OPERATOR, 'configuration', {
@@ -128,6 +131,7 @@
         idleTimeoutMs: 15_000,
       },
       keys,
+      ...extra,
     });
   }
 
--- a/packages/gateway/src/testing/plain_reader.ts
+++ b/packages/gateway/src/testing/plain_reader.ts
@@ -15,6 +15,8 @@
   readonly version: number;
   readonly routes: readonly CallRoute[];
   readonly maxConnections: Readonly<Record<string, number>>;
+  /** Of all services. */
+  readonly coldCallsPerSecond?: number;
   readonly limits: CallConfiguration['limits'];
   readonly keys?: Readonly<Record<string, KeyHolder>>;
 }
@@ -29,7 +31,11 @@
   readConfiguration({value = ''}: KeyedRecord): CallConfiguration {
     const plain = JSON.parse(value) as PlainConfiguration;
     const services = Object.entries(plain.maxConnections).map(
-      ([name, maxConnections]) => [name, {name, maxConnections}] as const,
+      ([name, maxConnections]) =>
+        [
+          name,
+          {name, maxConnections, coldCallsPerSecond: plain.coldCallsPerSecond},
+        ] as const,
     );
     return {
       ...plain,
