A begun stream goes on at another version once its own has no runner left

Cause: a begun answer was bound to its version; with no runner of it left the call ended with what the caller held.

Change: the binding holds as long as the version has a runner that takes calls.

--- a/packages/gateway/src/calls/call_forwarder.ts
+++ b/packages/gateway/src/calls/call_forwarder.ts
@@ -134,14 +134,16 @@
     model = progress.model,
   ): RunnerChoice | undefined {
     const {directory, chooser, gate} = this.options;
-    const {call, tried, begunBy} = progress;
-    const takers = gate.openOf(directory.takersOf(call.service));
-    const wish = this.wishFor(progress, takers);
+    const {call, tried} = progress;
+    const known = directory.takersOf(call.service);
+    const takers = gate.openOf(known);
+    const wish = this.wishFor(progress, known);
     const wished = this.wishedOf(takers, wish, call.service);
     const isGranted = wished.length > 0;
     progress.version = {wish, isGranted};
     // Without a runner of a wished version any will do, but for an answer that has begun.
-    const allowed = isGranted || begunBy !== undefined ? wished : takers;
+    const isBound = wish.reason === VersionReason.BEGUN;
+    const allowed = isGranted || isBound ? wished : takers;
     const watched = this.watchedOf(takers, allowed, call.service);
     progress.isConcentrated = watched.length < allowed.length;
     const candidates = this.preferIdle(progress, watched);
@@ -167,13 +169,16 @@
     return idle.length > 0 ? idle : runners;
   }
 
-  /** An answer is made by one version, whatever its session has by the time at which a runner breaks off. */
+  /**
+   * An answer is made by one version, whatever its session has by the time at which a runner breaks off, as long as that
+   * version has a runner: the end of a roll-out stops the old ones at once, and what their callers hold would be lost.
+   */
   private wishFor(
     progress: CallProgress,
     takers: readonly Runner[],
   ): VersionWish {
     const {call, tried, begunBy, failedVersions} = progress;
-    if (begunBy !== undefined)
+    if (takers.some(({entry}) => entry.version === begunBy))
       return {only: begunBy, reason: VersionReason.BEGUN};
     return this.options.rollouts.wishFor({
       service: call.service,
