Calls stay in the regions that their route and workspace allow

Before: no part of the program read these bounds, so a request could reach a runner in another region.

Change: the configuration's lists are decoded for routes and workspaces, the settings name the region of each place, and CallCandidates leaves out runners elsewhere at every attempt, whether a silent runner can be left among them. Both lists bind where both are set; an empty list is none. A call for which no region is left is refused at once as not run, with its own reason. Bodies pass to no other host in this gateway, so nothing else is bound.

Ways weighed: to filter in the directory, which knows no call; in the choice of a runner, which every attempt passes: built.

--- a/packages/decisions/src/calls/call_route.ts
+++ b/packages/decisions/src/calls/call_route.ts
@@ -23,5 +23,7 @@
   readonly isPublic: boolean;
   /** The models that may answer, from the smallest to the largest; none where the caller names one. */
   readonly models: readonly string[];
+  /** Regions in which the data of its calls may be; undefined if any will do. */
+  readonly regions?: readonly string[];
   readonly targets: readonly WeightedService[];
 }
--- a/packages/decisions/src/calls/index.ts
+++ b/packages/decisions/src/calls/index.ts
@@ -9,6 +9,7 @@
 export {chooseService} from './choose_service.js';
 export type {ColdLimits} from './cold_limits.js';
 export {coldShare} from './cold_share.js';
+export {commonRegions} from './common_regions.js';
 export type {EngineProfile} from './engine_profile.js';
 export {EventSplitter} from './event_splitter.js';
 export type {ExposureBounds} from './exposure_bounds.js';
--- a/packages/gateway/src/calls/call_forwarder.ts
+++ b/packages/gateway/src/calls/call_forwarder.ts
@@ -23,6 +23,7 @@
 import {AttemptKind} from './attempt_kind.js';
 import {AttemptLessons} from './attempt_lessons.js';
 import type {AttemptOutcome} from './attempt_outcome.js';
+import type {CallCandidates} from './call_candidates.js';
 import type {CallerAnswer} from './caller_answer.js';
 import {CallProgress} from './call_progress.js';
 import {expectedFirstMs} from './expected_first_ms.js';
@@ -41,6 +42,7 @@
   readonly metrics: GatewayMetrics;
   readonly names: HeaderNames;
   readonly directory: RunnerDirectory;
+  readonly candidates: CallCandidates;
   readonly rollouts: RolloutBook;
   readonly sessions: SessionVersions;
   readonly chooser: RunnerChooser;
@@ -71,7 +73,7 @@
   private readonly runnerHeaders: RunnerHeaders;
 
   constructor(private readonly options: Options) {
-    const {clock, random, log, metrics, directory} = options;
+    const {clock, random, log, metrics, directory, candidates} = options;
     const {rollouts, sessions, rates, cascade, quarantine, budgetOf} = options;
     this.lessons = new AttemptLessons({
       log,
@@ -86,7 +88,7 @@
       clock,
       log,
       metrics,
-      directory,
+      candidates,
       cascade,
       quarantine,
       budgetOf,
@@ -117,7 +119,10 @@
     budgetOf(call.service).countFirst();
     for (;;) {
       const choice = this.choose(progress);
-      if (!choice) return this.final.finish(progress, caller, 'no runner');
+      if (!choice) {
+        const reason = this.options.candidates.reasonForNone(call);
+        return this.final.finish(progress, caller, reason);
+      }
       const outcome = await this.attempt(progress, choice, caller, signal);
       progress.note(choice.runner, outcome);
       if (outcome.kind === AttemptKind.ANSWERED)
@@ -133,9 +138,9 @@
     progress: CallProgress,
     model = progress.model,
   ): RunnerChoice | undefined {
-    const {directory, chooser, gate} = this.options;
+    const {candidates: all, chooser, gate} = this.options;
     const {call, tried} = progress;
-    const known = directory.takersOf(call.service);
+    const known = all.of(call);
     const takers = gate.openOf(known);
     const wish = this.wishFor(progress, known);
     const wished = this.wishedOf(takers, wish, call.service);
@@ -292,7 +297,7 @@
   }
 
   private noteChoice(progress: CallProgress, choice: RunnerChoice): void {
-    const {log, metrics, directory, rollouts, prefixes, sessions} =
+    const {log, metrics, candidates, rollouts, prefixes, sessions} =
       this.options;
     const {call, model} = progress;
     const {entry} = choice.runner;
@@ -323,7 +328,7 @@
       waitMs: call.prompt && Math.round(choice.waitMs),
       workMs: call.prompt && Math.round(choice.workMs),
       unreadTokens: call.prompt && choice.unreadTokens,
-      candidates: directory.takersOf(call.service).length,
+      candidates: candidates.of(call).length,
       ejected: choice.ejected,
       reason: choice.reason,
       rolloutShare: rollouts.get(call.service)?.shareOf({hasSession}),
--- a/packages/gateway/src/calls/incoming_call.ts
+++ b/packages/gateway/src/calls/incoming_call.ts
@@ -14,6 +14,8 @@
   /** Names what is asked and by whom: the same for each repeat, see `fingerprintOf`. */
   readonly fingerprint: string;
   readonly workspace?: string;
+  /** Regions in which its data may be, by its route and its workspace; undefined if any will do. */
+  readonly regions?: readonly string[];
   /** 0 is the most urgent. */
   readonly priority: number;
   /** Times on this host's clock. */
--- a/packages/gateway/src/calls/repeat_rule.ts
+++ b/packages/gateway/src/calls/repeat_rule.ts
@@ -5,12 +5,12 @@
   RetryBudget,
 } from '@bayspool/decisions/calls';
 import type {Clock} from '@bayspool/kernel';
-import type {RunnerDirectory} from '../beliefs/runner_directory.js';
 import type {EventLog} from '../observability/event_log.js';
 import type {GatewayMetrics} from '../observability/gateway_metrics.js';
 import type {Runner} from '../runners/runner.js';
 import {AttemptKind} from './attempt_kind.js';
 import type {AttemptOutcome} from './attempt_outcome.js';
+import type {CallCandidates} from './call_candidates.js';
 import type {CallProgress} from './call_progress.js';
 import {roundHundredths} from '../observability/round_hundredths.js';
 
@@ -18,7 +18,7 @@
   readonly clock: Clock;
   readonly log: EventLog;
   readonly metrics: GatewayMetrics;
-  readonly directory: RunnerDirectory;
+  readonly candidates: CallCandidates;
   readonly cascade: CascadeRule;
   readonly quarantine: Quarantine;
   /** The retry budget of a service. */
@@ -108,8 +108,8 @@
     const {call} = progress;
     if (progress.sent + 1 >= call.route.attempts) return false;
     if (this.options.budgetOf(call.service).left < 1) return false;
-    return this.options.directory
-      .takersOf(call.service)
+    return this.options.candidates
+      .of(call)
       .some(
         runner =>
           runner !== from && !runner.health.isEjected && !runner.isQuiet,
--- a/packages/gateway/src/calls/to_call.ts
+++ b/packages/gateway/src/calls/to_call.ts
@@ -1,5 +1,9 @@
 import type {IncomingMessage} from 'node:http';
-import {chooseService, fingerprintOf} from '@bayspool/decisions/calls';
+import {
+  chooseService,
+  commonRegions,
+  fingerprintOf,
+} from '@bayspool/decisions/calls';
 import type {Admission} from './admission.js';
 import type {HeaderNames} from './header_names.js';
 import type {IncomingCall} from './incoming_call.js';
@@ -46,6 +50,7 @@
     route,
     service: chooseService(route, sessionId ?? id),
     workspace,
+    regions: commonRegions(route.regions, holder?.regions),
     priority: holder?.priority ?? route.priority,
     acceptedAt,
     deadlineAt:
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -1,6 +1,7 @@
 import {isDeepStrictEqual} from 'node:util';
 import {CascadeRule} from '@bayspool/decisions/calls';
 import type {Timer} from '@bayspool/kernel';
+import {CallCandidates} from './calls/call_candidates.js';
 import {CallDoor} from './calls/call_door.js';
 import {CallForwarder} from './calls/call_forwarder.js';
 import type {GatewaySettings} from './gateway_settings.js';
@@ -259,6 +260,10 @@
       names: headerNames,
       directory,
       gate,
+      candidates: new CallCandidates({
+        directory,
+        regionOf: settings.regionOf,
+      }),
       rollouts,
       chooser: new RunnerChooser({
         random,
--- a/packages/gateway/src/gateway_settings.ts
+++ b/packages/gateway/src/gateway_settings.ts
@@ -2,6 +2,8 @@
 export interface GatewaySettings {
   readonly host: string;
   readonly place: string;
+  /** The region of each place, by the place's name. */
+  readonly regionOf: Readonly<Record<string, string>>;
   readonly ip: string;
   /** Processor and link in relation to other hosts; the strongest read the store for their place. */
   readonly capacity: number;
--- a/packages/gateway/src/testing/gateway_fixture.ts
+++ b/packages/gateway/src/testing/gateway_fixture.ts
@@ -63,6 +63,7 @@
     const settings: GatewaySettings = {
       host: `host-${this.hosts.length + 1}`,
       place: 'a',
+      regionOf: {},
       ip: '127.0.0.1',
       capacity: 1,
       callerPort,
