What is seen of a new version lately is held against all that was seen of the old one too

Lately 5 of its 33 answers on one route had failed, and 9 of 432 of the old version; in all 16 of 278, and 722 of 15,069.

Change: recent answers make a version bad only if they are worse than the old version's recent ones and than all of its answers. Why it holds: a version that fails from now on, by as much as the users' bad ones do, is worse than both (test; the tests of exposure pass); the judgement by all answers is as it was. The first test fails on the code before.

--- a/packages/gateway/src/rollouts/rollout.ts
+++ b/packages/gateway/src/rollouts/rollout.ts
@@ -229,7 +229,7 @@
     const recent = this.recent.take(all);
     this.seemsWorse = this.mayBeWorse(all, recent);
     this.judgeBy(all, 'all answers');
-    this.judgeBy({...all, ...recent}, 'recent answers');
+    this.judgeBy({...all, ...recent}, 'recent answers', all);
   }
 
   /** Whether lately, or on one route, the new version fails more than the old one. */
@@ -244,15 +244,26 @@
     );
   }
 
-  /** Judges by all routes together and by each one: a version may be bad on one of them. */
-  private judgeBy(seen: RolloutDigest, of: string): void {
+  /**
+   * Judges by all routes together and by each one: a version may be bad on one of them.
+   *
+   * @param usual all that was seen of the old version: what fails by turns fails seldom in some seconds, and a few failures of the
+   *     new version in these are no difference
+   */
+  private judgeBy(
+    seen: RolloutDigest,
+    of: string,
+    usual: Pick<RolloutDigest, 'old'> = seen,
+  ): void {
     if (this.bad) return;
     const names = Object.keys(seen.fresh);
     for (const chosen of [names, ...names.map(name => [name])]) {
       const fresh = sumOf(seen.fresh, chosen);
       const old = sumOf(seen.old, chosen);
-      if (judgeVersion({fresh, old}) === 'bad')
-        return this.convict(`${of}, ${chosen.join(' ')}`, seen, fresh, old);
+      if (judgeVersion({fresh, old}) !== 'bad') continue;
+      if (judgeVersion({fresh, old: sumOf(usual.old, chosen)}) !== 'bad')
+        continue;
+      return this.convict(`${of}, ${chosen.join(' ')}`, seen, fresh, old);
     }
   }
 
