--- a/packages/bench/src/e2e/vacant_place.test.ts
+++ b/packages/bench/src/e2e/vacant_place.test.ts
@@ -30,6 +30,10 @@
   const uses = keys.flatMap(key => [use(key, 0), use(key, 1), use(key, 0)]);
   const results = await Promise.all(uses);
   const refused = results.filter(({status}) => status >= 300);
-  assert.deepEqual(refused, [], 'answers that are no success, with what they say');
+  assert.deepEqual(
+    refused,
+    [],
+    'answers that are no success, with what they say',
+  );
   assert.equal((await slipsRun(fleet)).length, KEYS);
 });
