--- a/packages/gateway/src/runners/runner_gate.ts
+++ b/packages/gateway/src/runners/runner_gate.ts
@@ -19,8 +19,10 @@
   }
 
   /**
-   * Why a request must not be sent now; undefined if it is, which counts. Asked right before it is sent, as a connection may
-   * take long enough to come up for an order to arrive, or for others to be sent first.
+   * Asked right before a request is sent, as a connection may take long enough to come up for an order to arrive, or for other
+   * requests to be sent first.
+   *
+   * @returns why the request must not be sent; undefined if it may be, and then it counts as sent
    */
   admit(runner: Runner): string | undefined {
     const {cordons, cold} = this.options;
