A begun stream leaves a version whose runners were stopped though their entries are still there

Cause: the end of a roll-out stops the old runners at once, and their entries go some seconds later. A stream that broke off then was tried at its own version's runners, ten refused connections in a tenth of a second, and ended. Inferred from the story (no third arrival within 98 ms of the break) and shown by the test; the log of that host was not kept.

Change: a roll-out that is known to be complete counts its old version as gone; and after three runners out of reach since the caller holds a piece, the answer goes to any other version. The test fails on the code before.

--- a/packages/gateway/src/calls/call_forwarder.ts
+++ b/packages/gateway/src/calls/call_forwarder.ts
@@ -1,4 +1,4 @@
-import {watchedRunners} from '@bayspool/decisions/calls';
+import {RolloutPhase, watchedRunners} from '@bayspool/decisions/calls';
 import type {
   CascadeRule,
   Quarantine,
@@ -60,6 +60,8 @@
   readonly budgetOf: (service: string) => RetryBudget;
 }
 
+/** Runners of a begun answer's version that may be out of reach before the version counts as gone. */
+const MAX_UNREACHABLE = 3;
 /** Share of other work beside its own with which a prompt's time still tells the engine's rate. */
 const MAX_OTHER_WORK = 0.3;
 
@@ -183,8 +185,11 @@
     takers: readonly Runner[],
   ): VersionWish {
     const {call, tried, begunBy, failedVersions} = progress;
-    if (takers.some(({entry}) => entry.version === begunBy))
-      return {only: begunBy, reason: VersionReason.BEGUN};
+    if (begunBy !== undefined && this.hasRunnerOf(begunBy, call, takers)) {
+      if (progress.unreachable < MAX_UNREACHABLE)
+        return {only: begunBy, reason: VersionReason.BEGUN};
+      return {not: begunBy, reason: VersionReason.OUT_OF_REACH};
+    }
     return this.options.rollouts.wishFor({
       service: call.service,
       key: call.id,
@@ -197,6 +202,21 @@
     });
   }
 
+  /** The end of a roll-out stops the runners of the old version at once; their entries go some seconds later. */
+  private hasRunnerOf(
+    version: string,
+    {service}: IncomingCall,
+    takers: readonly Runner[],
+  ): boolean {
+    const rollout = this.options.rollouts.get(service);
+    if (
+      rollout?.phase === RolloutPhase.COMPLETE &&
+      rollout.order.version !== version
+    )
+      return false;
+    return takers.some(({entry}) => entry.version === version);
+  }
+
   /** The runners of a version that is wished; one that appeared before its order waits for that. */
   private wishedOf(
     takers: readonly Runner[],
--- a/packages/gateway/src/calls/call_progress.ts
+++ b/packages/gateway/src/calls/call_progress.ts
@@ -31,6 +31,8 @@
   tries = 0;
   /** Attempts in which the request was sent to a runner. */
   sent = 0;
+  /** Runners that could not be reached since the caller holds a piece of the answer. */
+  unreachable = 0;
   /** Whether a runner may have run the request. */
   mayHaveRun = false;
   /** The versions of the runners that answered with a failure, one for each such answer. */
@@ -53,6 +55,8 @@
   note(runner: Runner, outcome: AttemptOutcome): void {
     this.tries += 1;
     if (wasSent(outcome)) this.sent += 1;
+    if (this.begunBy !== undefined && wasUnreachable(outcome))
+      this.unreachable += 1;
     if (outcome.kind !== AttemptKind.WEAK) this.tried.add(runner.entry.id);
     if (mayHaveRun(outcome)) this.mayHaveRun = true;
     if (outcome.kind === AttemptKind.RUNNER_ERROR) {
@@ -68,6 +72,11 @@
   return mayHaveRun(outcome) || outcome.status !== undefined;
 }
 
+/** Whether no connection to the runner came up. */
+function wasUnreachable({kind, status, isWithheld}: AttemptOutcome): boolean {
+  return kind === AttemptKind.NOT_RUN && status === undefined && !isWithheld;
+}
+
 function mayHaveRun({kind}: AttemptOutcome): boolean {
   return kind !== AttemptKind.NOT_RUN && kind !== AttemptKind.UNSENT;
 }
--- a/packages/gateway/src/calls/streams.test.ts
+++ b/packages/gateway/src/calls/streams.test.ts
@@ -276,3 +276,26 @@
   );
   assert.equal(again.headers[names.lastEventId], '2');
 });
+
+// The same where entries of the stopped runners are still there: four streams were lost on such a day, each after its host had
+// tried ten of them in a tenth of a second.
+void test('a begun stream goes on at another version when the runners of its own cannot be reached any more', async () => {
+  const gone = Array.from(
+    {length: 12},
+    (_, i) => new ScriptedRunner({id: `gone-${i}`}),
+  );
+  const fresh = new ScriptedRunner({id: 'fresh', version: 'v2'});
+  await serve([first, fresh, ...gone], {timeLimitMs: 8_000});
+  for (const runner of [fresh, ...gone]) runner.script = streamAll;
+  first.script = (request, response) => {
+    begin(request.id, response);
+    response.write(event(1) + event(2));
+    setTimeout(() => {
+      for (const runner of [first, ...gone]) runner.stop();
+    }, 300);
+  };
+  let answer = await fixture.call();
+  while (first.received.length === 0) answer = await fixture.call();
+  assert.equal(answer.body, WHOLE);
+  assert.ok(answer.isWhole);
+});
--- a/packages/gateway/src/rollouts/version_reason.ts
+++ b/packages/gateway/src/rollouts/version_reason.ts
@@ -2,6 +2,7 @@
 const VersionReason = {
   NONE: 'no roll-out',
   BEGUN: 'answer begun by this version',
+  OUT_OF_REACH: 'version of the answer is out of reach',
   TAKEN_BACK: 'new version taken back',
   WHOLE: 'all calls',
   FAILED_THERE: 'failed on the new version',
