--- a/packages/gateway/src/testing/index.ts
+++ b/packages/gateway/src/testing/index.ts
@@ -1,2 +1,3 @@
 /** Support for tests of what adapters hand to the gateway. */
 export {DirectoryFixture} from './directory_fixture.js';
+export {findPorts} from './find_ports.js';
