What a host works out for each runner is kept in one way

Cause: the assigned hosts and the shares of cold runners each had a map, the time since which it holds, and the same clearing.

Change: KeptByRunner keeps a value for each runner for a time; both call it. A bound on cold runners still holds at once.

--- a/packages/gateway/src/runners/assigned_hosts.ts
+++ b/packages/gateway/src/runners/assigned_hosts.ts
@@ -1,5 +1,6 @@
 import {rankByHash} from '@bayspool/decisions/calls';
 import type {Clock} from '@bayspool/kernel';
+import {KeptByRunner} from './kept_by_runner.js';
 import type {Runner} from './runner.js';
 
 interface Options {
@@ -21,24 +22,25 @@
  * have next to nothing at any of them, and would choose by old loads alone, as badly as by chance.
  */
 export class AssignedHosts {
-  private readonly known = new Map<string, boolean>();
-  private knownSince = -Infinity;
+  private readonly assignments: KeptByRunner<boolean>;
 
-  constructor(private readonly options: Options) {}
+  constructor(private readonly options: Options) {
+    const {clock} = options;
+    this.assignments = new KeptByRunner({
+      clock,
+      keptMs: KEPT_MS,
+      find: runner => this.find(runner),
+    });
+  }
 
   /** Whether this host is one of those that look at the runner first. */
-  isOneFor({entry: {id, place}}: Runner): boolean {
-    const {clock, host, hostsOf} = this.options;
-    const now = clock.now();
-    if (now - this.knownSince > KEPT_MS) {
-      this.known.clear();
-      this.knownSince = now;
-    }
-    const known = this.known.get(id);
-    if (known !== undefined) return known;
+  isOneFor(runner: Runner): boolean {
+    return this.assignments.of(runner);
+  }
+
+  private find({entry: {id, place}}: Runner): boolean {
+    const {host, hostsOf} = this.options;
     const ranked = rankByHash(`looks|${id}`, hostsOf(place));
-    const isOne = ranked.slice(0, HOSTS_A_RUNNER).includes(host);
-    this.known.set(id, isOne);
-    return isOne;
+    return ranked.slice(0, HOSTS_A_RUNNER).includes(host);
   }
 }
--- a/packages/gateway/src/runners/cold_gate.ts
+++ b/packages/gateway/src/runners/cold_gate.ts
@@ -1,6 +1,7 @@
 import {coldShare, SlidingCount} from '@bayspool/decisions/calls';
 import type {ColdLimits} from '@bayspool/decisions/calls';
 import type {Clock} from '@bayspool/kernel';
+import {KeptByRunner} from './kept_by_runner.js';
 import type {Runner} from './runner.js';
 
 interface Options {
@@ -23,18 +24,25 @@
 /** Bounds what this host sends to runners that have just started and are still slow. */
 export class ColdGate {
   private readonly sent = new Map<string, SlidingCount>();
-  private readonly shares = new Map<string, number>();
-  private sharesSince = -Infinity;
+  private readonly shares: KeptByRunner<number>;
 
-  constructor(private readonly options: Options) {}
+  constructor(private readonly options: Options) {
+    const {clock} = options;
+    this.shares = new KeptByRunner({
+      clock,
+      keptMs: SHARE_KEPT_MS,
+      find: runner => this.findShare(runner),
+    });
+  }
 
   /** Whether a call may be sent to a runner now. */
   isOpen(runner: Runner): boolean {
     if (!runner.isCold) return true;
-    const limits = this.options.limitsOf(runner.entry.service);
-    if (!limits) return true;
-    const sent = this.sent.get(runner.entry.id)?.total ?? 0;
-    return sent < this.shareOf(runner, limits);
+    const {id, service} = runner.entry;
+    // A bound that has just come into force holds at once.
+    if (!this.options.limitsOf(service)) return true;
+    const sent = this.sent.get(id)?.total ?? 0;
+    return sent < this.shares.of(runner);
   }
 
   /** Notes that a call is sent to a runner now. */
@@ -53,21 +61,13 @@
     this.sent.delete(id);
   }
 
-  private shareOf(runner: Runner, limits: ColdLimits): number {
-    const {clock, host, hostsOf, allHosts} = this.options;
-    const now = clock.now();
-    if (now - this.sharesSince > SHARE_KEPT_MS) {
-      this.shares.clear();
-      this.sharesSince = now;
-    }
-    const {id, place} = runner.entry;
-    const known = this.shares.get(id);
-    if (known !== undefined) return known;
+  private findShare({entry: {id, place, service}}: Runner): number {
+    const {host, hostsOf, allHosts, limitsOf} = this.options;
+    const limits = limitsOf(service);
+    if (!limits) return Infinity;
     // Hosts of its own place reach it on the shortest way, and most calls stay in their place.
     const near = hostsOf(place);
     const hosts = near.length > 0 ? near : allHosts();
-    const share = coldShare({runner: id, host, hosts, limits});
-    this.shares.set(id, share);
-    return share;
+    return coldShare({runner: id, host, hosts, limits});
   }
 }
