What was sent is told by one predicate

Cause: whether a connection came up stood twice in call_progress, in other words.

Change: wasUnreachable calls wasSent. Result: streams.test passes.

--- a/packages/gateway/src/calls/call_progress.ts
+++ b/packages/gateway/src/calls/call_progress.ts
@@ -73,8 +73,9 @@
 }
 
 /** Whether no connection to the runner came up. */
-function wasUnreachable({kind, status, isWithheld}: AttemptOutcome): boolean {
-  return kind === AttemptKind.NOT_RUN && status === undefined && !isWithheld;
+function wasUnreachable(outcome: AttemptOutcome): boolean {
+  const {kind, isWithheld} = outcome;
+  return kind === AttemptKind.NOT_RUN && !wasSent(outcome) && !isWithheld;
 }
 
 function mayHaveRun({kind}: AttemptOutcome): boolean {
