The pause behind an answer depends on the answer alone

Cause: the second condition, whether anything is known, always held behind an answer.

Change: it is left out; cordons read the clock once. Result: the tests of peers and cordons pass.

--- a/packages/gateway/src/beliefs/cordons.ts
+++ b/packages/gateway/src/beliefs/cordons.ts
@@ -60,7 +60,8 @@
 
   private end(place: string, offset: number): void {
     const {clock, log} = this.options;
-    const forMs = clock.now() - (this.knownSince.get(place) ?? clock.now());
+    const now = clock.now();
+    const forMs = now - (this.knownSince.get(place) ?? now);
     this.knownSince.delete(place);
     log.write('place_uncordoned', {place, offset, forMs: Math.round(forMs)});
   }
--- a/packages/gateway/src/peers/news_loop.ts
+++ b/packages/gateway/src/peers/news_loop.ts
@@ -183,8 +183,8 @@
       const waitMs = isKnowing ? WAIT_MS + hosts * WAIT_PER_HOST_MS : 0;
       const isDone = await this.ask(first, waitMs);
       isKnowing ||= isDone;
-      if (!isDone) await this.pause(RETRY_MS);
-      else if (isKnowing) await sleep(clock, TELL_PAUSE_MS);
+      if (isDone) await sleep(clock, TELL_PAUSE_MS);
+      else await this.pause(RETRY_MS);
     }
   }
 
