Which runner gets a call's next attempt is decided in a module of its own

Cause: call_forwarder had grown to 357 lines; the choice of a version and of the runners it may go to is a third of it. For the line of each choice, the runners of a call that is bound to regions were filtered a second time.

Change: CallPlacement holds the choice; the forwarder brings calls to runners and learns from what comes. How many runners might take the call is kept with the decision on its version. Nothing is decided otherwise.

--- a/packages/gateway/src/calls/call_forwarder.ts
+++ b/packages/gateway/src/calls/call_forwarder.ts
@@ -1,4 +1,3 @@
-import {RolloutPhase, watchedRunners} from '@bayspool/decisions/calls';
 import type {
   CascadeRule,
   Quarantine,
@@ -10,20 +9,18 @@
 import type {EventLog} from '../observability/event_log.js';
 import type {GatewayMetrics} from '../observability/gateway_metrics.js';
 import type {RolloutBook} from '../rollouts/rollout_book.js';
-import {VersionReason} from '../rollouts/version_reason.js';
-import type {VersionWish} from '../rollouts/version_wish.js';
 import type {PrefixBook} from '../runners/prefix_book.js';
 import type {ReadingRates} from '../runners/reading_rates.js';
-import type {Runner} from '../runners/runner.js';
 import type {RunnerChoice} from '../runners/runner_choice.js';
-import type {RunnerGate} from '../runners/runner_gate.js';
 import type {RunnerChooser} from '../runners/runner_chooser.js';
+import type {RunnerGate} from '../runners/runner_gate.js';
 import {AnswerJudge} from './answer_judge.js';
 import {Attempt} from './attempt.js';
 import {AttemptKind} from './attempt_kind.js';
 import {AttemptLessons} from './attempt_lessons.js';
 import type {AttemptOutcome} from './attempt_outcome.js';
 import type {CallCandidates} from './call_candidates.js';
+import {CallPlacement} from './call_placement.js';
 import type {CallerAnswer} from './caller_answer.js';
 import {CallProgress} from './call_progress.js';
 import {expectedFirstMs} from './expected_first_ms.js';
@@ -60,8 +57,6 @@
   readonly budgetOf: (service: string) => RetryBudget;
 }
 
-/** Runners of a begun answer's version that may be out of reach before the version counts as gone. */
-const MAX_UNREACHABLE = 3;
 /** Share of other work beside its own with which a prompt's time still tells the engine's rate. */
 const MAX_OTHER_WORK = 0.3;
 
@@ -69,6 +64,7 @@
 export class CallForwarder {
   private readonly lessons: AttemptLessons;
   private readonly requestLessons: RequestLessons;
+  private readonly placement: CallPlacement;
   private readonly repeats: RepeatRule;
   private readonly judge: AnswerJudge;
   private readonly final: FinalAnswer;
@@ -85,6 +81,7 @@
       sessions,
       rates,
     });
+    this.placement = new CallPlacement(options);
     this.requestLessons = new RequestLessons({log, quarantine});
     this.repeats = new RepeatRule({
       clock,
@@ -98,7 +95,7 @@
     this.judge = new AnswerJudge({
       ...options,
       repeats: this.repeats,
-      choose: (progress, model) => this.choose(progress, model),
+      choose: (progress, model) => this.placement.choose(progress, model),
     });
     this.runnerHeaders = new RunnerHeaders(options.names);
     this.final = new FinalAnswer({clock, random, log, metrics});
@@ -120,7 +117,7 @@
       return this.final.refuseHeld(progress, caller, heldForMs);
     budgetOf(call.service).countFirst();
     for (;;) {
-      const choice = this.choose(progress);
+      const choice = this.placement.choose(progress);
       if (!choice) {
         const reason = this.options.candidates.reasonForNone(call);
         return this.final.finish(progress, caller, reason);
@@ -136,118 +133,6 @@
     }
   }
 
-  private choose(
-    progress: CallProgress,
-    model = progress.model,
-  ): RunnerChoice | undefined {
-    const {candidates: all, chooser, gate} = this.options;
-    const {call, tried} = progress;
-    const known = all.of(call);
-    const takers = gate.openOf(known);
-    const wish = this.wishFor(progress, known);
-    const wished = this.wishedOf(takers, wish, call.service);
-    const isGranted = wished.length > 0;
-    progress.version = {wish, isGranted};
-    // Without a runner of a wished version any will do, but for an answer that has begun.
-    const isBound = wish.reason === VersionReason.BEGUN;
-    const allowed = isGranted || isBound ? wished : takers;
-    const watched = this.watchedOf(takers, allowed, call.service);
-    progress.isConcentrated = watched.length < allowed.length;
-    const candidates = this.preferIdle(progress, watched);
-    const {prompt, body} = call;
-    const bodyBytes = body.length;
-    return chooser.choose({candidates, tried, bodyBytes, model, prompt});
-  }
-
-  /**
-   * A request under which a runner ended goes where nothing else runs, if it can: what it may end there is only itself,
-   * and whether it was the cause is known then.
-   */
-  private preferIdle(
-    {call, tried}: CallProgress,
-    runners: readonly Runner[],
-  ): readonly Runner[] {
-    if (this.options.quarantine.weightOf(call.fingerprint) === 0)
-      return runners;
-    const idle = runners.filter(
-      ({entry, totalRunning, health}) =>
-        totalRunning === 0 && !health.isEjected && !tried.has(entry.id),
-    );
-    return idle.length > 0 ? idle : runners;
-  }
-
-  /**
-   * An answer is made by one version, whatever its session has by the time at which a runner breaks off, as long as that
-   * version has a runner: the end of a roll-out stops the old ones at once, and what their callers hold would be lost.
-   */
-  private wishFor(
-    progress: CallProgress,
-    takers: readonly Runner[],
-  ): VersionWish {
-    const {call, tried, begunBy, failedVersions} = progress;
-    if (begunBy !== undefined && this.hasRunnerOf(begunBy, call, takers)) {
-      if (progress.unreachable < MAX_UNREACHABLE)
-        return {only: begunBy, reason: VersionReason.BEGUN};
-      return {not: begunBy, reason: VersionReason.OUT_OF_REACH};
-    }
-    return this.options.rollouts.wishFor({
-      service: call.service,
-      key: call.id,
-      session: call.session,
-      failedVersions,
-      hasUntried: version =>
-        takers.some(
-          ({entry}) => entry.version === version && !tried.has(entry.id),
-        ),
-    });
-  }
-
-  /** The end of a roll-out stops the runners of the old version at once; their entries go some seconds later. */
-  private hasRunnerOf(
-    version: string,
-    {service}: IncomingCall,
-    takers: readonly Runner[],
-  ): boolean {
-    const rollout = this.options.rollouts.get(service);
-    if (
-      rollout?.phase === RolloutPhase.COMPLETE &&
-      rollout.order.version !== version
-    )
-      return false;
-    return takers.some(({entry}) => entry.version === version);
-  }
-
-  /** The runners of a version that is wished; one that appeared before its order waits for that. */
-  private wishedOf(
-    takers: readonly Runner[],
-    {only, not}: VersionWish,
-    service: string,
-  ): readonly Runner[] {
-    if (only !== undefined)
-      return takers.filter(({entry: {version}}) => version === only);
-    const held = this.options.directory.unexplainedVersions(service);
-    return takers.filter(
-      ({entry: {version}}) => version !== not && !held.has(version),
-    );
-  }
-
-  /** Few calls of a version that is watched go to few of its runners, so that these bear the usual load. */
-  private watchedOf(
-    takers: readonly Runner[],
-    allowed: readonly Runner[],
-    service: string,
-  ): readonly Runner[] {
-    const rollout = this.options.rollouts.get(service);
-    if (!rollout?.isWatched) return allowed;
-    const {version} = rollout.order;
-    if (allowed.some(({entry}) => entry.version !== version)) return allowed;
-    const old = takers.filter(({entry}) => entry.version !== version);
-    const fresh = allowed.filter(({health}) => !health.isEjected);
-    if (old.length === 0 || fresh.length === 0) return allowed;
-    const watched = watchedRunners({fresh, old});
-    return watched.length < fresh.length ? watched : allowed;
-  }
-
   private async attempt(
     progress: CallProgress,
     choice: RunnerChoice,
@@ -317,8 +202,7 @@
   }
 
   private noteChoice(progress: CallProgress, choice: RunnerChoice): void {
-    const {log, metrics, candidates, rollouts, prefixes, sessions} =
-      this.options;
+    const {log, metrics, rollouts, prefixes, sessions} = this.options;
     const {call, model} = progress;
     const {entry} = choice.runner;
     if (call.prompt && model !== undefined)
@@ -326,7 +210,7 @@
     if (call.session !== undefined && progress.begunBy === undefined)
       sessions.set(call.session, entry.version);
     const hasSession = call.session !== undefined;
-    const {wish, isGranted} = progress.version ?? {};
+    const {wish, isGranted, known = 0} = progress.version ?? {};
     metrics.versionChoices.inc({
       service: entry.service,
       reason: wish?.reason,
@@ -348,7 +232,7 @@
       waitMs: call.prompt && Math.round(choice.waitMs),
       workMs: call.prompt && Math.round(choice.workMs),
       unreadTokens: call.prompt && choice.unreadTokens,
-      candidates: candidates.of(call).length,
+      candidates: known,
       ejected: choice.ejected,
       reason: choice.reason,
       rolloutShare: rollouts.get(call.service)?.shareOf({hasSession}),
--- /dev/null
+++ b/packages/gateway/src/calls/call_placement.ts
@@ -0,0 +1,144 @@
+import {RolloutPhase, watchedRunners} from '@bayspool/decisions/calls';
+import type {Quarantine} from '@bayspool/decisions/calls';
+import type {RunnerDirectory} from '../beliefs/runner_directory.js';
+import type {RolloutBook} from '../rollouts/rollout_book.js';
+import {VersionReason} from '../rollouts/version_reason.js';
+import type {VersionWish} from '../rollouts/version_wish.js';
+import type {Runner} from '../runners/runner.js';
+import type {RunnerChoice} from '../runners/runner_choice.js';
+import type {RunnerChooser} from '../runners/runner_chooser.js';
+import type {RunnerGate} from '../runners/runner_gate.js';
+import type {CallCandidates} from './call_candidates.js';
+import type {CallProgress} from './call_progress.js';
+import type {IncomingCall} from './incoming_call.js';
+
+interface Options {
+  readonly candidates: CallCandidates;
+  readonly chooser: RunnerChooser;
+  readonly directory: RunnerDirectory;
+  readonly gate: RunnerGate;
+  readonly rollouts: RolloutBook;
+  /** Which requests are held back, as runners ended under them. */
+  readonly quarantine: Quarantine;
+}
+
+/** Runners of a begun answer's version that may be out of reach before the version counts as gone. */
+const MAX_UNREACHABLE = 3;
+
+/** Decides which runner gets a call's next attempt: the version that it is to have first, then the runner. */
+export class CallPlacement {
+  constructor(private readonly options: Options) {}
+
+  /** The runner for the next attempt, with a model that may differ from the one asked next; undefined if there is none. */
+  choose(
+    progress: CallProgress,
+    model = progress.model,
+  ): RunnerChoice | undefined {
+    const {candidates: all, chooser, gate} = this.options;
+    const {call, tried} = progress;
+    const known = all.of(call);
+    const takers = gate.openOf(known);
+    const wish = this.wishFor(progress, known);
+    const wished = this.wishedOf(takers, wish, call.service);
+    const isGranted = wished.length > 0;
+    progress.version = {wish, isGranted, known: known.length};
+    // Without a runner of a wished version any will do, but for an answer that has begun.
+    const isBound = wish.reason === VersionReason.BEGUN;
+    const allowed = isGranted || isBound ? wished : takers;
+    const watched = this.watchedOf(takers, allowed, call.service);
+    progress.isConcentrated = watched.length < allowed.length;
+    const candidates = this.preferIdle(progress, watched);
+    const {prompt, body} = call;
+    const bodyBytes = body.length;
+    return chooser.choose({candidates, tried, bodyBytes, model, prompt});
+  }
+
+  /**
+   * A request under which a runner ended goes where nothing else runs, if it can: what it may end there is only itself,
+   * and whether it was the cause is known then.
+   */
+  private preferIdle(
+    {call, tried}: CallProgress,
+    runners: readonly Runner[],
+  ): readonly Runner[] {
+    if (this.options.quarantine.weightOf(call.fingerprint) === 0)
+      return runners;
+    const idle = runners.filter(
+      ({entry, totalRunning, health}) =>
+        totalRunning === 0 && !health.isEjected && !tried.has(entry.id),
+    );
+    return idle.length > 0 ? idle : runners;
+  }
+
+  /**
+   * An answer is made by one version, whatever its session has by the time at which a runner breaks off, as long as that
+   * version has a runner: the end of a roll-out stops the old ones at once, and what their callers hold would be lost.
+   */
+  private wishFor(
+    progress: CallProgress,
+    takers: readonly Runner[],
+  ): VersionWish {
+    const {call, tried, begunBy, failedVersions} = progress;
+    if (begunBy !== undefined && this.hasRunnerOf(begunBy, call, takers)) {
+      if (progress.unreachable < MAX_UNREACHABLE)
+        return {only: begunBy, reason: VersionReason.BEGUN};
+      return {not: begunBy, reason: VersionReason.OUT_OF_REACH};
+    }
+    return this.options.rollouts.wishFor({
+      service: call.service,
+      key: call.id,
+      session: call.session,
+      failedVersions,
+      hasUntried: version =>
+        takers.some(
+          ({entry}) => entry.version === version && !tried.has(entry.id),
+        ),
+    });
+  }
+
+  /** The end of a roll-out stops the runners of the old version at once; their entries go some seconds later. */
+  private hasRunnerOf(
+    version: string,
+    {service}: IncomingCall,
+    takers: readonly Runner[],
+  ): boolean {
+    const rollout = this.options.rollouts.get(service);
+    if (
+      rollout?.phase === RolloutPhase.COMPLETE &&
+      rollout.order.version !== version
+    )
+      return false;
+    return takers.some(({entry}) => entry.version === version);
+  }
+
+  /** The runners of a version that is wished; one that appeared before its order waits for that. */
+  private wishedOf(
+    takers: readonly Runner[],
+    {only, not}: VersionWish,
+    service: string,
+  ): readonly Runner[] {
+    if (only !== undefined)
+      return takers.filter(({entry: {version}}) => version === only);
+    const held = this.options.directory.unexplainedVersions(service);
+    return takers.filter(
+      ({entry: {version}}) => version !== not && !held.has(version),
+    );
+  }
+
+  /** Few calls of a version that is watched go to few of its runners, so that these bear the usual load. */
+  private watchedOf(
+    takers: readonly Runner[],
+    allowed: readonly Runner[],
+    service: string,
+  ): readonly Runner[] {
+    const rollout = this.options.rollouts.get(service);
+    if (!rollout?.isWatched) return allowed;
+    const {version} = rollout.order;
+    if (allowed.some(({entry}) => entry.version !== version)) return allowed;
+    const old = takers.filter(({entry}) => entry.version !== version);
+    const fresh = allowed.filter(({health}) => !health.isEjected);
+    if (old.length === 0 || fresh.length === 0) return allowed;
+    const watched = watchedRunners({fresh, old});
+    return watched.length < fresh.length ? watched : allowed;
+  }
+}
--- a/packages/gateway/src/calls/call_progress.ts
+++ b/packages/gateway/src/calls/call_progress.ts
@@ -16,6 +16,8 @@
   readonly wish: VersionWish;
   /** False if no runner had a version that was wished, so that any runner was taken. */
   readonly isGranted: boolean;
+  /** Runners that might take the call, whatever their version and load. */
+  readonly known: number;
 }
 
 /** How far a call has come: what was tried, and whether it may have run. */
--- a/packages/gateway/src/parts/knowledge.ts
+++ b/packages/gateway/src/parts/knowledge.ts
@@ -1,7 +1,7 @@
 import {Quarantine, SessionVersions} from '@bayspool/decisions/calls';
 import type {RunnerEntry} from '@bayspool/decisions/calls';
-import {Cordons} from '../beliefs/cordons.js';
 import {ConfigurationBelief} from '../beliefs/configuration_belief.js';
+import {Cordons} from '../beliefs/cordons.js';
 import {RunnerDirectory} from '../beliefs/runner_directory.js';
 import type {GatewaySettings} from '../gateway_settings.js';
 import type {GatewayMetrics} from '../observability/gateway_metrics.js';
