--- a/packages/client/src/explain/tell_story.ts
+++ b/packages/client/src/explain/tell_story.ts
@@ -19,6 +19,7 @@
   runner_gone: 'runner',
   runner_lapsed: 'runner',
   runner_ejected: 'runner',
+  runner_limit_changed: 'limit',
   rollout_ordered: 'roll-out',
   rollout_judged: 'roll-out',
   rollout_phase: 'roll-out',
--- /dev/null
+++ b/packages/decisions/src/calls/testing/find_limit_excess.test.ts
@@ -0,0 +1,71 @@
+import assert from 'node:assert/strict';
+import {test} from 'node:test';
+import {findLimitExcess} from './find_limit_excess.js';
+
+const BOUND = {
+  contactMs: 3_000,
+  windowMs: 4_000,
+  overage: 1.5,
+  slack: 1,
+  until: 60_000,
+};
+const limits = [{at: 10_000, perSecond: 0.5}];
+
+/** Arrivals from a host that is bound from the start. */
+function arrive(...times: number[]) {
+  return times.map(at => ({at, boundAt: 0}));
+}
+
+void test('a window may hold what was named, some more, and no more', () => {
+  const within = arrive(20_000, 20_001, 20_002, 23_999);
+  assert.equal(
+    findLimitExcess({...BOUND, limits, arrivals: within}),
+    undefined,
+  );
+  const arrivals = [...within, ...arrive(23_500)];
+  assert.deepEqual(findLimitExcess({...BOUND, limits, arrivals}), {
+    until: 23_999,
+    arrived: 5,
+    allowed: 4,
+  });
+});
+
+void test('windows count from a time after the first naming, and reach back before it', () => {
+  const early = arrive(9_001, 9_002, 9_003, 9_004, 9_005);
+  assert.equal(
+    findLimitExcess({...BOUND, limits, arrivals: early})?.until,
+    13_000,
+  );
+  const earlier = arrive(8_001, 8_002, 8_003, 8_004, 9_000);
+  assert.equal(
+    findLimitExcess({...BOUND, limits, arrivals: earlier}),
+    undefined,
+  );
+});
+
+void test('what a host sent before it knew counts once it is bound', () => {
+  const arrivals = Array.from({length: 5}, () => ({
+    at: 13_000,
+    boundAt: 15_000,
+  }));
+  const excess = findLimitExcess({...BOUND, limits, arrivals});
+  assert.equal(excess?.until, 15_000);
+  const unbound = arrivals.map(({at}) => ({at, boundAt: Infinity}));
+  assert.equal(
+    findLimitExcess({...BOUND, limits, arrivals: unbound}),
+    undefined,
+  );
+});
+
+void test('a limit that changes counts for the time in which it held', () => {
+  const changed = [...limits, {at: 20_000, perSecond: 0}];
+  // From 17.5 to 21.5 s half a request a second is named for 2.5 s: 1.875 are allowed, and one besides.
+  const within = arrive(19_000, 21_500);
+  assert.equal(
+    findLimitExcess({...BOUND, limits: changed, arrivals: within}),
+    undefined,
+  );
+  const arrivals = [...within, ...arrive(19_001)];
+  const excess = findLimitExcess({...BOUND, limits: changed, arrivals});
+  assert.deepEqual(excess, {until: 21_500, arrived: 3, allowed: 2.875});
+});
--- a/packages/gateway/src/calls/attempt.ts
+++ b/packages/gateway/src/calls/attempt.ts
@@ -14,6 +14,7 @@
 import type {HeaderNames} from './header_names.js';
 import type {IncomingCall} from './incoming_call.js';
 import {readKeepAlive} from './read_keep_alive.js';
+import {readLimit} from './read_limit.js';
 import {readReport} from './read_report.js';
 import type {RunnerHeaders} from './runner_headers.js';
 import {SilenceWatch} from './silence_watch.js';
@@ -53,6 +54,7 @@
   private firstByteAt: number | undefined;
   private endedQuiet = false;
   private headAt: number | undefined;
+  private limitWord: number | undefined;
   /** Whether the runner had no other request when it was sent. */
   private wasAlone = false;
   /** Which of all requests that this host sent to the runner it is. */
@@ -82,6 +84,11 @@
     return this.headAt !== undefined;
   }
 
+  /** Requests a second that the runner named in its answer; undefined if it named no limit. */
+  get namedLimit(): number | undefined {
+    return this.limitWord;
+  }
+
   /** Time since the head of the answer came, in ms; 0 if none did. */
   get sinceHeadMs(): number {
     if (this.headAt === undefined) return 0;
@@ -137,6 +144,7 @@
       lastEventId: caller.lastEventId,
     });
     const {method, path, body} = call;
+    const sentAt = clock.now();
     const answer = await sendRequest({
       connection,
       request: {method, path, headers, body},
@@ -144,6 +152,9 @@
     });
     this.headAt = clock.now();
     this.watch.noteProgress();
+    const word = readLimit(answer, this.options.names.limit);
+    this.limitWord = word.perSecond;
+    runner.limit.noteAnswer(word, sentAt, this.headAt);
     const report = readReport(answer, this.options.names.load);
     if (report) runner.noteReport(report);
     connection.noteKeepAlive(readKeepAlive(answer));
--- a/packages/gateway/src/calls/call_forwarder.ts
+++ b/packages/gateway/src/calls/call_forwarder.ts
@@ -173,6 +173,7 @@
       status: outcome.status,
       begun: attempt.hasHead,
       confidence: outcome.confidence,
+      namedLimit: attempt.namedLimit,
       firstMs: firstMs === undefined ? undefined : Math.round(firstMs),
       lastEvent: caller.events > eventsBefore ? caller.lastEventId : undefined,
       forMs: Math.round(forMs),
--- a/packages/gateway/src/calls/header_names.ts
+++ b/packages/gateway/src/calls/header_names.ts
@@ -23,6 +23,8 @@
   readonly confidence: string;
   /** What a runner says of itself: requests running, waiting, and its slots, with commas between them. */
   readonly load: string;
+  /** Requests a second that a runner takes from all hosts together, as long as it says so: a decimal number. */
+  readonly limit: string;
   /** Urgency at the runner, 0 first to 9. */
   readonly priority: string;
   /** Headers that only the gateway may send to runners, besides those above that it sets. */
--- a/packages/gateway/src/observability/event_fields.ts
+++ b/packages/gateway/src/observability/event_fields.ts
@@ -73,6 +73,8 @@
     /** Whether the runner had begun its answer. */
     begun: boolean;
     confidence?: number;
+    /** Requests a second that the runner named in its answer. */
+    namedLimit?: number;
     firstMs?: number;
     lastEvent?: number;
     forMs: number;
@@ -186,6 +188,14 @@
     kind: string;
     reason: string;
   };
+  runner_limit_changed: {
+    runner: string;
+    service: string;
+    /** Requests a second that it takes from all hosts together; none if it names no limit any more. */
+    perSecond?: number;
+    previous?: number;
+  };
+  runner_limit_malformed: {runner: string; service: string; text: string};
   runner_ejected: {
     runner: string;
     service: string;
--- a/packages/gateway/src/parts/knowledge.ts
+++ b/packages/gateway/src/parts/knowledge.ts
@@ -16,6 +16,7 @@
 import {ColdGate} from '../runners/cold_gate.js';
 import {ConnectPatience} from '../runners/connect_patience.js';
 import {ConnectionPool} from '../runners/connection_pool.js';
+import type {LimitChange} from '../runners/limit_change.js';
 import {PrefixBook} from '../runners/prefix_book.js';
 import {Runner} from '../runners/runner.js';
 import {RunnerGate} from '../runners/runner_gate.js';
@@ -202,6 +203,17 @@
       entry,
       pool,
       onReplaced: () => this.directory.forgetTakers(),
+      onLimit: change => this.reportLimit(entry, change),
     });
   }
+
+  private reportLimit(
+    {id: runner, service}: RunnerEntry,
+    {perSecond, previous, malformed: text}: LimitChange,
+  ): void {
+    const {log} = this.options;
+    if (text === undefined)
+      log.write('runner_limit_changed', {runner, service, perSecond, previous});
+    else log.write('runner_limit_malformed', {runner, service, text});
+  }
 }
--- a/packages/gateway/src/parts/observe_parts.ts
+++ b/packages/gateway/src/parts/observe_parts.ts
@@ -12,6 +12,7 @@
 import {countRunners} from './count_runners.js';
 import type {ServiceLimits} from './service_limits.js';
 import {tellEvidence} from './tell_evidence.js';
+import {tellLimit} from './tell_limit.js';
 import {tellSent} from './tell_sent.js';
 
 interface Options {
@@ -94,6 +95,12 @@
     ['service', 'state'],
     () => countRunners(directory.all()),
   );
+  metrics.observeEach(
+    'runner_limit',
+    'Requests a second that a runner takes from all hosts together, where it names a limit',
+    ['service', 'runner'],
+    () => directory.all().flatMap(tellLimit),
+  );
   metrics.observeEach(
     'runner_pending_seconds',
     'Reading of prompts that this host waits for at runners',
--- /dev/null
+++ b/packages/gateway/src/runners/limit_change.ts
@@ -0,0 +1,8 @@
+/** How what is believed of a runner's limit has changed. */
+export interface LimitChange {
+  /** Requests a second; absent if the runner names no limit any more. */
+  readonly perSecond?: number;
+  readonly previous?: number;
+  /** Text of an answer that made no sense as a limit. */
+  readonly malformed?: string;
+}
--- a/packages/gateway/src/runners/runner.ts
+++ b/packages/gateway/src/runners/runner.ts
@@ -3,6 +3,8 @@
 import type {Clock} from '@bayspool/kernel';
 import type {ConnectionPool} from './connection_pool.js';
 import {OthersLoad} from './others_load.js';
+import {RunnerLimit} from './runner_limit.js';
+import type {LimitChange} from './limit_change.js';
 import type {RunnerLoad} from './runner_load.js';
 import type {RunnerReport} from './runner_report.js';
 
@@ -12,6 +14,8 @@
   readonly pool: ConnectionPool;
   /** Called when another runner answers at its address. */
   readonly onReplaced?: () => void;
+  /** Called when what it says it takes has changed. */
+  readonly onLimit?: (change: LimitChange) => void;
 }
 
 /** Bounds of one measurement of slowness, so that a single answer does not decide. */
@@ -40,6 +44,8 @@
   readonly pool: ConnectionPool;
   /** What other hosts have there. */
   readonly others: OthersLoad;
+  /** What it says it takes from all hosts together. */
+  readonly limit: RunnerLimit;
   /** Hash of its id, in 32 bits. */
   readonly idHash: number;
   private current: RunnerEntry;
@@ -65,6 +71,7 @@
     this.health = new RunnerHealth({clock: options.clock});
     this.lastHeard = options.clock.now();
     this.others = new OthersLoad(options);
+    this.limit = new RunnerLimit({onChange: options.onLimit});
   }
 
   /** Its newest entry. */
--- /dev/null
+++ b/packages/gateway/src/runners/runner_limit.test.ts
@@ -0,0 +1,98 @@
+import assert from 'node:assert/strict';
+import type {IncomingMessage} from 'node:http';
+import {afterEach, beforeEach, test} from 'node:test';
+import {readLimit} from '../calls/read_limit.js';
+import {GatewayFixture} from '../testing/gateway_fixture.js';
+import {plainHeaderNames as names} from '../testing/plain_header_names.js';
+import {ScriptedRunner} from '../testing/scripted_runner.js';
+import {RunnerLimit} from './runner_limit.js';
+
+let fixture: GatewayFixture;
+let runner: ScriptedRunner;
+/** What the runner writes into the header of its limit. */
+let said: string | string[] | undefined;
+
+beforeEach(() => {
+  fixture = new GatewayFixture();
+  runner = new ScriptedRunner({id: 'one', script: answer});
+});
+
+afterEach(() => fixture.stop());
+
+const answer: ScriptedRunner['script'] = ({id}, response) => {
+  const head = {[names.requestId]: id, [names.signature]: 'signed'};
+  response.writeHead(200, {...head, ...(said && {[names.limit]: said})});
+  response.end('body');
+};
+
+function read(value: string | undefined) {
+  const headers = {[names.limit]: value};
+  return readLimit({headers} as unknown as IncomingMessage, names.limit);
+}
+
+void test('a limit is a decimal number, and anything else is none', () => {
+  assert.deepEqual(read('2'), {perSecond: 2});
+  assert.deepEqual(read(' 0.25 '), {perSecond: 0.25});
+  assert.deepEqual(read('0'), {perSecond: 0});
+  assert.deepEqual(read(undefined), {});
+  for (const text of ['soon', '-1', 'Infinity', '1e999', '2, 2', '', 'NaN'])
+    assert.deepEqual(read(text), {malformed: text});
+  assert.equal(read('9'.repeat(5_000)).malformed?.length, 40);
+});
+
+void test('an answer to a request that was under way says nothing of the time after the limit was named', () => {
+  const limit = new RunnerLimit({});
+  limit.noteAnswer({perSecond: 2}, 100, 200);
+  limit.noteAnswer({}, 150, 250);
+  assert.equal(limit.perSecond, 2);
+  limit.noteAnswer({}, 201, 300);
+  assert.equal(limit.perSecond, undefined);
+});
+
+void test('what a runner says it takes is told once for each change, and with each answer', async () => {
+  fixture.configure([{}]);
+  await fixture.addRunner(runner);
+  const {gateway} = await fixture.startHost();
+  await fixture.waitReady();
+  for (said of ['2.5', '2.5', 'many', 'many', undefined]) await fixture.call();
+  const changes = fixture.events('runner_limit_changed');
+  assert.deepEqual(
+    changes.map(({runner: id, perSecond, previous}) => [
+      id,
+      perSecond,
+      previous,
+    ]),
+    [
+      ['one', 2.5, undefined],
+      ['one', undefined, 2.5],
+    ],
+  );
+  const malformed = fixture.events('runner_limit_malformed');
+  assert.deepEqual(
+    malformed.map(({text}) => text),
+    ['many'],
+  );
+  const ended = fixture.events('attempt_ended');
+  assert.deepEqual(
+    ended.map(({namedLimit}) => namedLimit),
+    [2.5, 2.5, undefined, undefined, undefined],
+  );
+  said = '0.5';
+  await fixture.call();
+  assert.match(
+    await gateway.metrics.registry.metrics(),
+    /runner_limit\{service="svc",runner="one"\} 0\.5/,
+  );
+});
+
+void test('a header that comes twice names no limit, and the answer goes to the caller', async () => {
+  fixture.configure([{}]);
+  await fixture.addRunner(runner);
+  await fixture.startHost();
+  await fixture.waitReady();
+  said = ['2', '3'];
+  const {status, isWhole} = await fixture.call();
+  assert.deepEqual([status, isWhole], [200, true]);
+  assert.equal(fixture.events('runner_limit_changed').length, 0);
+  assert.equal(fixture.events('runner_limit_malformed').length, 1);
+});
--- /dev/null
+++ b/packages/gateway/src/runners/runner_limit.ts
@@ -0,0 +1,45 @@
+import type {LimitChange} from './limit_change.js';
+import type {LimitWord} from './limit_word.js';
+
+interface Options {
+  /** Called when what is believed has changed. */
+  readonly onChange?: (change: LimitChange) => void;
+}
+
+/** How many requests a second one start of a runner takes from all hosts together, as its answers say. */
+export class RunnerLimit {
+  private current: number | undefined;
+  private namedAt = -Infinity;
+  private lastMalformed: string | undefined;
+
+  constructor(private readonly options: Options) {}
+
+  /** Requests a second; undefined if it names no limit. */
+  get perSecond(): number | undefined {
+    return this.current;
+  }
+
+  /** Takes in what the head of an answer says, which came at a time on the host's clock, to a request sent before. */
+  noteAnswer(word: LimitWord, sentAt: number, headAt: number): void {
+    this.noteMalformed(word);
+    if (word.perSecond !== undefined) {
+      this.namedAt = headAt;
+      return this.set(word.perSecond);
+    }
+    // An answer that was under way when the limit was named says nothing of the time after.
+    if (sentAt >= this.namedAt) this.set(undefined);
+  }
+
+  private noteMalformed({malformed}: LimitWord): void {
+    if (malformed !== undefined && malformed !== this.lastMalformed)
+      this.options.onChange?.({malformed});
+    this.lastMalformed = malformed;
+  }
+
+  private set(perSecond: number | undefined): void {
+    const previous = this.current;
+    if (perSecond === previous) return;
+    this.current = perSecond;
+    this.options.onChange?.({perSecond, previous});
+  }
+}
--- a/packages/gateway/src/testing/plain_header_names.ts
+++ b/packages/gateway/src/testing/plain_header_names.ts
@@ -16,6 +16,7 @@
   lastEventId: 'last-event-id',
   confidence: 'x-confidence',
   load: 'x-load',
+  limit: 'x-limit',
   priority: 'x-priority',
   reserved: ['x-hold'],
 };
