--- /dev/null
+++ b/packages/decisions/src/calls/call_share.test.ts
@@ -0,0 +1,87 @@
+// Runners that named what they take from all hosts together got several times that: each host has to know its part without asking.
+import assert from 'node:assert/strict';
+import {test} from 'node:test';
+import fc from 'fast-check';
+import {callShare} from './call_share.js';
+import {callsWithin} from './calls_within.js';
+import {rankByHash} from './rank_by_hash.js';
+
+const bounds = fc.record({
+  perSecond: fc.double({min: 0, max: 100, noNaN: true}),
+  overage: fc.double({min: 1, max: 3, noNaN: true}),
+  slack: fc.double({min: 0, max: 20, noNaN: true}),
+  windowMs: fc.integer({min: 500, max: 10_000}),
+});
+const names = fc.uniqueArray(fc.nat(300), {minLength: 1, maxLength: 100});
+
+function shareOf(
+  host: string,
+  hosts: readonly string[],
+  calls: number,
+  leastCalls = 1,
+): number {
+  const rank = rankByHash('i-1', hosts).indexOf(host);
+  return callShare({calls, leastCalls, hosts: hosts.length, rank});
+}
+
+function sumOf(hosts: readonly string[], calls: number, leastCalls = 1) {
+  return hosts.reduce(
+    (sum, host) => sum + shareOf(host, hosts, calls, leastCalls),
+    0,
+  );
+}
+
+function nameHosts(count: number): string[] {
+  return Array.from({length: count}, (_, i) => `host-${i}`);
+}
+
+void test('all calls are shared out, evenly, whatever the number of hosts', () => {
+  for (const count of [1, 3, 7, 65, 195])
+    for (const calls of [0, 1, 8, 40]) {
+      const hosts = nameHosts(count);
+      const shares = hosts.map(host => shareOf(host, hosts, calls));
+      assert.equal(sumOf(hosts, calls), calls, `${count} hosts, ${calls}`);
+      assert.ok(Math.max(...shares) - Math.min(...shares) <= 1);
+    }
+});
+
+void test('hosts that know any two sets of hosts stay within the bound together', () => {
+  fc.assert(
+    fc.property(names, names, bounds, (one, two, bound) => {
+      const calls = callsWithin(bound);
+      const sum = sumOf(one.map(String), calls) + sumOf(two.map(String), calls);
+      const borne = (bound.perSecond * bound.windowMs) / 1_000;
+      assert.ok(sum <= borne * bound.overage + bound.slack + 1e-9);
+    }),
+  );
+});
+
+void test('hosts that learn of added ones at different times exceed the calls by the added ones alone', () => {
+  const steps = fc.array(fc.nat(5), {minLength: 1, maxLength: 6});
+  const calls = fc.nat(60);
+  fc.assert(
+    fc.property(
+      fc.integer({min: 1, max: 30}),
+      steps,
+      calls,
+      (first, add, n) => {
+        const sizes = [first];
+        for (const more of add) sizes.push(sizes[sizes.length - 1] + more);
+        const all = nameHosts(sizes[sizes.length - 1]);
+        let known = 0;
+        let added = 0;
+        all.forEach((host, index) => {
+          // Each host knows one of the sets that it is in.
+          const fitting = sizes.filter(size => size > index);
+          const size = fitting[index % fitting.length];
+          const share = shareOf(host, all.slice(0, size), n);
+          if (index < first) known += share;
+          else added += share;
+        });
+        assert.ok(known <= n, `${known} of ${n}`);
+        const largest = shareOf(all[0], all.slice(0, first), n) + 1;
+        assert.ok(added <= (all.length - first) * largest);
+      },
+    ),
+  );
+});
--- a/packages/gateway/src/parts/knowledge.ts
+++ b/packages/gateway/src/parts/knowledge.ts
@@ -13,13 +13,14 @@
 import {Topic} from '../records/topic.js';
 import {RolloutBook} from '../rollouts/rollout_book.js';
 import {RolloutStarts} from '../rollouts/rollout_starts.js';
-import {ColdGate} from '../runners/cold_gate.js';
+import {ColdBound} from '../runners/cold_bound.js';
 import {ConnectPatience} from '../runners/connect_patience.js';
 import {ConnectionPool} from '../runners/connection_pool.js';
 import type {LimitChange} from '../runners/limit_change.js';
 import {PrefixBook} from '../runners/prefix_book.js';
 import {Runner} from '../runners/runner.js';
 import {RunnerGate} from '../runners/runner_gate.js';
+import {SentCalls} from '../runners/sent_calls.js';
 import type {GatewayOptions} from './gateway_options.js';
 import {HostLoads} from './host_loads.js';
 import {ServiceLimits} from './service_limits.js';
@@ -36,6 +37,9 @@
  */
 const TOUCH_MS = 3_600;
 
+/** How long a call that was sent is remembered, in ms: over the longest window of a bound. */
+const SENT_KEPT_MS = 5_000;
+
 /** What a host knows: copies of the store's topics, and what follows from them. */
 export class Knowledge {
   /** Copies of the topics. */
@@ -118,14 +122,15 @@
       retryWindowMs: settings.retryWindowMs,
     });
     const {cordons} = this;
-    const cold = new ColdGate({
+    const cold = new ColdBound({
       clock,
       host: settings.host,
       hostsOf: place => this.roster.enteredIn(place),
       allHosts: () => this.roster.entered(),
-      limitsOf: service => this.limits.coldLimitsOf(service),
+      limitsOf: service => this.limits.coldBoundOf(service),
     });
-    this.gate = new RunnerGate({cordons, cold});
+    const sent = new SentCalls({clock, keptMs: SENT_KEPT_MS});
+    this.gate = new RunnerGate({cordons, bounds: [cold], sent});
     this.directory = new RunnerDirectory({
       clock: ageClock,
       log,
@@ -136,7 +141,7 @@
       isCordoned: place => cordons.has(place),
       onGone: id => {
         this.prefixes.forget(id);
-        cold.forget(id);
+        sent.forget(id);
       },
       createRunner: entry => this.createRunner(entry),
     });
--- a/packages/gateway/src/parts/service_limits.ts
+++ b/packages/gateway/src/parts/service_limits.ts
@@ -1,5 +1,5 @@
 import {RetryBudget} from '@bayspool/decisions/calls';
-import type {ColdLimits} from '@bayspool/decisions/calls';
+import type {CallBound} from '@bayspool/decisions/calls';
 import type {Clock} from '@bayspool/kernel';
 import type {ConfigurationBelief} from '../beliefs/configuration_belief.js';
 import type {GatewaySettings} from '../gateway_settings.js';
@@ -20,6 +20,8 @@
 const CONNECTION_PART = 0.9;
 /** Connections a host may open to a runner whatever its share is. */
 const MIN_CONNECTIONS = 3;
+/** Window in which the platform counts calls to a cold runner, in ms. */
+const COLD_WINDOW_MS = 1_000;
 /** Latency target of services that no route names, in ms. */
 const MAX_TARGET_MS = 10_000;
 
@@ -43,12 +45,12 @@
   }
 
   /** What runners of the service bear while they are slow from their start; undefined if nothing bounds it. */
-  coldLimitsOf(service: string): ColdLimits | undefined {
+  coldBoundOf(service: string): CallBound | undefined {
     const {belief, settings} = this.options;
     const perSecond = belief.current?.services.get(service)?.coldCallsPerSecond;
     if (perSecond === undefined) return undefined;
     const {coldOverage: overage, coldSlack: slack} = settings();
-    return {perSecond, overage, slack};
+    return {perSecond, overage, slack, windowMs: COLD_WINDOW_MS};
   }
 
   /** The retry budget of a service. */
--- a/packages/gateway/src/runners/cold_gate.ts
+++ b/packages/gateway/src/runners/cold_bound.ts
@@ -1,8 +1,10 @@
-import {coldShare, SlidingCount} from '@bayspool/decisions/calls';
-import type {ColdLimits} from '@bayspool/decisions/calls';
+import {coldShare} from '@bayspool/decisions/calls';
+import type {CallBound} from '@bayspool/decisions/calls';
 import type {Clock} from '@bayspool/kernel';
 import {KeptByRunner} from './kept_by_runner.js';
 import type {Runner} from './runner.js';
+import type {RunnerBound} from './runner_bound.js';
+import type {RunnerShare} from './runner_share.js';
 
 interface Options {
   readonly clock: Clock;
@@ -13,17 +15,17 @@
   /** Names of all hosts entered. */
   readonly allHosts: () => readonly string[];
   /** What cold runners of a service bear; undefined if the platform sets no bound. */
-  readonly limitsOf: (service: string) => ColdLimits | undefined;
+  readonly limitsOf: (service: string) => CallBound | undefined;
 }
 
-/** Window over which calls to a cold runner are counted, in ms: over the second of the bound by the count's own steps. */
+/** Window over which calls to a cold runner are counted, in ms: the second of the bound, and how far arrivals shift against it. */
 const WINDOW_MS = 1_100;
 /** How long a share is kept before hosts are looked at again, in ms. */
 const SHARE_KEPT_MS = 500;
 
-/** Bounds what this host sends to runners that have just started and are still slow. */
-export class ColdGate {
-  private readonly sent = new Map<string, SlidingCount>();
+/** What runners bear that have just started and are still slow. */
+export class ColdBound implements RunnerBound {
+  readonly reason = 'cold runner has its share';
   private readonly shares: KeptByRunner<number>;
 
   constructor(private readonly options: Options) {
@@ -35,30 +37,11 @@
     });
   }
 
-  /** Whether a call may be sent to a runner now. */
-  isOpen(runner: Runner): boolean {
-    if (!runner.isCold) return true;
-    const {id, service} = runner.entry;
+  shareOf(runner: Runner): RunnerShare | undefined {
+    if (!runner.isCold) return undefined;
     // A bound that has just come into force holds at once.
-    if (!this.options.limitsOf(service)) return true;
-    const sent = this.sent.get(id)?.total ?? 0;
-    return sent < this.shares.of(runner);
-  }
-
-  /** Notes that a call is sent to a runner now. */
-  noteSent(runner: Runner): void {
-    const {id} = runner.entry;
-    if (!runner.isCold) return void this.sent.delete(id);
-    const {clock} = this.options;
-    const count =
-      this.sent.get(id) ?? new SlidingCount({clock, windowMs: WINDOW_MS});
-    this.sent.set(id, count);
-    count.add();
-  }
-
-  /** Forgets a runner that is gone. */
-  forget(id: string): void {
-    this.sent.delete(id);
+    if (!this.options.limitsOf(runner.entry.service)) return undefined;
+    return {calls: this.shares.of(runner), windowMs: WINDOW_MS};
   }
 
   private findShare({entry: {id, place, service}}: Runner): number {
--- a/packages/gateway/src/runners/runner_gate.ts
+++ b/packages/gateway/src/runners/runner_gate.ts
@@ -1,10 +1,12 @@
 import type {Cordons} from '../beliefs/cordons.js';
-import type {ColdGate} from './cold_gate.js';
 import type {Runner} from './runner.js';
+import type {RunnerBound} from './runner_bound.js';
+import type {SentCalls} from './sent_calls.js';
 
 interface Options {
   readonly cordons: Cordons;
-  readonly cold: ColdGate;
+  readonly bounds: readonly RunnerBound[];
+  readonly sent: SentCalls;
 }
 
 /** What keeps this host from sending a request to a runner that would take it. */
@@ -13,9 +15,8 @@
 
   /** Those of the runners to which a request may be sent now. */
   openOf(runners: readonly Runner[]): readonly Runner[] {
-    const {cold} = this.options;
-    if (runners.every(runner => cold.isOpen(runner))) return runners;
-    return runners.filter(runner => cold.isOpen(runner));
+    if (runners.every(runner => this.isOpen(runner))) return runners;
+    return runners.filter(runner => this.isOpen(runner));
   }
 
   /**
@@ -25,10 +26,27 @@
    * @returns why the request must not be sent; undefined if it may be, and then it counts as sent
    */
   admit(runner: Runner): string | undefined {
-    const {cordons, cold} = this.options;
-    if (cordons.has(runner.entry.place)) return 'place cordoned';
-    if (!cold.isOpen(runner)) return 'cold runner has its share';
-    cold.noteSent(runner);
+    const {cordons, sent} = this.options;
+    const {id, place} = runner.entry;
+    if (cordons.has(place)) return 'place cordoned';
+    const full = this.fullBound(runner);
+    if (full) return full.reason;
+    sent.add(id);
     return undefined;
   }
+
+  private isOpen(runner: Runner): boolean {
+    return this.fullBound(runner) === undefined;
+  }
+
+  /** The bound of which this host has no share left at a runner. */
+  private fullBound(runner: Runner): RunnerBound | undefined {
+    const {bounds, sent} = this.options;
+    return bounds.find(bound => {
+      const share = bound.shareOf(runner);
+      if (!share) return false;
+      const count = sent.countWithin(runner.entry.id, share.windowMs);
+      return count >= share.calls;
+    });
+  }
 }
--- /dev/null
+++ b/packages/gateway/src/runners/runner_share.ts
@@ -0,0 +1,6 @@
+/** What a host may send to a runner of what all hosts together may. */
+export interface RunnerShare {
+  /** Calls in any window, a whole number. */
+  readonly calls: number;
+  readonly windowMs: number;
+}
