A runner that names what it takes gets no more than that from all hosts together

Cause: nobody read the word; the choice of a runner knew only its load and health. Mend: each host sends a runner that names a limit its share of the calls in a window, by rank among the hosts entered, as for cold runners, and counts what it sent before it knew. What binds is asked at the one gate that every attempt passes: first ones, repeats, escalations, resumed streams. A runner of which nobody has heard for five seconds is asked by the hosts in turn, so limits under a call a window are used, a host that is gone does not leave the runner idle, and the end of a limit, even of 0, is noticed. Not yet: hosts learn it from their own answers only; with 65 hosts that each send one request before they know, 15 arrived in 4 s where a runner named 0 (that case is not in the test yet).

--- a/packages/gateway/src/gateway_settings.ts
+++ b/packages/gateway/src/gateway_settings.ts
@@ -40,4 +40,8 @@
   /** Calls in any second that a runner which is slow from its start may get: its rate times this, and so many besides. */
   readonly coldOverage: number;
   readonly coldSlack: number;
+  /** Calls in any such window that a runner which names a limit may get: the limit times this, and so many besides. */
+  readonly limitOverage: number;
+  readonly limitSlack: number;
+  readonly limitWindowMs: number;
 }
--- a/packages/gateway/src/parts/knowledge.ts
+++ b/packages/gateway/src/parts/knowledge.ts
@@ -1,5 +1,5 @@
 import {Quarantine, SessionVersions} from '@bayspool/decisions/calls';
-import type {RunnerEntry} from '@bayspool/decisions/calls';
+import type {CallBound, RunnerEntry} from '@bayspool/decisions/calls';
 import {ConfigurationBelief} from '../beliefs/configuration_belief.js';
 import {Cordons} from '../beliefs/cordons.js';
 import {RunnerDirectory} from '../beliefs/runner_directory.js';
@@ -16,6 +16,7 @@
 import {ColdBound} from '../runners/cold_bound.js';
 import {ConnectPatience} from '../runners/connect_patience.js';
 import {ConnectionPool} from '../runners/connection_pool.js';
+import {LimitBound} from '../runners/limit_bound.js';
 import type {LimitChange} from '../runners/limit_change.js';
 import {PrefixBook} from '../runners/prefix_book.js';
 import {Runner} from '../runners/runner.js';
@@ -129,8 +130,14 @@
       allHosts: () => this.roster.entered(),
       limitsOf: service => this.limits.coldBoundOf(service),
     });
+    const named = new LimitBound({
+      clock,
+      host: settings.host,
+      hosts: () => (this.roster.isKnown ? this.roster.entered() : []),
+      tolerance: () => limitTolerance(liveSettings()),
+    });
     const sent = new SentCalls({clock, keptMs: SENT_KEPT_MS});
-    this.gate = new RunnerGate({cordons, bounds: [cold], sent});
+    this.gate = new RunnerGate({cordons, bounds: [cold, named], sent});
     this.directory = new RunnerDirectory({
       clock: ageClock,
       log,
@@ -222,3 +229,13 @@
     else log.write('runner_limit_malformed', {runner, service, text});
   }
 }
+
+function limitTolerance(
+  settings: GatewaySettings,
+): Omit<CallBound, 'perSecond'> {
+  return {
+    overage: settings.limitOverage,
+    slack: settings.limitSlack,
+    windowMs: settings.limitWindowMs,
+  };
+}
--- a/packages/gateway/src/peers/roster.ts
+++ b/packages/gateway/src/peers/roster.ts
@@ -81,6 +81,11 @@
     return this.rankedIn(place).map(({name}) => name);
   }
 
+  /** Whether the entries of the hosts have been read once. */
+  get isKnown(): boolean {
+    return this.options.mirror.isLoaded;
+  }
+
   /** Names of all hosts that are entered, this one included, whether they answer or not. */
   entered(): string[] {
     return [this.options.self.name, ...this.entries.keys()];
--- a/packages/gateway/src/runners/runner.ts
+++ b/packages/gateway/src/runners/runner.ts
@@ -71,7 +71,10 @@
     this.health = new RunnerHealth({clock: options.clock});
     this.lastHeard = options.clock.now();
     this.others = new OthersLoad(options);
-    this.limit = new RunnerLimit({onChange: options.onLimit});
+    this.limit = new RunnerLimit({
+      clock: options.clock,
+      onChange: options.onLimit,
+    });
   }
 
   /** Its newest entry. */
--- a/packages/gateway/src/runners/runner_limit.test.ts
+++ b/packages/gateway/src/runners/runner_limit.test.ts
@@ -1,6 +1,7 @@
 import assert from 'node:assert/strict';
 import type {IncomingMessage} from 'node:http';
 import {afterEach, beforeEach, test} from 'node:test';
+import {VirtualClock} from '@bayspool/kernel';
 import {readLimit} from '../calls/read_limit.js';
 import {GatewayFixture} from '../testing/gateway_fixture.js';
 import {plainHeaderNames as names} from '../testing/plain_header_names.js';
@@ -41,7 +42,7 @@
 });
 
 void test('an answer to a request that was under way says nothing of the time after the limit was named', () => {
-  const limit = new RunnerLimit({});
+  const limit = new RunnerLimit({clock: new VirtualClock()});
   limit.noteAnswer({perSecond: 2}, 100, 200);
   limit.noteAnswer({}, 150, 250);
   assert.equal(limit.perSecond, 2);
--- a/packages/gateway/src/runners/runner_limit.ts
+++ b/packages/gateway/src/runners/runner_limit.ts
@@ -1,7 +1,9 @@
+import type {Clock} from '@bayspool/kernel';
 import type {LimitChange} from './limit_change.js';
 import type {LimitWord} from './limit_word.js';
 
 interface Options {
+  readonly clock: Clock;
   /** Called when what is believed has changed. */
   readonly onChange?: (change: LimitChange) => void;
 }
@@ -9,7 +11,8 @@
 /** How many requests a second one start of a runner takes from all hosts together, as its answers say. */
 export class RunnerLimit {
   private current: number | undefined;
-  private namedAt = -Infinity;
+  /** As of when that is known, on this host's clock. */
+  private asOf = -Infinity;
   private lastMalformed: string | undefined;
 
   constructor(private readonly options: Options) {}
@@ -19,15 +22,22 @@
     return this.current;
   }
 
+  /** Time since it was last heard to say so, in ms. */
+  get ageMs(): number {
+    return this.options.clock.now() - this.asOf;
+  }
+
   /** Takes in what the head of an answer says, which came at a time on the host's clock, to a request sent before. */
   noteAnswer(word: LimitWord, sentAt: number, headAt: number): void {
     this.noteMalformed(word);
     if (word.perSecond !== undefined) {
-      this.namedAt = headAt;
+      this.asOf = headAt;
       return this.set(word.perSecond);
     }
     // An answer that was under way when the limit was named says nothing of the time after.
-    if (sentAt >= this.namedAt) this.set(undefined);
+    if (this.current === undefined || sentAt < this.asOf) return;
+    this.asOf = sentAt;
+    this.set(undefined);
   }
 
   private noteMalformed({malformed}: LimitWord): void {
--- a/packages/gateway/src/testing/gateway_fixture.ts
+++ b/packages/gateway/src/testing/gateway_fixture.ts
@@ -86,6 +86,9 @@
       exposureCalls: 30,
       coldOverage: 1.5,
       coldSlack: 5,
+      limitOverage: 1.5,
+      limitSlack: 5,
+      limitWindowMs: 4_000,
       ...overrides,
     };
     const clock = new SystemClock();
