Hosts hear from each other that a runner is in need, before each has sent it a request

Cause: a host learned a limit from its own answers only. Mend: hosts tell each other what they know of limits, with ages, in the exchange that they have; the newest counts. A host that hears of a runner in need, or in much greater need, tells the readers of all places at once, and these wake the hosts that wait there. Ages are spans, not times, so clocks need not agree. News goes by a runner's start: a later one, or another at its address, begins without a limit. The new cases with 2 to 65 hosts hold from the naming on; without telling, over three times as many requests arrive at a runner that named 0 as with it.

--- a/packages/gateway/src/observability/event_fields.ts
+++ b/packages/gateway/src/observability/event_fields.ts
@@ -194,6 +194,10 @@
     /** Requests a second that it takes from all hosts together; none if it names no limit any more. */
     perSecond?: number;
     previous?: number;
+    /** How this host knows: by an answer, or from another host. */
+    source: string;
+    /** Time since the answer that said so, in ms. */
+    ageMs: number;
   };
   runner_limit_malformed: {runner: string; service: string; text: string};
   runner_ejected: {
--- a/packages/gateway/src/parts/exchange.ts
+++ b/packages/gateway/src/parts/exchange.ts
@@ -1,3 +1,4 @@
+import {LimitTeller} from '../peers/limit_teller.js';
 import {LoadBoard} from '../peers/load_board.js';
 import {NewsLoop} from '../peers/news_loop.js';
 import {PeerClient} from '../peers/peer_client.js';
@@ -8,6 +9,7 @@
 import {TopicFollower} from '../records/topic_follower.js';
 import {Topic} from '../records/topic.js';
 import type {TopicMirror} from '../records/topic_mirror.js';
+import type {LimitChange} from '../runners/limit_change.js';
 import type {GatewayOptions} from './gateway_options.js';
 import type {Knowledge} from './knowledge.js';
 
@@ -25,6 +27,7 @@
   private readonly client: PeerClient;
   private readonly server: PeerServer;
   private readonly gate: ReadGate;
+  private readonly teller: LimitTeller;
   private readonly followers: readonly TopicFollower[];
 
   constructor(
@@ -48,6 +51,15 @@
     });
     this.seedStart = this.createSeedStart();
     this.gate = new ReadGate({clock, isOpen: () => this.news.readsStore});
+    const {client, desk} = this;
+    const {roster} = knowledge;
+    this.teller = new LimitTeller({
+      clock: options.ageClock,
+      roster,
+      client,
+      desk,
+    });
+    knowledge.hostLimits.onUrgent(change => this.spreadLimit(change));
     this.news = this.createNews();
     this.followers = Object.values(knowledge.mirrors).map(mirror =>
       this.createFollower(mirror),
@@ -85,14 +97,21 @@
     this.knowledge.loads.takeRemote(this.board.others());
   }
 
+  /** What another host told has reached the readers already. */
+  private spreadLimit({isTold}: LimitChange): void {
+    this.desk.tellLimits();
+    if (!isTold) this.teller.tellSoon();
+  }
+
   private createDesk(): SyncDesk {
-    const {mirrors, roster, storeHealth} = this.knowledge;
+    const {hostLimits: limits, mirrors, roster, storeHealth} = this.knowledge;
     return new SyncDesk({
       health: storeHealth,
       clock: this.options.ageClock,
       freshness: mirrors[Topic.OPERATOR],
       mirrors: Object.values(mirrors),
       board: this.board,
+      limits,
       roster,
     });
   }
--- /dev/null
+++ b/packages/gateway/src/parts/host_limits.test.ts
@@ -0,0 +1,82 @@
+// Each of many hosts sent a runner in need a request before it knew: together more than the runner takes.
+import assert from 'node:assert/strict';
+import {test} from 'node:test';
+import {EventLog} from '../observability/event_log.js';
+import {DirectoryFixture} from '../testing/directory_fixture.js';
+import {PlainReader} from '../testing/plain_reader.js';
+import {HostLimits} from './host_limits.js';
+
+/** A host that knows one runner. */
+function createHost(bornAt?: number) {
+  const fixture = new DirectoryFixture(new PlainReader());
+  const {clock, directory} = fixture;
+  const log = new EventLog({clock, host: 'h', sink: {write: () => undefined}});
+  put(fixture, bornAt);
+  const limits = new HostLimits({clock, log, directory});
+  const limit = () => directory.all()[0].limit;
+  return {fixture, clock, limits, limit};
+}
+
+function put(fixture: DirectoryFixture, bornAt?: number): void {
+  const entry = {
+    id: 'one',
+    service: 'svc',
+    version: 'v1',
+    place: 'a',
+    address: '127.0.0.1:1',
+    slots: 8,
+    isDraining: false,
+    bornAt,
+  };
+  fixture.put(entry.id, JSON.stringify(entry));
+}
+
+void test('what one host heard of a runner holds at another, as of when it was heard', () => {
+  const [one, two] = [createHost(), createHost()];
+  one.limit().noteAnswer({perSecond: 2}, 0, one.clock.now());
+  one.clock.advance(700);
+  two.clock.advance(5_000);
+  two.limits.take(one.limits.news(), 300);
+  assert.equal(two.limit().perSecond, 2);
+  assert.equal(two.limit().ageMs, 1_000);
+});
+
+void test('of what several hosts heard the newest counts, in whichever order it comes', () => {
+  const host = createHost();
+  host.clock.advance(10_000);
+  host.limits.take([{runner: 'one', perSecond: 2, ageMs: 500}], 0);
+  host.limits.take([{runner: 'one', ageMs: 800}], 0);
+  assert.equal(host.limit().perSecond, 2);
+  host.limits.take([{runner: 'one', ageMs: 100}], 0);
+  assert.equal(host.limit().perSecond, undefined);
+  host.limits.take([{runner: 'one', perSecond: 2, ageMs: 400}], 0);
+  assert.equal(host.limit().perSecond, undefined);
+});
+
+void test('a new start of a runner begins without a limit, whatever is told of the one before', () => {
+  const [one, two] = [createHost(1_000), createHost(1_000)];
+  one.limit().noteAnswer({perSecond: 2}, 0, one.clock.now());
+  put(two.fixture, 9_000);
+  two.clock.advance(100);
+  two.limits.take(one.limits.news(), 0);
+  assert.equal(two.limit().perSecond, undefined);
+  put(one.fixture, 9_000);
+  assert.equal(one.limit().perSecond, undefined);
+  assert.deepEqual(one.limits.news(), []);
+});
+
+void test('only a host that would send far too much is told at once', () => {
+  const host = createHost();
+  host.clock.advance(10_000);
+  host.limit().noteAnswer({perSecond: 2}, 0, host.clock.now());
+  host.clock.advance(50);
+  const know = (perSecond: number | undefined, ageMs: number) =>
+    host.limits.isUrgentFor([{runner: 'one', perSecond, ageMs}]);
+  assert.equal(host.limits.isUrgentFor([]), true);
+  assert.equal(know(undefined, 900), true);
+  assert.equal(know(9, 900), true);
+  assert.equal(know(2.5, 900), false);
+  assert.equal(know(undefined, 10), false);
+  host.limit().noteAnswer({}, host.clock.now(), host.clock.now());
+  assert.equal(know(9, 900), false);
+});
--- /dev/null
+++ b/packages/gateway/src/parts/host_limits.ts
@@ -0,0 +1,77 @@
+import type {RunnerEntry} from '@bayspool/decisions/calls';
+import type {Clock} from '@bayspool/kernel';
+import type {RunnerDirectory} from '../beliefs/runner_directory.js';
+import type {EventLog} from '../observability/event_log.js';
+import {isUrgentLimit} from '../runners/is_urgent_limit.js';
+import type {LimitChange} from '../runners/limit_change.js';
+import type {LimitNews} from '../runners/limit_news.js';
+import {startOf} from '../runners/start_of.js';
+
+interface Options {
+  readonly clock: Clock;
+  readonly log: EventLog;
+  readonly directory: RunnerDirectory;
+}
+
+/** Limits that runners name, as hosts tell them to each other: of what several heard of a runner the newest counts. */
+export class HostLimits {
+  private readonly listeners: Array<(change: LimitChange) => void> = [];
+
+  constructor(private readonly options: Options) {}
+
+  /** Calls the listener when a runner is found to be in need, or in much greater need than before. */
+  onUrgent(listener: (change: LimitChange) => void): void {
+    this.listeners.push(listener);
+  }
+
+  /** Notes that what is known of a runner's limit has changed. */
+  noteChange({id: runner, service}: RunnerEntry, change: LimitChange): void {
+    const {perSecond, previous, malformed: text, isTold} = change;
+    const {log} = this.options;
+    if (text !== undefined)
+      return log.write('runner_limit_malformed', {runner, service, text});
+    const source = isTold ? 'another host' : 'its answer';
+    const ageMs = Math.round(change.ageMs);
+    const line = {runner, service, perSecond, previous, source, ageMs};
+    log.write('runner_limit_changed', line);
+    if (!isUrgentLimit(perSecond, previous)) return;
+    for (const listener of this.listeners) listener(change);
+  }
+
+  /** All that this host knows. */
+  news(): LimitNews[] {
+    const news: LimitNews[] = [];
+    for (const {entry, limit} of this.options.directory.all()) {
+      const {perSecond, ageMs} = limit;
+      if (!Number.isFinite(ageMs)) continue;
+      news.push({runner: startOf(entry), perSecond, ageMs: Math.ceil(ageMs)});
+    }
+    return news;
+  }
+
+  /**
+   * Takes in what another host knows.
+   *
+   * @param sinceMs time since it told that at most, in ms; 0 if that is not known
+   */
+  take(news: readonly LimitNews[], sinceMs: number): void {
+    if (news.length === 0) return;
+    const asOf = this.options.clock.now() - sinceMs;
+    const byStart = new Map(news.map(one => [one.runner, one]));
+    for (const {entry, limit} of this.options.directory.all()) {
+      const told = byStart.get(startOf(entry));
+      if (told) limit.take(told.perSecond, asOf - told.ageMs);
+    }
+  }
+
+  /** Whether a host that knows this much needs to hear at once what this one knows. */
+  isUrgentFor(known: readonly LimitNews[]): boolean {
+    const byStart = new Map(known.map(one => [one.runner, one]));
+    return this.options.directory.all().some(({entry, limit}) => {
+      if (limit.perSecond === undefined) return false;
+      const told = byStart.get(startOf(entry));
+      if (told && told.ageMs <= limit.ageMs) return false;
+      return isUrgentLimit(limit.perSecond, told?.perSecond);
+    });
+  }
+}
--- a/packages/gateway/src/parts/knowledge.ts
+++ b/packages/gateway/src/parts/knowledge.ts
@@ -17,12 +17,12 @@
 import {ConnectPatience} from '../runners/connect_patience.js';
 import {ConnectionPool} from '../runners/connection_pool.js';
 import {LimitBound} from '../runners/limit_bound.js';
-import type {LimitChange} from '../runners/limit_change.js';
 import {PrefixBook} from '../runners/prefix_book.js';
 import {Runner} from '../runners/runner.js';
 import {RunnerGate} from '../runners/runner_gate.js';
 import {SentCalls} from '../runners/sent_calls.js';
 import type {GatewayOptions} from './gateway_options.js';
+import {HostLimits} from './host_limits.js';
 import {HostLoads} from './host_loads.js';
 import {ServiceLimits} from './service_limits.js';
 
@@ -72,6 +72,8 @@
   readonly quarantine: Quarantine;
   /** Keeps that in the store. */
   readonly quarantineKeeper: QuarantineKeeper;
+  /** Limits that runners name. */
+  readonly hostLimits: HostLimits;
   /** Loads at the runners. */
   readonly loads: HostLoads;
   private readonly patience = new ConnectPatience();
@@ -191,6 +193,7 @@
       host: settings.host,
       hosts: () => roster.living().map(({name}) => name),
     });
+    this.hostLimits = new HostLimits({clock, log, directory});
     this.loads = new HostLoads({
       clock,
       directory,
@@ -215,19 +218,9 @@
       entry,
       pool,
       onReplaced: () => this.directory.forgetTakers(),
-      onLimit: change => this.reportLimit(entry, change),
+      onLimit: change => this.hostLimits.noteChange(entry, change),
     });
   }
-
-  private reportLimit(
-    {id: runner, service}: RunnerEntry,
-    {perSecond, previous, malformed: text}: LimitChange,
-  ): void {
-    const {log} = this.options;
-    if (text === undefined)
-      log.write('runner_limit_changed', {runner, service, perSecond, previous});
-    else log.write('runner_limit_malformed', {runner, service, text});
-  }
 }
 
 function limitTolerance(
--- a/packages/gateway/src/peers/sync_desk.test.ts
+++ b/packages/gateway/src/peers/sync_desk.test.ts
@@ -1,6 +1,9 @@
 import assert from 'node:assert/strict';
 import {beforeEach, test} from 'node:test';
 import {VirtualClock} from '@bayspool/kernel';
+import {HostLimits} from '../parts/host_limits.js';
+import {DirectoryFixture} from '../testing/directory_fixture.js';
+import {PlainReader} from '../testing/plain_reader.js';
 import {EventLog} from '../observability/event_log.js';
 import {StoreHealth} from '../records/store_health.js';
 import {Topic} from '../records/topic.js';
@@ -25,8 +28,10 @@
   const self = host(name, 'a');
   const roster = new Roster({clock, log, mirror, refusals, self});
   const board = new LoadBoard({clock, place: 'a', own: () => digest});
+  const {directory} = new DirectoryFixture(new PlainReader());
   const desk = new SyncDesk({
     clock,
+    limits: new HostLimits({clock, log, directory}),
     health: new StoreHealth({clock, log}),
     board,
     roster,
--- a/packages/gateway/src/peers/sync_desk.ts
+++ b/packages/gateway/src/peers/sync_desk.ts
@@ -1,4 +1,5 @@
 import type {Clock} from '@bayspool/kernel';
+import type {HostLimits} from '../parts/host_limits.js';
 import type {Topic} from '../records/topic.js';
 import type {StoreHealth} from '../records/store_health.js';
 import type {TopicMirror} from '../records/topic_mirror.js';
@@ -14,6 +15,7 @@
   /** The copy whose age others need to know at once. */
   readonly freshness: TopicMirror;
   readonly board: LoadBoard;
+  readonly limits: HostLimits;
   readonly roster: Roster;
   /** Whether the store answers this host. */
   readonly health: StoreHealth;
@@ -47,10 +49,11 @@
 
   /** Answers a host, at once if there is news for it, else within the time that it waits. */
   async answer(request: SyncRequest): Promise<SyncAnswer> {
-    const {board, roster} = this.options;
+    const {board, limits, roster} = this.options;
     const {self} = roster;
     const {from, digest} = request;
     roster.noteHeard(from);
+    limits.take(request.limits ?? [], 0);
     if (from.place === self.place) board.noteHost(from.name, digest);
     if (request.waitMs > 0 && !this.hasNews(request))
       await this.waitForNews(request.waitMs);
@@ -59,6 +62,7 @@
       place: self.place,
       isLoading: this.isLoading || undefined,
       loads: board.sumFor(from.place),
+      limits: limits.news(),
       lostPlaces:
         from.place === self.place ? [...roster.seenLostPlaces()] : undefined,
     };
@@ -69,7 +73,7 @@
    * places are told of this one by its reader, so what this host has is left out there.
    */
   request(waitMs: number, place?: string): SyncRequest {
-    const {mirrors, board, roster} = this.options;
+    const {mirrors, board, limits, roster} = this.options;
     const isInside = place === roster.self.place;
     const loaded = mirrors.filter(mirror => mirror.isLoaded);
     return {
@@ -78,6 +82,7 @@
         loaded.map(({topic, next}) => [topic, next]),
       ),
       digest: isInside ? board.own() : EMPTY_DIGEST,
+      limits: limits.news(),
       waitMs,
     };
   }
@@ -86,12 +91,24 @@
   adopt(answer: SyncAnswer, sentAt: number): void {
     const {board, roster} = this.options;
     this.adoptTopics(answer, sentAt);
+    this.adoptLimits(answer, sentAt);
     if (answer.place !== roster.self.place)
       return board.notePlace(answer.place, answer.loads);
     board.noteAll(answer.loads);
     roster.noteToldLost(answer.lostPlaces ?? [], 'a host of this place');
   }
 
+  /** Takes in what an answer says of limits that runners name. */
+  adoptLimits({limits = []}: SyncAnswer, sentAt: number): void {
+    const sinceMs = this.options.clock.now() - sentAt;
+    this.options.limits.take(limits, sinceMs);
+  }
+
+  /** A runner is in need: hosts that wait for news are told at once. */
+  tellLimits(): void {
+    this.wake();
+  }
+
   /** Takes in what an answer says of the store, and nothing of what hosts have and saw. */
   adoptTopics(answer: SyncAnswer, sentAt: number): void {
     for (const mirror of this.options.mirrors)
@@ -133,7 +150,8 @@
     );
   }
 
-  private hasNews({positions}: SyncRequest): boolean {
+  private hasNews({positions, limits = []}: SyncRequest): boolean {
+    if (this.options.limits.isUrgentFor(limits)) return true;
     return this.options.mirrors.some(
       mirror =>
         mirror.isLoaded &&
--- a/packages/gateway/src/peers/sync_request.ts
+++ b/packages/gateway/src/peers/sync_request.ts
@@ -1,4 +1,5 @@
 import type {Topic} from '../records/topic.js';
+import type {LimitNews} from '../runners/limit_news.js';
 import type {HostEntry} from './host_entry.js';
 import type {LoadDigest} from './load_digest.js';
 
@@ -9,6 +10,8 @@
   readonly positions: Partial<Record<Topic, number>>;
   /** What the asking host itself has and saw; empty for a host that is not of the same place. */
   readonly digest: LoadDigest;
+  /** What it knows of limits that runners name; hosts of an earlier version tell none. */
+  readonly limits?: readonly LimitNews[];
   /** How long the other may wait for news, in ms. */
   readonly waitMs: number;
 }
--- a/packages/gateway/src/runners/limit_bound.test.ts
+++ b/packages/gateway/src/runners/limit_bound.test.ts
@@ -15,6 +15,9 @@
 /** Longest way to the runner, and longest time from there to the head of the answer, in ms. */
 const WAY_MS = 50;
 const HEAD_MS = 300;
+/** Time in which hosts have told each other that a runner is in need, and pause between what else they tell, in ms. */
+const URGENT_MS = 150;
+const TELL_MS = 600;
 /** What was sent before a host could know is no matter of shares: windows count that begin when all hosts know. */
 const KNOWN_MS = 1_000;
 const BOUND = {...TOLERANCE, contactMs: KNOWN_MS + TOLERANCE.windowMs};
@@ -37,12 +40,15 @@
   readonly knownTo?: (host: number, now: number) => number;
   /** Hosts that get no calls. */
   readonly idle?: (host: number) => boolean;
+  /** Whether hosts tell each other what they heard. */
+  readonly isTelling?: boolean;
 }
 
 /** Plays hosts that send to one runner. @returns arrivals, each with the time from which its host is bound */
 function play(options: WorldOptions, forMs: number) {
   const {hosts: count, seed, wanted, limitAt} = options;
   const {knownTo = () => count, idle = () => false} = options;
+  const {isTelling = false} = options;
   const clock = new VirtualClock();
   const random = new SeededRandom(seed);
   const names = Array.from({length: count}, (_, i) => `host-${i}`);
@@ -71,10 +77,25 @@
       bounds: [limit],
       sent: new SentCalls({clock, keptMs: 5_000}),
     });
-    const runner = new Runner({clock, entry, pool});
+    const runner: Runner = new Runner({
+      clock,
+      entry,
+      pool,
+      onLimit: ({isTold}) => {
+        if (isTelling && !isTold) clock.after(URGENT_MS, tell);
+      },
+    });
     return {gate, runner, toldAt: Infinity};
   }
 
+  /** All hosts take over what one of them heard last. */
+  function tell(): void {
+    const limits = hosts.map(({runner}) => runner.limit);
+    const newest = limits.reduce((a, b) => (b.ageMs < a.ageMs ? b : a));
+    const {perSecond, ageMs} = newest;
+    for (const limit of limits) limit.take(perSecond, clock.now() - ageMs);
+  }
+
   function send(host: Host): void {
     const {gate, runner} = host;
     if (gate.openOf([runner]).length === 0) return;
@@ -94,6 +115,7 @@
   }
 
   for (let now = 0; now < forMs; now += STEP_MS) {
+    if (isTelling && now % TELL_MS === 0) tell();
     const host = random.below(count);
     if (random.next() < (wanted * STEP_MS) / 1_000 && !idle(host))
       send(hosts[host]);
@@ -129,6 +151,40 @@
       }
 });
 
+void test('hosts that hear of a runner in need from each other keep the bound from its first naming on', () => {
+  let seed = 0;
+  for (const hosts of [2, 7, 65])
+    for (const perSecond of [0.2, 2, 2.2, 7])
+      for (const wanted of [4, 7]) {
+        seed += 1;
+        const limitAt = (now: number) => (now < 10_000 ? undefined : perSecond);
+        const arrivals = play(
+          {hosts, seed, wanted, limitAt, isTelling: true},
+          40_000,
+        );
+        const excess = findLimitExcess({
+          ...TOLERANCE,
+          // What arrived in the second before that was sent to a runner that took everything.
+          contactMs: TOLERANCE.windowMs,
+          limits: [{at: 10_000, perSecond}],
+          arrivals,
+          until: 40_000,
+        });
+        assert.equal(excess, undefined, `${hosts} hosts, ${perSecond}`);
+      }
+});
+
+void test('of 65 hosts that each get few calls most learn it from others, without a request of their own', () => {
+  const limitAt = (now: number) => (now < 10_000 ? undefined : 0);
+  const countTo = (isTelling: boolean) => {
+    const options = {hosts: 65, seed: 9, wanted: 10, limitAt, isTelling};
+    return countBetween(play(options, 30_000), 10_000, 30_000);
+  };
+  const told = countTo(true);
+  assert.ok(told <= 15, `${told} arrived`);
+  assert.ok(countTo(false) > 3 * told);
+});
+
 void test('most of what a runner takes is used', () => {
   for (const hosts of [1, 7, 65])
     for (const perSecond of [0.2, 1, 2, 10]) {
--- a/packages/gateway/src/runners/named_limits.test.ts
+++ b/packages/gateway/src/runners/named_limits.test.ts
@@ -109,3 +109,16 @@
   assert.equal(excessAt('i-0', namedAt, performance.now()), undefined);
   assert.ok(answers.every(({status}) => status === 200));
 });
+
+void test('hosts hear from each other that a runner is in need before they have asked it', async () => {
+  limits.set('i-0', PER_SECOND);
+  await fixture.waitFor(async () => {
+    await callAt(0);
+    return arrivals.get('i-0')!.length > 0;
+  });
+  const changes = () => fixture.events('runner_limit_changed');
+  await fixture.waitFor(() => changes().length >= HOSTS);
+  const told = changes().filter(({source}) => source === 'another host');
+  assert.equal(told.length, HOSTS - 1);
+  assert.ok(told.every(({perSecond}) => perSecond === PER_SECOND));
+});
--- a/packages/gateway/src/runners/runner_limit.ts
+++ b/packages/gateway/src/runners/runner_limit.ts
@@ -40,16 +40,24 @@
     this.set(undefined);
   }
 
+  /** Takes in what another host heard, as of a time on this host's clock. */
+  take(perSecond: number | undefined, asOf: number): void {
+    if (asOf <= this.asOf) return;
+    this.asOf = asOf;
+    this.set(perSecond, true);
+  }
+
   private noteMalformed({malformed}: LimitWord): void {
     if (malformed !== undefined && malformed !== this.lastMalformed)
-      this.options.onChange?.({malformed});
+      this.options.onChange?.({malformed, ageMs: 0});
     this.lastMalformed = malformed;
   }
 
-  private set(perSecond: number | undefined): void {
+  private set(perSecond: number | undefined, isTold = false): void {
     const previous = this.current;
     if (perSecond === previous) return;
     this.current = perSecond;
-    this.options.onChange?.({perSecond, previous});
+    const {ageMs} = this;
+    this.options.onChange?.({perSecond, previous, isTold, ageMs});
   }
 }
