What runners take that name limits is given to urgent calls first; the rest is refused at once, and told when to come back

What callers saw: where all runners of a service name limits, whoever came first had the room, a refused caller was told to come back after 0.15 to 0.4 s whenever there would be room, and on-call engineers found nothing of it in the log. Cause: room under a bound was no quantity that anything was decided on. What can't be served is refused at once as not run; Retry-After is the time until this host has room again. A silent runner is not left for others that have all that they take. runner_withheld tells, by request, the limit, its age, this host's share and what it sent; bayspool_withheld_choices_total counts.

--- a/packages/decisions/src/calls/index.ts
+++ b/packages/decisions/src/calls/index.ts
@@ -54,6 +54,7 @@
 export type {StreamEvent} from './stream_event.js';
 export type {VersionTally} from './version_tally.js';
 export {watchedLimit} from './watched_limit.js';
+export {UrgentFirst} from './urgent_first.js';
 export {watchedRunners} from './watched_runners.js';
 export {watchedShare} from './watched_share.js';
 export {weighRunnerEnd} from './weigh_runner_end.js';
--- a/packages/gateway/src/calls/call_forwarder.ts
+++ b/packages/gateway/src/calls/call_forwarder.ts
@@ -3,6 +3,7 @@
   Quarantine,
   RetryBudget,
   SessionVersions,
+  UrgentFirst,
 } from '@bayspool/decisions/calls';
 import type {Clock, RandomSource} from '@bayspool/kernel';
 import type {RunnerDirectory} from '../beliefs/runner_directory.js';
@@ -11,6 +12,7 @@
 import type {RolloutBook} from '../rollouts/rollout_book.js';
 import type {PrefixBook} from '../runners/prefix_book.js';
 import type {ReadingRates} from '../runners/reading_rates.js';
+import type {Runner} from '../runners/runner.js';
 import type {RunnerChoice} from '../runners/runner_choice.js';
 import type {RunnerChooser} from '../runners/runner_chooser.js';
 import type {RunnerGate} from '../runners/runner_gate.js';
@@ -31,6 +33,7 @@
 import {RepeatRule} from './repeat_rule.js';
 import {RequestLessons} from './request_lessons.js';
 import {RunnerHeaders} from './runner_headers.js';
+import {WithheldReport} from './withheld_report.js';
 
 interface Options {
   readonly clock: Clock;
@@ -55,6 +58,8 @@
   readonly loadsAgeMs: () => number;
   /** The retry budget of a service. */
   readonly budgetOf: (service: string) => RetryBudget;
+  /** Who gets what runners of a service take, where that is less than is wanted. */
+  readonly urgentFirstOf: (service: string) => UrgentFirst;
 }
 
 /** Share of other work beside its own with which a prompt's time still tells the engine's rate. */
@@ -65,6 +70,7 @@
   private readonly lessons: AttemptLessons;
   private readonly requestLessons: RequestLessons;
   private readonly placement: CallPlacement;
+  private readonly withheld: WithheldReport;
   private readonly repeats: RepeatRule;
   private readonly judge: AnswerJudge;
   private readonly final: FinalAnswer;
@@ -73,6 +79,7 @@
   constructor(private readonly options: Options) {
     const {clock, random, log, metrics, directory, candidates} = options;
     const {rollouts, sessions, rates, cascade, quarantine, budgetOf} = options;
+    const {gate} = options;
     this.lessons = new AttemptLessons({
       log,
       metrics,
@@ -82,12 +89,14 @@
       rates,
     });
     this.placement = new CallPlacement(options);
+    this.withheld = new WithheldReport(options);
     this.requestLessons = new RequestLessons({log, quarantine});
     this.repeats = new RepeatRule({
       clock,
       log,
       metrics,
       candidates,
+      gate,
       cascade,
       quarantine,
       budgetOf,
@@ -107,20 +116,22 @@
     caller: CallerAnswer,
     signal: AbortSignal,
   ): Promise<void> {
-    const {cascade, budgetOf, quarantine} = this.options;
-    const {route} = call;
+    const {cascade, budgetOf, quarantine, urgentFirstOf} = this.options;
+    const {route, service} = call;
     const model =
       route.models.length > 0 ? cascade.firstModel(route) : call.model;
     const progress = new CallProgress({call, model});
     const heldForMs = quarantine.heldForMs(call.fingerprint);
     if (heldForMs > 0)
       return this.final.refuseHeld(progress, caller, heldForMs);
-    budgetOf(call.service).countFirst();
+    budgetOf(service).countFirst();
+    urgentFirstOf(service).noteWanted(call.priority);
     for (;;) {
+      this.withheld.tell(progress);
       const choice = this.placement.choose(progress);
       if (!choice) {
-        const reason = this.options.candidates.reasonForNone(call);
-        return this.final.finish(progress, caller, reason);
+        const refusal = this.placement.refusalFor(progress);
+        return this.final.refuse(progress, caller, refusal);
       }
       const outcome = await this.attempt(progress, choice, caller, signal);
       progress.reservation?.release();
@@ -187,12 +198,12 @@
     caller: CallerAnswer,
     signal: AbortSignal,
   ): Attempt {
-    const {clock, names, gate} = this.options;
+    const {clock, names} = this.options;
     const {call, model} = progress;
     return new Attempt({
       clock,
       names,
-      admit: () => gate.admit(choice.runner) ?? this.repeats.pay(progress),
+      admit: () => this.admit(progress, choice.runner),
       runnerHeaders: this.runnerHeaders,
       call,
       choice,
@@ -204,6 +215,15 @@
     });
   }
 
+  /** Decides right before a request is sent. @returns why it must not be; undefined if it may, and then it counts as sent */
+  private admit(progress: CallProgress, runner: Runner): string | undefined {
+    const {gate, urgentFirstOf} = this.options;
+    const {service, priority} = progress.call;
+    const refusal = gate.admit(runner) ?? this.repeats.pay(progress);
+    if (refusal === undefined) urgentFirstOf(service).noteSent(priority);
+    return refusal;
+  }
+
   private noteChoice(progress: CallProgress, choice: RunnerChoice): void {
     const {log, metrics, rollouts, prefixes, sessions} = this.options;
     const {call, model} = progress;
--- a/packages/gateway/src/calls/call_placement.ts
+++ b/packages/gateway/src/calls/call_placement.ts
@@ -1,5 +1,5 @@
 import {RolloutPhase, watchedRunners} from '@bayspool/decisions/calls';
-import type {Quarantine} from '@bayspool/decisions/calls';
+import type {Quarantine, UrgentFirst} from '@bayspool/decisions/calls';
 import type {RunnerDirectory} from '../beliefs/runner_directory.js';
 import type {RolloutBook} from '../rollouts/rollout_book.js';
 import {VersionReason} from '../rollouts/version_reason.js';
@@ -10,6 +10,7 @@
 import type {RunnerGate} from '../runners/runner_gate.js';
 import type {CallCandidates} from './call_candidates.js';
 import type {CallProgress} from './call_progress.js';
+import type {CallRefusal} from './call_refusal.js';
 import type {IncomingCall} from './incoming_call.js';
 
 interface Options {
@@ -20,6 +21,8 @@
   readonly rollouts: RolloutBook;
   /** Which requests are held back, as runners ended under them. */
   readonly quarantine: Quarantine;
+  /** Who gets what runners of a service take, where that is less than is wanted. */
+  readonly urgentFirstOf: (service: string) => UrgentFirst;
 }
 
 /** Runners of a begun answer's version that may be out of reach before the version counts as gone. */
@@ -34,10 +37,10 @@
     progress: CallProgress,
     model = progress.model,
   ): RunnerChoice | undefined {
-    const {candidates: all, chooser, gate} = this.options;
+    const {candidates: all, chooser} = this.options;
     const {call, tried} = progress;
     const known = all.of(call);
-    const takers = gate.openOf(known);
+    const takers = this.openTo(progress, known);
     const wish = this.wishFor(progress, known);
     const wished = this.wishedOf(takers, wish, call.service);
     const isGranted = wished.length > 0;
@@ -53,6 +56,33 @@
     return chooser.choose({candidates, tried, bodyBytes, model, prompt});
   }
 
+  /** Why there is no runner for a call, and when there may be one. */
+  refusalFor({call, begunBy}: CallProgress): CallRefusal {
+    const {candidates, gate} = this.options;
+    const known = candidates.of(call);
+    const withheld = gate.withheldOf(known);
+    if (withheld.length === 0) return {reason: candidates.reasonForNone(call)};
+    if (withheld.length < known.length && begunBy === undefined)
+      return {reason: 'room is kept for more urgent calls'};
+    const leastMs = Math.min(...withheld.map(({waitMs}) => waitMs));
+    const waitMs = Number.isFinite(leastMs) ? leastMs : undefined;
+    return {reason: 'runners have all that they take', waitMs};
+  }
+
+  /** Runners that may be sent the call now. */
+  private openTo(
+    {call, begunBy}: CallProgress,
+    known: readonly Runner[],
+  ): readonly Runner[] {
+    const {gate, urgentFirstOf} = this.options;
+    const open = gate.openOf(known);
+    // An answer that has begun goes on: its caller holds a part of it.
+    if (open.length === known.length || begunBy !== undefined) return open;
+    const urgentFirst = urgentFirstOf(call.service);
+    const mayUse = urgentFirst.mayUse(call.priority, gate.perSecond(known));
+    return mayUse ? open : [];
+  }
+
   /**
    * A request under which a runner ended goes where nothing else runs, if it can: what it may end there is only itself,
    * and whether it was the cause is known then.
--- a/packages/gateway/src/calls/final_answer.ts
+++ b/packages/gateway/src/calls/final_answer.ts
@@ -5,6 +5,7 @@
 import type {AttemptOutcome} from './attempt_outcome.js';
 import {CallEnd} from './call_end.js';
 import type {CallProgress} from './call_progress.js';
+import type {CallRefusal} from './call_refusal.js';
 import type {CallerAnswer} from './caller_answer.js';
 import type {OwnAnswer} from './own_answer.js';
 import {chooseRetryAfter} from './retry_after.js';
@@ -66,8 +67,26 @@
     this.noteFailed(progress, own);
   }
 
-  /** Gives the final answer of a call that no runner answered well. */
-  finish(progress: CallProgress, caller: CallerAnswer, reason: string): void {
+  /** Ends a call for which there is no runner now. */
+  refuse(
+    progress: CallProgress,
+    caller: CallerAnswer,
+    {reason, waitMs}: CallRefusal,
+  ): void {
+    this.finish(progress, caller, reason, waitMs);
+  }
+
+  /**
+   * Gives the final answer of a call that no runner answered well.
+   *
+   * @param waitMs time before which it would only be refused again, in ms
+   */
+  finish(
+    progress: CallProgress,
+    caller: CallerAnswer,
+    reason: string,
+    waitMs?: number,
+  ): void {
     const {clock, log, metrics} = this.options;
     const {call} = progress;
     const forMs = Math.round(clock.now() - call.acceptedAt);
@@ -89,7 +108,7 @@
     }
     const failed = progress.lastError;
     if (failed && !caller.isClosed) caller.sendWhole(failed);
-    const own = this.ownAnswer(progress, reason);
+    const own = this.ownAnswer(progress, reason, waitMs);
     if (!failed && !caller.isClosed) caller.sendOwn(own);
     this.noteFailed(progress, failed ? {status: failed.status, reason} : own);
   }
@@ -113,9 +132,14 @@
     });
   }
 
-  private ownAnswer(progress: CallProgress, reason: string): OwnAnswer {
+  private ownAnswer(
+    progress: CallProgress,
+    reason: string,
+    waitMs?: number,
+  ): OwnAnswer {
+    const {random} = this.options;
     if (!progress.mayHaveRun) {
-      const retryAfterMs = Math.round(chooseRetryAfter(this.options.random));
+      const retryAfterMs = Math.round(chooseRetryAfter(random, waitMs));
       return {status: STATUS.UNAVAILABLE, reason, retryAfterMs};
     }
     const status =
--- a/packages/gateway/src/calls/repeat_rule.ts
+++ b/packages/gateway/src/calls/repeat_rule.ts
@@ -8,6 +8,7 @@
 import type {EventLog} from '../observability/event_log.js';
 import type {GatewayMetrics} from '../observability/gateway_metrics.js';
 import type {Runner} from '../runners/runner.js';
+import type {RunnerGate} from '../runners/runner_gate.js';
 import {AttemptKind} from './attempt_kind.js';
 import type {AttemptOutcome} from './attempt_outcome.js';
 import type {CallCandidates} from './call_candidates.js';
@@ -19,6 +20,7 @@
   readonly log: EventLog;
   readonly metrics: GatewayMetrics;
   readonly candidates: CallCandidates;
+  readonly gate: RunnerGate;
   readonly cascade: CascadeRule;
   readonly quarantine: Quarantine;
   /** The retry budget of a service. */
@@ -110,11 +112,13 @@
     const {call} = progress;
     if (progress.sent + 1 >= call.route.attempts) return false;
     if (this.options.budgetOf(call.service).left < 1) return false;
-    return this.options.candidates
+    const {candidates, gate} = this.options;
+    const sound = candidates
       .of(call)
-      .some(
+      .filter(
         runner =>
           runner !== from && !runner.health.isEjected && !runner.isQuiet,
       );
+    return gate.openOf(sound).length > 0;
   }
 }
--- /dev/null
+++ b/packages/gateway/src/calls/withheld_report.ts
@@ -0,0 +1,54 @@
+import type {EventLog} from '../observability/event_log.js';
+import type {GatewayMetrics} from '../observability/gateway_metrics.js';
+import type {RunnerGate} from '../runners/runner_gate.js';
+import type {WithheldRunner} from '../runners/withheld_runner.js';
+import type {CallCandidates} from './call_candidates.js';
+import type {CallProgress} from './call_progress.js';
+
+interface Options {
+  readonly log: EventLog;
+  readonly metrics: GatewayMetrics;
+  readonly candidates: CallCandidates;
+  readonly gate: RunnerGate;
+}
+
+/** Runners that are told of for one choice. */
+const MAX_TOLD = 3;
+
+/** Tells from which runners a call was kept, and on what that was decided. */
+export class WithheldReport {
+  constructor(private readonly options: Options) {}
+
+  /** Tells it of the choice that comes next. */
+  tell(progress: CallProgress): void {
+    const {candidates, gate, metrics} = this.options;
+    const {service} = progress.call;
+    const withheld = gate.withheldOf(candidates.of(progress.call));
+    if (withheld.length === 0) return;
+    const [{reason}] = withheld;
+    metrics.withheldChoices.inc({service, reason});
+    for (const one of withheld.slice(0, MAX_TOLD))
+      this.tellOne(progress, one, withheld.length);
+  }
+
+  private tellOne(
+    {call, tries}: CallProgress,
+    {runner, reason, share, sent, waitMs}: WithheldRunner,
+    withheld: number,
+  ): void {
+    const {perSecond, ageMs} = runner.limit;
+    this.options.log.write('runner_withheld', {
+      request: call.id,
+      attempt: tries + 1,
+      runner: runner.entry.id,
+      reason,
+      perSecond,
+      ageMs: perSecond === undefined ? undefined : Math.round(ageMs),
+      share: share.calls,
+      windowMs: share.windowMs,
+      sent,
+      waitMs: Number.isFinite(waitMs) ? Math.round(waitMs) : undefined,
+      withheld,
+    });
+  }
+}
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -282,6 +282,7 @@
       }),
       cascade: new CascadeRule(),
       budgetOf: service => limits.budgetOf(service),
+      urgentFirstOf: service => limits.urgentFirstOf(service),
       loadsAgeMs: () => loads.ageMs,
       targetOf: service => limits.targetOf(service),
     });
--- a/packages/gateway/src/observability/event_fields.ts
+++ b/packages/gateway/src/observability/event_fields.ts
@@ -63,6 +63,24 @@
     reason: string;
     rolloutShare?: number;
   };
+  runner_withheld: {
+    request: string;
+    attempt: number;
+    runner: string;
+    /** The bound that holds. */
+    reason: string;
+    /** What the runner says it takes a second from all hosts together, and how long ago it was last heard to say so. */
+    perSecond?: number;
+    ageMs?: number;
+    /** Calls in a window that are this host's part, and how many it sent. */
+    share: number;
+    windowMs: number;
+    sent: number;
+    /** Time until it may send one; none if it has no part. */
+    waitMs?: number;
+    /** Runners of the service that were withheld in this choice. */
+    withheld: number;
+  };
   attempt_ended: {
     request: string;
     attempt: number;
--- a/packages/gateway/src/observability/event_log.ts
+++ b/packages/gateway/src/observability/event_log.ts
@@ -14,6 +14,7 @@
 /** Events that describe requests that go well; the first to be sampled under load. */
 const DETAIL: ReadonlySet<EventName> = new Set<EventName>([
   'request_accepted',
+  'runner_withheld',
   'runner_chosen',
   'attempt_ended',
   'answer_weighed',
--- a/packages/gateway/src/observability/gateway_metrics.ts
+++ b/packages/gateway/src/observability/gateway_metrics.ts
@@ -23,6 +23,11 @@
     'Attempts beyond the first of a request',
     ['service', 'reason'],
   );
+  readonly withheldChoices = this.counter(
+    'withheld_choices_total',
+    'Choices of a runner from which others were kept, by the bound that held',
+    ['service', 'reason'],
+  );
   readonly versionChoices = this.counter(
     'version_choices_total',
     'Choices of a runner, by what decided on its version',
--- a/packages/gateway/src/parts/service_limits.ts
+++ b/packages/gateway/src/parts/service_limits.ts
@@ -1,4 +1,4 @@
-import {RetryBudget} from '@bayspool/decisions/calls';
+import {RetryBudget, UrgentFirst} from '@bayspool/decisions/calls';
 import type {CallBound} from '@bayspool/decisions/calls';
 import type {Clock} from '@bayspool/kernel';
 import type {ConfigurationBelief} from '../beliefs/configuration_belief.js';
@@ -22,12 +22,15 @@
 const MIN_CONNECTIONS = 3;
 /** Window in which the platform counts calls to a cold runner, in ms. */
 const COLD_WINDOW_MS = 1_000;
+/** Window over which room for urgent calls is kept, in ms: about that of the limits that runners name. */
+const URGENT_WINDOW_MS = 4_000;
 /** Latency target of services that no route names, in ms. */
 const MAX_TARGET_MS = 10_000;
 
 /** What this host may use of each service, by the configuration and the number of hosts. */
 export class ServiceLimits {
   private readonly budgets = new Map<string, RetryBudget>();
+  private readonly urgentFirsts = new Map<string, UrgentFirst>();
 
   private readonly startedAt: number;
 
@@ -70,6 +73,16 @@
     return budget;
   }
 
+  /** Who gets what runners of a service take, where that is less than is wanted. */
+  urgentFirstOf(service: string): UrgentFirst {
+    const known = this.urgentFirsts.get(service);
+    if (known) return known;
+    const {clock} = this.options;
+    const rule = new UrgentFirst({clock, windowMs: URGENT_WINDOW_MS});
+    this.urgentFirsts.set(service, rule);
+    return rule;
+  }
+
   /** Repeats that this host may still send, by service. */
   budgetsLeft(): MetricSample[] {
     return [...this.budgets].map(([service, {left}]) => ({
--- a/packages/gateway/src/runners/named_limits.test.ts
+++ b/packages/gateway/src/runners/named_limits.test.ts
@@ -71,18 +71,19 @@
 }
 
 /** Callers ask all hosts in turn for a time. */
-async function callFor(forMs: number): Promise<CallerResult[]> {
+async function callFor(forMs: number, path?: string): Promise<CallerResult[]> {
   const until = performance.now() + forMs;
   const answers: Array<Promise<CallerResult>> = [];
   for (let host = 0; performance.now() < until; host = (host + 1) % HOSTS) {
-    answers.push(callAt(host));
+    answers.push(callAt(host, path));
     await new Promise(resolve => setTimeout(resolve, CALL_PAUSE_MS));
   }
   return Promise.all(answers);
 }
 
-async function callAt(host: number): Promise<CallerResult> {
-  const answer = await fixture.call({host, headers: {'x-by': String(host)}});
+async function callAt(host: number, path?: string): Promise<CallerResult> {
+  const headers = {'x-by': String(host)};
+  const answer = await fixture.call({host, path, headers});
   const key = `${host}|${String(answer.headers[names.signature])}`;
   if (answer.headers[names.limit] !== undefined && !passedOn.has(key))
     passedOn.set(key, performance.now());
@@ -122,3 +123,71 @@
   assert.equal(told.length, HOSTS - 1);
   assert.ok(told.every(({perSecond}) => perSecond === PER_SECOND));
 });
+
+/** All runners name a limit, and all hosts know. */
+async function limitAll(perSecond: number): Promise<void> {
+  for (const {entry} of runners) limits.set(entry.id, perSecond);
+  const changes = () => fixture.events('runner_limit_changed');
+  await fixture.waitFor(async () => {
+    await callFor(100);
+    return changes().length >= HOSTS * RUNNERS;
+  });
+}
+
+void test('where all runners name limits, what they take is used, the rest refused at once as not run, and all is served again', async () => {
+  await limitAll(PER_SECOND);
+  const startedAt = performance.now();
+  const answers = await callFor(8_800);
+  const seconds = (performance.now() - startedAt) / 1_000;
+  const served = answers.filter(({status}) => status === 200);
+  const refused = answers.filter(({status}) => status === 503);
+  assert.equal(served.length + refused.length, answers.length);
+  const taken = RUNNERS * PER_SECOND * seconds;
+  assert.ok(served.length >= taken / 2, `${served.length} of ${taken}`);
+  assert.ok(served.length <= taken, `${served.length} of ${taken}`);
+  for (const {headers} of refused)
+    assert.ok(Number(headers['retry-after']) > 0);
+  const failed = fixture.events('request_failed');
+  assert.ok(
+    failed.every(({attempts, hasRun}) => attempts === 0 && hasRun === 'no'),
+  );
+  const [{request}] = failed;
+  const withheld = fixture
+    .events('runner_withheld')
+    .filter(line => line.request === request);
+  assert.equal(withheld[0].perSecond, PER_SECOND);
+  assert.equal(withheld[0].withheld, RUNNERS);
+  assert.ok(Number(withheld[0].ageMs) >= 0);
+  limits.clear();
+  await fixture.waitFor(async () => {
+    const later = await callFor(300);
+    return later.every(({status}) => status === 200);
+  });
+});
+
+void test('where all runners name limits, urgent calls are refused last', async () => {
+  fixture.configure([
+    {name: 'urgent', pathPrefix: '/urgent/', priority: 0},
+    {name: 'other', pathPrefix: '/other/', priority: 2},
+  ]);
+  await fixture.waitFor(async () => {
+    const answers = await Promise.all(
+      fixture.hosts.map((_, host) => callAt(host, '/urgent/1')),
+    );
+    return answers.every(({status}) => status === 200);
+  });
+  for (const {entry} of runners) limits.set(entry.id, PER_SECOND);
+  await callFor(1_000, '/other/1');
+  // The others ask first each time.
+  const [other, urgent] = await Promise.all([
+    callFor(9_000, '/other/1'),
+    callFor(9_000, '/urgent/1'),
+  ]);
+  const countServed = (answers: readonly CallerResult[]) =>
+    answers.filter(({status}) => status === 200).length;
+  assert.ok(
+    countServed(urgent) > 2 * countServed(other),
+    `${countServed(urgent)} urgent, ${countServed(other)} others`,
+  );
+  assert.ok(countServed(other) > 0);
+});
--- a/packages/gateway/src/runners/runner_gate.ts
+++ b/packages/gateway/src/runners/runner_gate.ts
@@ -2,6 +2,7 @@
 import type {Runner} from './runner.js';
 import type {RunnerBound} from './runner_bound.js';
 import type {SentCalls} from './sent_calls.js';
+import type {WithheldRunner} from './withheld_runner.js';
 
 interface Options {
   readonly cordons: Cordons;
@@ -9,6 +10,8 @@
   readonly sent: SentCalls;
 }
 
+const MS_PER_SECOND = 1_000;
+
 /** What keeps this host from sending a request to a runner that would take it. */
 export class RunnerGate {
   constructor(private readonly options: Options) {}
@@ -29,24 +32,46 @@
     const {cordons, sent} = this.options;
     const {id, place} = runner.entry;
     if (cordons.has(place)) return 'place cordoned';
-    const full = this.fullBound(runner);
-    if (full) return full.reason;
+    const withheld = this.findWithheld(runner);
+    if (withheld) return withheld.reason;
     sent.add(id);
     return undefined;
   }
 
-  private isOpen(runner: Runner): boolean {
-    return this.fullBound(runner) === undefined;
+  /** Those of the runners to which nothing may be sent now. */
+  withheldOf(runners: readonly Runner[]): WithheldRunner[] {
+    return runners.flatMap(runner => this.findWithheld(runner) ?? []);
+  }
+
+  /** Calls a second that this host may send to these runners together; Infinity if nothing bounds one of them. */
+  perSecond(runners: readonly Runner[]): number {
+    return runners.reduce((sum, runner) => sum + this.rateOf(runner), 0);
   }
 
-  /** The bound of which this host has no share left at a runner. */
-  private fullBound(runner: Runner): RunnerBound | undefined {
-    const {bounds, sent} = this.options;
-    return bounds.find(bound => {
+  private rateOf(runner: Runner): number {
+    const rates = this.options.bounds.map(bound => {
       const share = bound.shareOf(runner);
-      if (!share) return false;
-      const count = sent.countWithin(runner.entry.id, share.windowMs);
-      return count >= share.calls;
+      if (!share) return Infinity;
+      return (share.calls * MS_PER_SECOND) / share.windowMs;
     });
+    return Math.min(...rates);
+  }
+
+  private isOpen(runner: Runner): boolean {
+    return this.findWithheld(runner) === undefined;
+  }
+
+  private findWithheld(runner: Runner): WithheldRunner | undefined {
+    const {bounds, sent: calls} = this.options;
+    const {id} = runner.entry;
+    for (const bound of bounds) {
+      const share = bound.shareOf(runner);
+      if (!share) continue;
+      const sent = calls.countWithin(id, share.windowMs);
+      if (sent < share.calls) continue;
+      const waitMs = calls.waitMs(id, share);
+      return {runner, reason: bound.reason, share, sent, waitMs};
+    }
+    return undefined;
   }
 }
