A runner in need is not sent the calls of a window at once

What runners saw: each host sent its share as fast as calls came, then nothing for four seconds; and a limit that became much smaller found a whole window's calls of the larger one right before it. Cause: a share was a count in a window only. Mend: two calls of a host are half of an even spread apart at least. Shown on a virtual clock: 4 hosts, 6 a second named, 100 wanted: over 12 in a second before (test fails with no gap), 12 at most with it.

--- a/packages/gateway/src/runners/cold_bound.ts
+++ b/packages/gateway/src/runners/cold_bound.ts
@@ -41,7 +41,7 @@
     if (!runner.isCold) return undefined;
     // A bound that has just come into force holds at once.
     if (!this.options.limitsOf(runner.entry.service)) return undefined;
-    return {calls: this.shares.of(runner), windowMs: WINDOW_MS};
+    return {calls: this.shares.of(runner), windowMs: WINDOW_MS, gapMs: 0};
   }
 
   private findShare({entry: {id, place, service}}: Runner): number {
--- a/packages/gateway/src/runners/limit_bound.test.ts
+++ b/packages/gateway/src/runners/limit_bound.test.ts
@@ -258,3 +258,14 @@
     assert.ok(countBetween(arrivals, 110_000, 120_000) > 50);
   }
 });
+
+void test('a runner in need is not sent the calls of a window at once', () => {
+  const limitAt = () => 6;
+  const arrivals = play({hosts: 4, seed: 11, wanted: 100, limitAt}, 40_000);
+  const later = arrivals.filter(({at}) => at > 5_000);
+  const most = Math.max(
+    ...later.map(({at}) => countBetween(later, at, at + 1_000)),
+  );
+  // Twice what it takes in a second.
+  assert.ok(most <= 12, `${most} in a second`);
+});
--- a/packages/gateway/src/runners/limit_bound.ts
+++ b/packages/gateway/src/runners/limit_bound.ts
@@ -24,6 +24,11 @@
 
 /** Added to the platform's window, as what is sent within it may arrive closer together, in ms. */
 const WINDOW_MARGIN_MS = 400;
+/**
+ * Least time between two calls of a host, in parts of an even spread: a runner in need is sent no window's calls at once, and a smaller
+ * limit finds little of what was sent under a larger one.
+ */
+const GAP_PART = 0.5;
 /** How long a standing is kept before hosts are looked at again, in ms. */
 const STANDING_KEPT_MS = 500;
 /** Pause after which a runner of which nobody has heard is asked again, in ms: at least, and at most for small limits. */
@@ -56,10 +61,10 @@
     const calls = callsWithin({...tolerance, perSecond});
     const own = callShare({...standing, calls, leastCalls: 1});
     const isDue = isTurn(standing, ageMs, lookPauseMs(perSecond));
-    return {
-      calls: Math.max(own, isDue ? 1 : 0),
-      windowMs: tolerance.windowMs + WINDOW_MARGIN_MS,
-    };
+    const share = Math.max(own, isDue ? 1 : 0);
+    const windowMs = tolerance.windowMs + WINDOW_MARGIN_MS;
+    const gapMs = (windowMs / Math.max(1, share)) * GAP_PART;
+    return {calls: share, windowMs, gapMs};
   }
 
   private findStanding({entry: {id}}: Runner): Standing {
--- a/packages/gateway/src/runners/runner_gate.ts
+++ b/packages/gateway/src/runners/runner_gate.ts
@@ -67,9 +67,9 @@
     for (const bound of bounds) {
       const share = bound.shareOf(runner);
       if (!share) continue;
-      const sent = calls.countWithin(id, share.windowMs);
-      if (sent < share.calls) continue;
       const waitMs = calls.waitMs(id, share);
+      if (waitMs === 0) continue;
+      const sent = calls.countWithin(id, share.windowMs);
       return {runner, reason: bound.reason, share, sent, waitMs};
     }
     return undefined;
--- a/packages/gateway/src/runners/runner_share.ts
+++ b/packages/gateway/src/runners/runner_share.ts
@@ -3,4 +3,6 @@
   /** Calls in any window, a whole number. */
   readonly calls: number;
   readonly windowMs: number;
+  /** Least time between two of them, in ms. */
+  readonly gapMs: number;
 }
--- a/packages/gateway/src/runners/sent_calls.ts
+++ b/packages/gateway/src/runners/sent_calls.ts
@@ -36,12 +36,14 @@
   }
 
   /** Time until a share has room for a call, in ms; 0 if it has now, Infinity if it has none at all. */
-  waitMs(id: string, {calls, windowMs}: RunnerShare): number {
+  waitMs(id: string, {calls, windowMs, gapMs}: RunnerShare): number {
     if (calls < 1) return Infinity;
-    if (this.countWithin(id, windowMs) < calls) return 0;
-    const times = this.times.get(id)!;
-    const leavesAt = times[times.length - calls] + windowMs;
-    return leavesAt - this.options.clock.now();
+    const times = this.times.get(id) ?? [];
+    // As many calls back as fit into a window.
+    const first = times[times.length - calls] ?? -Infinity;
+    const last = times[times.length - 1] ?? -Infinity;
+    const freeAt = Math.max(first + windowMs, last + gapMs);
+    return Math.max(0, freeAt - this.options.clock.now());
   }
 
   /** Forgets a runner that is gone. */
