--- a/packages/decisions/src/calls/testing/find_limit_excess.ts
+++ b/packages/decisions/src/calls/testing/find_limit_excess.ts
@@ -41,7 +41,7 @@
 
 /**
  * The window in which the arrivals at a runner exceed what it named by most; undefined if none does. What a host sent
- * before it knew counts as soon as it is bound, and what the first limit allows holds for the time before it too.
+ * before it knew counts as soon as it is bound; what arrived before the first limit was named, when no host could know, doesn't.
  */
 export function findLimitExcess(options: Options): LimitExcess | undefined {
   const {arrivals, limits, until, contactMs, windowMs} = options;
@@ -52,7 +52,10 @@
   let worst: LimitExcess | undefined;
   for (const end of new Set(ends)) {
     const arrived = arrivals.filter(
-      ({at, boundAt}) => at > end - windowMs && at <= end && boundAt <= end,
+      ({at, boundAt}) =>
+        at > Math.max(end - windowMs, limits[0].at) &&
+        at <= end &&
+        boundAt <= end,
     ).length;
     const window = {until: end, arrived, allowed: allowedIn(end, options)};
     if (overOf(window) > Math.max(0, overOf(worst))) worst = window;
