A sliding count is made of slice counts; the same logic stood twice

Behaviour as before (urgent_first.test.ts passes before and after); the amount that nobody gave is gone.

--- a/packages/decisions/src/calls/sliding_count.ts
+++ b/packages/decisions/src/calls/sliding_count.ts
@@ -1,4 +1,5 @@
 import type {Clock} from '@bayspool/kernel';
+import {SliceCounts} from './slice_counts.js';
 
 /** Parts of the window that are forgotten one by one. */
 const SLICES = 20;
@@ -10,31 +11,20 @@
 
 /** Counts events over a sliding window. */
 export class SlidingCount {
-  private readonly counts: number[] = new Array<number>(SLICES).fill(0);
-  private readonly sliceMs: number;
-  private slice = 0;
+  private readonly counts: SliceCounts;
 
-  constructor(private readonly options: Options) {
-    this.sliceMs = options.windowMs / SLICES;
+  constructor({clock, windowMs}: Options) {
+    const sliceMs = windowMs / SLICES;
+    this.counts = new SliceCounts({clock, sliceMs, slices: SLICES});
   }
 
   /** Counts something that happened now. */
-  add(amount = 1): void {
-    this.forget();
-    this.counts[this.slice % SLICES] += amount;
+  add(): void {
+    this.counts.add();
   }
 
   /** What was counted within the window. */
   get total(): number {
-    this.forget();
-    return this.counts.reduce((sum, count) => sum + count, 0);
-  }
-
-  private forget(): void {
-    const current = Math.floor(this.options.clock.now() / this.sliceMs);
-    const passed = Math.min(current - this.slice, SLICES);
-    for (let i = 1; i <= passed; i++)
-      this.counts[(current - passed + i) % SLICES] = 0;
-    this.slice = current;
+    return this.counts.latestFirst().reduce((sum, count) => sum + count, 0);
   }
 }
