What a runner names counts only from its own answers, and not when a later one named nothing

A runner at a reused address answers 421 with words of its own, and a surplus answer is an older one: neither is about the runner that was meant now. A host that knew from a later answer that nothing is named took over an older limit from others, and kept calls from a sound runner until the next answer. Lines on limits are sampled under load as the other lines that come with each answer.

--- a/packages/gateway/src/calls/attempt.ts
+++ b/packages/gateway/src/calls/attempt.ts
@@ -152,15 +152,27 @@
     });
     this.headAt = clock.now();
     this.watch.noteProgress();
-    const word = readLimit(answer, this.options.names.limit);
-    this.limitWord = word.perSecond;
-    runner.limit.noteAnswer(word, sentAt, this.headAt);
+    if (this.isOfRunner(answer)) this.noteLimit(answer, sentAt);
     const report = readReport(answer, this.options.names.load);
     if (report) runner.noteReport(report);
     connection.noteKeepAlive(readKeepAlive(answer));
     return this.read(answer, connection);
   }
 
+  /** Whether it is the runner that was meant which answers this request. */
+  private isOfRunner({statusCode, headers}: IncomingMessage): boolean {
+    const {names, call} = this.options;
+    const id = headers[names.requestId] ?? call.id;
+    return statusCode !== MISDIRECTED && id === call.id;
+  }
+
+  private noteLimit(answer: IncomingMessage, sentAt: number): void {
+    const {names, clock, choice} = this.options;
+    const word = readLimit(answer, names.limit);
+    this.limitWord = word.perSecond;
+    choice.runner.limit.noteAnswer(word, sentAt, clock.now());
+  }
+
   /** A connection to the runner; undefined if the attempt ends before there is one. */
   private connect(): Promise<PooledConnection | undefined> {
     const {signal} = this.ended;
--- a/packages/gateway/src/observability/event_log.ts
+++ b/packages/gateway/src/observability/event_log.ts
@@ -11,9 +11,11 @@
   readonly detailPerSecond?: number;
 }
 
-/** Events that describe requests that go well; the first to be sampled under load. */
+/** Events that come with each request or answer; the first to be sampled under load. */
 const DETAIL: ReadonlySet<EventName> = new Set<EventName>([
   'request_accepted',
+  'runner_limit_changed',
+  'runner_limit_malformed',
   'runner_withheld',
   'runner_chosen',
   'attempt_ended',
--- a/packages/gateway/src/peers/limit_teller.ts
+++ b/packages/gateway/src/peers/limit_teller.ts
@@ -15,8 +15,8 @@
 const PAUSE_MS = 200;
 
 /**
- * Tells other hosts at once that a runner is in need: in each exchange between hosts that passes first, every host that does not
- * know sends it more. The readers of all places are told, and wake the hosts that wait for news there.
+ * Tells other hosts at once that a runner is in need: until the next exchange each host that does not know would send it more.
+ * The readers of all places are told, and wake the hosts that wait for news there.
  */
 export class LimitTeller {
   private toldAt = -Infinity;
--- a/packages/gateway/src/runners/runner_limit.test.ts
+++ b/packages/gateway/src/runners/runner_limit.test.ts
@@ -50,12 +50,33 @@
   assert.equal(limit.perSecond, undefined);
 });
 
+void test('what another host heard before a later answer named no limit is old', () => {
+  const limit = new RunnerLimit({clock: new VirtualClock()});
+  limit.noteAnswer({}, 500, 600);
+  limit.take(2, 450);
+  assert.equal(limit.perSecond, undefined);
+  limit.take(2, 550);
+  assert.equal(limit.perSecond, 2);
+});
+
+void test('what another runner says that answers at its address is not about it', async () => {
+  fixture.configure([{}]);
+  await fixture.addRunner(runner);
+  runner.script = ({id}, response) => {
+    response.writeHead(421, {[names.requestId]: id, [names.limit]: '2'}).end();
+  };
+  await fixture.startHost();
+  await fixture.waitReady();
+  await fixture.call();
+  assert.equal(fixture.events('runner_limit_changed').length, 0);
+});
+
 void test('what a runner says it takes is told once for each change, and with each answer', async () => {
   fixture.configure([{}]);
   await fixture.addRunner(runner);
   const {gateway} = await fixture.startHost();
   await fixture.waitReady();
-  for (said of ['2.5', '2.5', 'many', 'many', undefined]) await fixture.call();
+  for (said of ['9000.5', '9000.5', 'many', 'many', undefined]) await fixture.call();
   const changes = fixture.events('runner_limit_changed');
   assert.deepEqual(
     changes.map(({runner: id, perSecond, previous}) => [
@@ -64,8 +85,8 @@
       previous,
     ]),
     [
-      ['one', 2.5, undefined],
-      ['one', undefined, 2.5],
+      ['one', 9000.5, undefined],
+      ['one', undefined, 9000.5],
     ],
   );
   const malformed = fixture.events('runner_limit_malformed');
@@ -76,7 +97,7 @@
   const ended = fixture.events('attempt_ended');
   assert.deepEqual(
     ended.map(({namedLimit}) => namedLimit),
-    [2.5, 2.5, undefined, undefined, undefined],
+    [9000.5, 9000.5, undefined, undefined, undefined],
   );
   said = '0.5';
   await fixture.call();
--- a/packages/gateway/src/runners/runner_limit.ts
+++ b/packages/gateway/src/runners/runner_limit.ts
@@ -13,6 +13,8 @@
   private current: number | undefined;
   /** As of when that is known, on this host's clock. */
   private asOf = -Infinity;
+  /** Latest time at which a request was sent whose answer named no limit. */
+  private unnamedAt = -Infinity;
   private lastMalformed: string | undefined;
 
   constructor(private readonly options: Options) {}
@@ -35,6 +37,7 @@
       return this.set(word.perSecond);
     }
     // An answer that was under way when the limit was named says nothing of the time after.
+    this.unnamedAt = Math.max(this.unnamedAt, sentAt);
     if (this.current === undefined || sentAt < this.asOf) return;
     this.asOf = sentAt;
     this.set(undefined);
@@ -42,7 +45,7 @@
 
   /** Takes in what another host heard, as of a time on this host's clock. */
   take(perSecond: number | undefined, asOf: number): void {
-    if (asOf <= this.asOf) return;
+    if (asOf <= Math.max(this.asOf, this.unnamedAt)) return;
     this.asOf = asOf;
     this.set(perSecond, true);
   }
