A port that one fleet of the tests was given is not given to another one

Cause, by reading: each test process draws ports by chance from one range and remembers only its own, and a fleet listens on them later, again after each restart. Who had that port is not known. Mend: the UDP port of the same number is held as long as the process runs, so no other one is given it.

--- a/packages/bench/src/fleet/free_port.ts
+++ b/packages/bench/src/fleet/free_port.ts
@@ -1,4 +1,5 @@
 import {randomInt} from 'node:crypto';
+import {createSocket} from 'node:dgram';
 import {createServer} from 'node:net';
 
 /**
@@ -7,15 +8,15 @@
  */
 const LOWEST = 12_000;
 const HIGHEST = 30_000;
-const given = new Set<number>();
 
-/** A port of the loopback address that is free now and was not given before. */
+/**
+ * A port of the loopback address that is free now and that no fleet gets again, of this process or another, as long as this one
+ * runs: the UDP port of the same number, which nothing else uses, is held for it.
+ */
 export async function freePort(host = '127.0.0.1'): Promise<number> {
   for (;;) {
     const port = randomInt(LOWEST, HIGHEST);
-    if (given.has(port) || !(await isFree(host, port))) continue;
-    given.add(port);
-    return port;
+    if ((await isFree(host, port)) && (await reserve(host, port))) return port;
   }
 }
 
@@ -26,3 +27,17 @@
     server.listen(port, host, () => server.close(() => resolve(true)));
   });
 }
+
+function reserve(address: string, port: number): Promise<boolean> {
+  return new Promise(resolve => {
+    const socket = createSocket('udp4');
+    socket.once('error', () => {
+      socket.close();
+      resolve(false);
+    });
+    socket.bind({address, port, exclusive: true}, () => {
+      socket.unref();
+      resolve(true);
+    });
+  });
+}
--- a/packages/gateway/src/runners/runner_limit.test.ts
+++ b/packages/gateway/src/runners/runner_limit.test.ts
@@ -76,7 +76,8 @@
   await fixture.addRunner(runner);
   const {gateway} = await fixture.startHost();
   await fixture.waitReady();
-  for (said of ['9000.5', '9000.5', 'many', 'many', undefined]) await fixture.call();
+  for (said of ['9000.5', '9000.5', 'many', 'many', undefined])
+    await fixture.call();
   const changes = fixture.events('runner_limit_changed');
   assert.deepEqual(
     changes.map(({runner: id, perSecond, previous}) => [
