A test of cold runners holds what arrives against the time that its calls took

The test's fault, traced: it held all calls of a flood against one second, and a flood lasts as long as the machine takes. Brought about with the test on one core beside eight busy processes: floods of 3.1 to 3.4 s, 28, 30 and 41 arrived, failed three times of three; each window of 1.1 s that it lasted allows the 13 anew. The bound is now 13 for each such window, so the same as before where the flood fits into one. Three runs on the starved core pass, and with the bound for cold runners switched off both tests fail (45 and 120 in one window).

--- a/packages/gateway/src/runners/cold_gate.test.ts
+++ b/packages/gateway/src/runners/cold_gate.test.ts
@@ -10,6 +10,8 @@
 /** Calls a second that a cold runner bears, and may get by the bounds of the fixture's settings. */
 const BORNE = 13;
 const ALLOWED = BORNE * 1.5 + 5;
+/** A host sends no more than its share within this time, in ms; a flood lasts as many of them as the machine takes. */
+const WINDOW_MS = 1_100;
 /** Calls that each host gets at once. */
 const CALLS = 40;
 const COLD_MS = 3_000;
@@ -43,14 +45,16 @@
   fixture.store.put(Topic.RUNNERS, 'cold', {...cold.entry, coldLeftMs});
 }
 
-/** All hosts get many calls at once. @returns statuses, and how often the cold runner was asked within a second */
+/** All hosts get many calls at once. @returns statuses, how often the cold runner was asked, and in how many windows */
 async function flood() {
   const before = cold.received.length;
+  const startedAt = performance.now();
   const calls = Array.from({length: CALLS * HOSTS}, (_, i) =>
     fixture.call({host: i % HOSTS}),
   );
   const answers = await Promise.all(calls);
-  return {answers, arrived: cold.received.length - before};
+  const windows = Math.ceil((performance.now() - startedAt) / WINDOW_MS);
+  return {answers, windows, arrived: cold.received.length - before};
 }
 
 void test('a cold runner gets what it bears from all hosts together, others the rest', async () => {
@@ -59,9 +63,10 @@
   await startHosts();
   tellCold(COLD_MS);
   await fixture.waitFor(() => isKnownCold());
-  const {answers, arrived} = await flood();
+  const {answers, arrived, windows} = await flood();
   assert.ok(answers.every(({status}) => status === 200));
-  assert.ok(arrived > 0 && arrived <= BORNE, `${arrived} arrived`);
+  assert.ok(arrived > 0, 'none arrived');
+  assert.ok(arrived <= BORNE * windows, `${arrived} in ${windows} windows`);
 });
 
 void test('what cold runners do not bear is refused at once as not run, and served once they are warm', async () => {
@@ -69,8 +74,9 @@
   await startHosts();
   tellCold(COLD_MS);
   await fixture.waitFor(() => isKnownCold());
-  const {answers, arrived} = await flood();
-  assert.ok(arrived > 0 && arrived <= ALLOWED, `${arrived} arrived`);
+  const {answers, arrived, windows} = await flood();
+  assert.ok(arrived > 0, 'none arrived');
+  assert.ok(arrived <= ALLOWED * windows, `${arrived} in ${windows} windows`);
   const refused = answers.filter(({status}) => status === 503);
   assert.equal(refused.length, answers.length - arrived);
   assert.ok(refused.every(({headers}) => headers['retry-after']));
