Tests: readers are told at once of a runner in need, and tell the hosts that wait

These two hold what makes it fast: the readers of all places are asked within the same step, in rounds 200 ms apart that leave nothing out, and hosts that wait, or ask just then, are answered.

--- /dev/null
+++ b/packages/gateway/src/peers/limit_teller.test.ts
@@ -0,0 +1,84 @@
+// While hosts waited for their next exchange each sent a runner in need what it believed in: the readers have to hear at once.
+import assert from 'node:assert/strict';
+import {beforeEach, test} from 'node:test';
+import {VirtualClock} from '@bayspool/kernel';
+import type {HostEntry} from './host_entry.js';
+import {LimitTeller} from './limit_teller.js';
+import type {PeerClient} from './peer_client.js';
+import type {Roster} from './roster.js';
+import type {SyncDesk} from './sync_desk.js';
+
+let clock: VirtualClock;
+/** Addresses of the hosts that were told, and when. */
+let told: string[];
+let failures: string[];
+let isReached: boolean;
+
+beforeEach(() => {
+  clock = new VirtualClock();
+  told = [];
+  failures = [];
+  isReached = true;
+});
+
+function host(name: string, place: string): HostEntry {
+  return {name, place, address: name, capacity: 1};
+}
+
+/** A host of place a, where a1 reads the store; b1 and c1 do so for the other places. */
+function createTeller(name: string): LimitTeller {
+  const roster = {
+    self: host(name, 'a'),
+    otherPlaces: () => ['b', 'c'],
+    readerOf: (place: string) => host(`${place}1`, place),
+    noteFailure: (peer: string) => failures.push(peer),
+  };
+  const client = {
+    sync: async (address: string) => {
+      told.push(`${address} ${clock.now()}`);
+      if (!isReached) throw new Error('no way');
+      return {};
+    },
+  };
+  const desk = {request: () => ({}), adoptLimits: () => undefined};
+  return new LimitTeller({
+    clock,
+    roster: roster as unknown as Roster,
+    client: client as unknown as PeerClient,
+    desk: desk as unknown as SyncDesk,
+  });
+}
+
+void test('the readers of all places are told at once, and a reader does not tell itself', async () => {
+  createTeller('a2').tellSoon();
+  await clock.advanceSettled(1);
+  assert.deepEqual(told, ['a1 0', 'b1 0', 'c1 0']);
+  told = [];
+  createTeller('a1').tellSoon();
+  await clock.advanceSettled(1);
+  assert.deepEqual(told, ['b1 1', 'c1 1']);
+});
+
+void test('what is heard within a short time is told together, and none of it is left out', async () => {
+  const teller = createTeller('a1');
+  for (let i = 0; i < 40; i++) {
+    teller.tellSoon();
+    await clock.advanceSettled(10);
+  }
+  await clock.advanceSettled(1_000);
+  assert.deepEqual(told, [
+    'b1 0',
+    'c1 0',
+    'b1 200',
+    'c1 200',
+    'b1 400',
+    'c1 400',
+  ]);
+});
+
+void test('a reader that is not reached is noted', async () => {
+  isReached = false;
+  createTeller('a1').tellSoon();
+  await clock.advanceSettled(1);
+  assert.deepEqual(failures, ['b1', 'c1']);
+});
--- a/packages/gateway/src/peers/sync_desk.test.ts
+++ b/packages/gateway/src/peers/sync_desk.test.ts
@@ -1,9 +1,7 @@
 import assert from 'node:assert/strict';
 import {beforeEach, test} from 'node:test';
 import {VirtualClock} from '@bayspool/kernel';
-import {HostLimits} from '../parts/host_limits.js';
-import {DirectoryFixture} from '../testing/directory_fixture.js';
-import {PlainReader} from '../testing/plain_reader.js';
+import type {HostLimits} from '../parts/host_limits.js';
 import {EventLog} from '../observability/event_log.js';
 import {StoreHealth} from '../records/store_health.js';
 import {Topic} from '../records/topic.js';
@@ -21,17 +19,17 @@
   return {name, place, address: '127.0.0.1:1', capacity: 1};
 }
 
-function createDesk(name: string) {
+function createDesk(name: string, isUrgentFor = () => false) {
   const mirror = new TopicMirror(Topic.HOSTS);
   const log = new EventLog({clock, host: name, sink: {write: () => undefined}});
   const refusals = unheardRefusals();
   const self = host(name, 'a');
   const roster = new Roster({clock, log, mirror, refusals, self});
   const board = new LoadBoard({clock, place: 'a', own: () => digest});
-  const {directory} = new DirectoryFixture(new PlainReader());
+  const limits = {isUrgentFor, take: () => undefined, news: () => []};
   const desk = new SyncDesk({
     clock,
-    limits: new HostLimits({clock, log, directory}),
+    limits: limits as unknown as HostLimits,
     health: new StoreHealth({clock, log}),
     board,
     roster,
@@ -104,3 +102,24 @@
   await clock.advanceSettled(20);
   assert.equal(answers, before + 1);
 });
+
+void test('hosts that wait hear at once of a runner in need, also those that ask just then', async () => {
+  let isInNeed = false;
+  const reader = createDesk('a1', () => isInNeed);
+  const other = createDesk('a2');
+  let answers = 0;
+  const ask = async () => {
+    await reader.desk.answer(other.desk.request(1_200, 'a'));
+    answers += 1;
+  };
+  void ask();
+  await clock.advanceSettled(20);
+  assert.equal(answers, 0);
+  isInNeed = true;
+  reader.desk.tellLimits();
+  await clock.advanceSettled(20);
+  assert.equal(answers, 1);
+  void ask();
+  await clock.advanceSettled(1);
+  assert.equal(answers, 2);
+});
