request_failed tells since when no runner was heard of

Connections to runners are opened by a Dialer, so that a test can cut one host off. No decision changed.

--- a/packages/gateway/src/calls/call_forwarder.ts
+++ b/packages/gateway/src/calls/call_forwarder.ts
@@ -14,6 +14,7 @@
 import type {PrefillRates} from '../runners/prefill_rates.js';
 import type {Runner} from '../runners/runner.js';
 import type {RunnerChoice} from '../runners/runner_choice.js';
+import type {RunnerContact} from '../runners/runner_contact.js';
 import type {RunnerChooser} from '../runners/runner_chooser.js';
 import type {RunnerGate} from '../runners/runner_gate.js';
 import {EscalationPolicy} from './escalation_policy.js';
@@ -49,6 +50,7 @@
   readonly sessions: SessionVersions;
   readonly chooser: RunnerChooser;
   readonly gate: RunnerGate;
+  readonly contact: RunnerContact;
   readonly prefixes: PrefixCacheIndex;
   readonly rates: PrefillRates;
   readonly cascade: ModelCascade;
@@ -84,7 +86,7 @@
   private readonly headerBuilder: RunnerHeaderBuilder;
 
   constructor(private readonly options: Options) {
-    const {clock, random, log, metrics, directory} = options;
+    const {clock, log, metrics, directory} = options;
     const {rollouts, sessions, rates, cascade, quarantine, retryBudgetOf} =
       options;
     this.attemptRecorder = new AttemptRecorder({
@@ -114,7 +116,7 @@
     });
     this.headerBuilder = new RunnerHeaderBuilder(options.headerNames);
     this.startedResponseWait = new StartedResponseWait(options);
-    this.finisher = new CallFinisher({clock, random, log, metrics});
+    this.finisher = new CallFinisher(options);
   }
 
   /**
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -250,6 +250,7 @@
     const {
       directory,
       runnerGate,
+      runnerContact,
       serviceLimits,
       runnerLoads,
       prefixes,
@@ -276,6 +277,7 @@
       headerNames,
       directory,
       gate: runnerGate,
+      contact: runnerContact,
       candidates: new CallCandidates({
         directory,
         regionOf: settings.regionOf,
--- a/packages/gateway/src/host/gateway_options.ts
+++ b/packages/gateway/src/host/gateway_options.ts
@@ -4,6 +4,7 @@
 import type {GatewaySettings} from '../gateway_settings.js';
 import type {EventLog} from '../observability/event_log.js';
 import type {RecordStore} from '../records/record_store.js';
+import type {Dialer} from '../runners/dialer.js';
 
 /** Dependencies and settings of a gateway. */
 export interface GatewayOptions {
@@ -18,4 +19,6 @@
   readonly store: RecordStore;
   readonly reader: RecordReader;
   readonly headerNames: HeaderNames;
+  /** Opens the connections to runners; by TCP if absent. */
+  readonly dialer?: Dialer;
 }
--- a/packages/gateway/src/host/host_state.ts
+++ b/packages/gateway/src/host/host_state.ts
@@ -21,6 +21,7 @@
 import {LeavingBound} from '../runners/leaving_bound.js';
 import {PrefixCacheIndex} from '../runners/prefix_cache_index.js';
 import {Runner} from '../runners/runner.js';
+import {RunnerContact} from '../runners/runner_contact.js';
 import {RunnerGate} from '../runners/runner_gate.js';
 import {RestBound} from '../runners/rest_bound.js';
 import {SentCalls} from '../runners/sent_calls.js';
@@ -85,6 +86,8 @@
   readonly statedAvailabilities: StatedAvailabilityRegistry;
   /** Loads at the runners over all hosts. */
   readonly runnerLoads: RunnerLoadExchange;
+  /** When this host last received anything from a runner. */
+  readonly runnerContact: RunnerContact;
   private readonly connectTimeout = new ConnectTimeout();
 
   constructor(private readonly options: Options) {
@@ -103,6 +106,7 @@
       metrics: options.metrics,
     });
     this.metrics = options.metrics;
+    this.runnerContact = new RunnerContact({clock});
     this.prefixes = new PrefixCacheIndex({clock});
     this.storeHealth = new StoreHealth({clock, log});
     this.statedAvailabilities = new StatedAvailabilityRegistry({
@@ -238,13 +242,14 @@
   }
 
   private createRunner(entry: RunnerEntry): Runner {
-    const {clock, metrics} = this.options;
+    const {clock, metrics, dialer} = this.options;
     const {service} = entry;
     const pool = new ConnectionPool({
       clock,
       connectTimeout: this.connectTimeout,
       address: entry.address,
       maxConnections: () => this.serviceLimits.maxConnections(service),
+      dialer,
       onOpened: () => metrics.openedConnections.inc({service}),
     });
     return new Runner({
@@ -252,6 +257,7 @@
       entry,
       pool,
       availability: this.statedAvailabilities.get(entry),
+      onHeard: () => this.runnerContact.recordHeard(),
       onReplaced: () => this.directory.invalidateAccepting(),
       onLimitChange: change => this.declaredLimits.recordChange(entry, change),
     });
--- a/packages/gateway/src/observability/event_fields.ts
+++ b/packages/gateway/src/observability/event_fields.ts
@@ -171,6 +171,8 @@
     reason: string;
     attempts: number;
     hasRun: string;
+    /** Time since this host last received anything from any runner; absent if it never did. */
+    runnersSilentMs?: number;
     retryAfterMs?: number;
     forMs: number;
   };
--- a/packages/gateway/src/runners/connection_pool.ts
+++ b/packages/gateway/src/runners/connection_pool.ts
@@ -1,9 +1,10 @@
-import {connect} from 'node:net';
 import type {Socket} from 'node:net';
 import type {Clock} from '@bayspool/kernel';
 import type {ConnectTimeout} from './connect_timeout.js';
 import {ConnectFailure} from './connect_failure.js';
+import type {Dialer} from './dialer.js';
 import {PooledConnection} from './pooled_connection.js';
+import {TcpDialer} from './tcp_dialer.js';
 
 interface Options {
   readonly clock: Clock;
@@ -14,6 +15,8 @@
   /** Timeout of connects; shared by all pools of the host. */
   readonly connectTimeout: ConnectTimeout;
   readonly onOpened?: () => void;
+  /** Opens the connections; by TCP if absent. */
+  readonly dialer?: Dialer;
 }
 
 /** Idle time after which the system sends TCP keep-alive probes, in ms. */
@@ -24,8 +27,11 @@
   private readonly idle: PooledConnection[] = [];
   private openCount = 0;
   private isClosed = false;
+  private readonly dialer: Dialer;
 
-  constructor(private readonly options: Options) {}
+  constructor(private readonly options: Options) {
+    this.dialer = options.dialer ?? new TcpDialer();
+  }
 
   /** Whether a connection is idle or can be opened now. */
   get hasCapacity(): boolean {
@@ -68,7 +74,11 @@
     this.openCount += 1;
     let socket: Socket;
     try {
-      socket = await openSocket(clock, address, connectTimeout);
+      socket = await openSocket(
+        clock,
+        () => this.dialer.dial(address),
+        connectTimeout,
+      );
     } catch (error) {
       this.openCount -= 1;
       throw error;
@@ -97,14 +107,11 @@
 
 function openSocket(
   clock: Clock,
-  address: string,
+  dial: () => Socket,
   connectTimeout: ConnectTimeout,
 ): Promise<Socket> {
-  const colon = address.lastIndexOf(':');
-  const host = address.slice(0, colon);
-  const port = Number(address.slice(colon + 1));
   return new Promise((resolve, reject) => {
-    const socket = connect({host, port, noDelay: true});
+    const socket = dial();
     const startedAt = clock.now();
     const timer = clock.after(connectTimeout.timeoutMs, () => {
       connectTimeout.noteTimeout();
--- a/packages/gateway/src/runners/runner.ts
+++ b/packages/gateway/src/runners/runner.ts
@@ -18,6 +18,8 @@
   readonly onReplaced?: () => void;
   /** What the runner has stated of its availability; nothing yet if absent. */
   readonly availability?: StatedAvailability;
+  /** Called when bytes arrive from the runner. */
+  readonly onHeard?: () => void;
   /** Called when the limit that the runner declares has changed. */
   readonly onLimitChange?: (change: LimitChange) => void;
 }
@@ -191,6 +193,7 @@
     if (this.running > 0)
       this.meanGapMs += GAP_WEIGHT * (now - this.lastBytesAt - this.meanGapMs);
     this.lastBytesAt = now;
+    this.options.onHeard?.();
   }
 
   /** Discards the silence so far, which was not the runner's: this host did not read what it sent. */
