Reproduction: callers of a host that reaches no runner are refused

Four hosts, four runners, one host whose connections to all runners are reset: 30 of 30 calls sent there from 3 s on are refused with ECONNREFUSED after some 10 ms, 100% are served at the others.

--- a/packages/gateway/src/testing/gateway_fixture.ts
+++ b/packages/gateway/src/testing/gateway_fixture.ts
@@ -7,6 +7,7 @@
 import {EventLog} from '../observability/event_log.js';
 import {Topic} from '../records/topic.js';
 import type {CallerResult} from './caller_result.js';
+import {FaultyDialer} from './faulty_dialer.js';
 import {findPorts} from './find_ports.js';
 import {MemoryRecordStore} from './memory_record_store.js';
 import {plainHeaderNames as names} from './plain_header_names.js';
@@ -28,10 +29,17 @@
   readonly pauseReadingMs?: number;
 }
 
+interface Options {
+  /** Whether hosts open their connections to runners through their `dialer`. */
+  readonly hasFaultyLinks?: boolean;
+}
+
 interface Host {
   /** Simulates a suspension of the host's machine for this long, in ms. */
   readonly suspend: (forMs: number) => void;
   readonly gateway: Gateway;
+  /** The links of this host to runners. */
+  readonly dialer: FaultyDialer;
   readonly store: MemoryRecordStore;
   readonly settings: GatewaySettings;
 }
@@ -53,6 +61,8 @@
   private readonly runners = new Set<ScriptedRunner>();
   private version = 0;
 
+  constructor(private readonly options: Options = {}) {}
+
   /** Starts a host. Pass a store other than the shared one to partition the host from the rest. */
   async startHost(
     overrides: Partial<GatewaySettings> = {},
@@ -98,7 +108,9 @@
     const sink = {
       write: (line: string) => void this.lines.push(JSON.parse(line) as Line),
     };
+    const dialer = new FaultyDialer();
     const gateway = new Gateway({
+      dialer: this.options.hasFaultyLinks ? dialer : undefined,
       settings,
       clock,
       ageClock,
@@ -112,7 +124,7 @@
     const suspend = (forMs: number) => {
       suspendedMs += forMs;
     };
-    const host = {gateway, store, settings, suspend};
+    const host = {gateway, dialer, store, settings, suspend};
     this.hosts.push(host);
     return host;
   }
@@ -221,6 +233,7 @@
   /** Stops all hosts and runners, so that nothing keeps running after a failed test. */
   async stop(): Promise<void> {
     for (const {gateway} of this.hosts) gateway.stopImmediately();
+    for (const {dialer} of this.hosts) await dialer.stop();
     for (const runner of this.runners) runner.stop();
   }
 }
--- a/packages/gateway/src/testing/multi_host_fixture.ts
+++ b/packages/gateway/src/testing/multi_host_fixture.ts
@@ -12,6 +12,8 @@
   readonly lastVersion?: string;
   readonly route?: Partial<CallRoute>;
   readonly script?: Script;
+  /** Whether hosts open their connections to runners through their `dialer`. */
+  readonly hasFaultyLinks?: boolean;
 }
 
 interface CallOptions {
@@ -61,7 +63,7 @@
  * where.
  */
 export class MultiHostFixture {
-  readonly gateways = new GatewayFixture();
+  readonly gateways: GatewayFixture;
   readonly runners: ScriptedRunner[];
   readonly answers: Answer[] = [];
   /** Responds for all runners. */
@@ -70,6 +72,7 @@
   private sent = 0;
 
   constructor(private readonly options: Options = {}) {
+    this.gateways = new GatewayFixture(options);
     this.script = options.script ?? sendWhole;
     this.runners = Array.from({length: RUNNERS}, (_, i) =>
       this.createRunner({
