--- a/packages/decisions/src/calls/call_service.ts
+++ b/packages/decisions/src/calls/call_service.ts
@@ -7,6 +7,8 @@
   readonly maxConnections: number;
   /** Calls per second that a runner can handle during its cold start; undefined if unlimited. */
   readonly coldCallsPerSecond?: number;
+  /** Path of the runners' health check; undefined if the platform names none. */
+  readonly healthPath?: string;
   /** Profile of the model engine; absent for plain services. */
   readonly engine?: EngineProfile;
 }
--- a/packages/decisions/src/calls/outlier_detector.ts
+++ b/packages/decisions/src/calls/outlier_detector.ts
@@ -84,6 +84,14 @@
     return this.eject();
   }
 
+  /** Forgets all outcomes and ends an ejection: the failures were not the runner's. */
+  reset(): void {
+    this.successes = 0;
+    this.failures = 0;
+    this.ejectedUntil = -Infinity;
+    this.consecutiveEjections = 0;
+  }
+
   private eject(): number {
     const now = this.options.clock.now();
     if (now - this.ejectedUntil > CONSECUTIVE_WINDOW_MS)
--- a/packages/gateway/src/calls/attempt.ts
+++ b/packages/gateway/src/calls/attempt.ts
@@ -17,14 +17,14 @@
 import {readKeepAliveSeconds} from './read_keep_alive_seconds.js';
 import {readLoadReport} from './read_load_report.js';
 import {readRunnerStatement} from './read_runner_statement.js';
-import type {RunnerHeaderBuilder} from './runner_header_builder.js';
+import type {RequestHeaders} from './request_headers.js';
 import {SilenceDetector} from './silence_detector.js';
 
 interface Options {
   readonly clock: Clock;
   readonly headerNames: HeaderNames;
   /** Builds the request headers for a runner. */
-  readonly headerBuilder: RunnerHeaderBuilder;
+  readonly headerBuilder: RequestHeaders;
   readonly call: IncomingCall;
   readonly choice: RunnerChoice;
   readonly model?: string;
--- a/packages/gateway/src/calls/attempt_recorder.ts
+++ b/packages/gateway/src/calls/attempt_recorder.ts
@@ -7,6 +7,7 @@
 import type {RolloutRegistry} from '../rollouts/rollout_registry.js';
 import type {PrefillRates} from '../runners/prefill_rates.js';
 import type {Runner} from '../runners/runner.js';
+import type {RunnerReachability} from '../runners/runner_reachability.js';
 import type {RunnerChoice} from '../runners/runner_choice.js';
 import {OutcomeKind} from './outcome_kind.js';
 import type {AttemptOutcome} from './attempt_outcome.js';
@@ -22,6 +23,7 @@
   readonly rollouts: RolloutRegistry;
   readonly sessions: SessionVersions;
   readonly rates: PrefillRates;
+  readonly reachability: RunnerReachability;
 }
 
 /** Failure weight of a runner that sent nothing until the call ended: enough to eject it. */
@@ -78,7 +80,8 @@
     if (timing.latencyMs !== undefined)
       this.recordLatency(progress, choice, timing.latencyMs, timing);
     this.recordHealth(runner, outcome, timing.wasSilent);
-    this.recordEvidence(progress, runner, outcome.kind, timing);
+    if (isUnreachable(outcome) || outcome.isTruncated) runner.noteUnreachable();
+    this.recordEvidence(progress, runner, outcome, timing);
   }
 
   /**
@@ -122,7 +125,7 @@
       if (wasSilent)
         this.countFailure(runner, 'silent to the end', SILENT_WEIGHT);
     } else if (kind === OutcomeKind.NOT_RUN) {
-      if (status === undefined && reason !== 'saturated')
+      if (isUnreachable({kind, reason, status}))
         this.countFailure(runner, reason, UNREACHABLE_WEIGHT);
     } else if (isFailure(kind)) {
       this.countFailure(runner, reason, FAILURE_WEIGHT);
@@ -134,7 +137,7 @@
   private recordEvidence(
     progress: CallProgress,
     runner: Runner,
-    kind: OutcomeKind,
+    {kind, isTruncated}: AttemptOutcome,
     timing: AttemptTiming,
   ): void {
     const rollout = this.findActiveRollout(progress.call.service);
@@ -159,12 +162,15 @@
         firstMs: durationMs,
         expectedMs,
       });
-    if (isVersionEvidence(kind))
+    if (!isVersionEvidence(kind)) return;
+    const record = () =>
       evidence.recordEnded(cell, isFresh, isFailure(kind), {
         firstMs,
         expectedMs,
         eventMs,
       });
+    if (isTruncated) this.options.reachability.whenConfirmed(runner, record);
+    else record();
   }
 
   private findActiveRollout(service: string): Rollout | undefined {
@@ -200,6 +206,17 @@
   }
 }
 
+/** Whether no connection to the runner could be opened, though there was room for one. */
+function isUnreachable({
+  kind,
+  reason,
+  status,
+  isWithheld,
+}: AttemptOutcome): boolean {
+  const isUnsent = kind === OutcomeKind.NOT_RUN && status === undefined;
+  return isUnsent && !isWithheld && reason !== 'saturated';
+}
+
 /** Versions are compared per route and model. */
 function evidenceCellOf({call, model}: CallProgress): string {
   return `${call.route.name}/${model ?? ''}`;
--- a/packages/gateway/src/calls/call_finisher.ts
+++ b/packages/gateway/src/calls/call_finisher.ts
@@ -2,7 +2,7 @@
 import type {EventLog} from '../observability/event_log.js';
 import type {GatewayMetrics} from '../observability/gateway_metrics.js';
 import type {Runner} from '../runners/runner.js';
-import type {RunnerContact} from '../runners/runner_contact.js';
+import type {RunnerReachability} from '../runners/runner_reachability.js';
 import type {AttemptOutcome} from './attempt_outcome.js';
 import {AbortReason} from './abort_reason.js';
 import type {CallProgress} from './call_progress.js';
@@ -16,7 +16,7 @@
   readonly random: RandomSource;
   readonly log: EventLog;
   readonly metrics: GatewayMetrics;
-  readonly contact: RunnerContact;
+  readonly reachability: RunnerReachability;
 }
 
 /** Statuses of responses that the gateway generates itself. */
@@ -129,9 +129,9 @@
     {call, attemptCount, mayHaveRun}: CallProgress,
     {status, reason, retryAfterMs}: LocalResponse,
   ): void {
-    const {clock, log, metrics, contact} = this.options;
+    const {clock, log, metrics, reachability} = this.options;
     const {name: route, kind} = call.route;
-    const silentMs = contact.silentMs;
+    const silentMs = reachability.silentMs;
     const label = toReasonLabel(reason);
     metrics.requests.inc({route, kind, outcome: 'failed', reason: label});
     log.write('request_failed', {
--- a/packages/gateway/src/calls/call_forwarder.ts
+++ b/packages/gateway/src/calls/call_forwarder.ts
@@ -13,8 +13,12 @@
 import type {PrefixCacheIndex} from '../runners/prefix_cache_index.js';
 import type {PrefillRates} from '../runners/prefill_rates.js';
 import type {Runner} from '../runners/runner.js';
+import type {RelayHost} from '../relay/relay_host.js';
+import type {RelayHostRegistry} from '../relay/relay_host_registry.js';
+import {CallRelay} from '../relay/call_relay.js';
+import {RELAY_REFUSED} from '../relay/relay_refused.js';
 import type {RunnerChoice} from '../runners/runner_choice.js';
-import type {RunnerContact} from '../runners/runner_contact.js';
+import type {RunnerReachability} from '../runners/runner_reachability.js';
 import type {RunnerChooser} from '../runners/runner_chooser.js';
 import type {RunnerGate} from '../runners/runner_gate.js';
 import {EscalationPolicy} from './escalation_policy.js';
@@ -50,7 +54,10 @@
   readonly sessions: SessionVersions;
   readonly chooser: RunnerChooser;
   readonly gate: RunnerGate;
-  readonly contact: RunnerContact;
+  readonly reachability: RunnerReachability;
+  /** Name of this host. */
+  readonly host: string;
+  readonly relayHosts: RelayHostRegistry;
   readonly prefixes: PrefixCacheIndex;
   readonly rates: PrefillRates;
   readonly cascade: ModelCascade;
@@ -84,6 +91,7 @@
   private readonly startedResponseWait: StartedResponseWait;
   private readonly finisher: CallFinisher;
   private readonly headerBuilder: RunnerHeaderBuilder;
+  private readonly relay: CallRelay;
 
   constructor(private readonly options: Options) {
     const {clock, log, metrics, directory} = options;
@@ -96,11 +104,12 @@
       rollouts,
       sessions,
       rates,
+      reachability: options.reachability,
     });
     this.choiceRecorder = new ChoiceRecorder(options);
     this.router = new AttemptRouter(options);
     this.withheldReporter = new WithheldRunnerReporter(options);
-    this.crashAttribution = new CrashAttribution({log, quarantine});
+    this.crashAttribution = new CrashAttribution(options);
     this.retryPolicy = new RetryPolicy({
       clock,
       log,
@@ -109,6 +118,12 @@
       quarantine,
       retryBudgetOf,
     });
+    const {relayHosts: hosts} = options;
+    this.relay = new CallRelay({
+      ...options,
+      hosts,
+      retryPolicy: this.retryPolicy,
+    });
     this.escalationPolicy = new EscalationPolicy({
       ...options,
       retryPolicy: this.retryPolicy,
@@ -128,8 +143,7 @@
     caller: CallerResponse,
     signal: AbortSignal,
   ): Promise<void> {
-    const {cascade, retryBudgetOf, quarantine, priorityAdmissionOf} =
-      this.options;
+    const {cascade, quarantine, priorityAdmissionOf} = this.options;
     const {route, service} = call;
     const model =
       route.models.length > 0 ? cascade.chooseFirstModel(route) : call.model;
@@ -137,7 +151,6 @@
     const quarantinedMs = quarantine.remainingMs(call.fingerprint);
     if (quarantinedMs > 0)
       return this.finisher.rejectQuarantined(progress, caller, quarantinedMs);
-    retryBudgetOf(service).recordCall();
     priorityAdmissionOf(service).recordRequested(call.priority);
     try {
       await this.attemptUntilEnded(progress, caller, signal);
@@ -153,6 +166,15 @@
     signal: AbortSignal,
   ): Promise<void> {
     for (;;) {
+      const relayHost = this.relay.choose(progress);
+      if (relayHost) {
+        if (await this.runRelayed(progress, relayHost, caller, signal)) return;
+        continue;
+      }
+      const unreachable = this.relay.findRejection(progress);
+      if (unreachable)
+        return this.finisher.reject(progress, caller, unreachable);
+      this.countCall(progress);
       const choice = this.router.choose(progress);
       if (progress.withheldCount > 0) this.withheldReporter.report(progress);
       if (await this.waitForRunner(progress, choice, signal)) {
@@ -193,6 +215,55 @@
     }
   }
 
+  /** Counts a call towards the retry budget when it is first to be sent to a runner. */
+  private countCall(progress: CallProgress): void {
+    if (progress.isCounted) return;
+    progress.isCounted = true;
+    this.options.retryBudgetOf(progress.call.service).recordCall();
+  }
+
+  /**
+   * Relays a call to another host.
+   *
+   * @returns whether the call has ended
+   */
+  private async runRelayed(
+    progress: CallProgress,
+    host: RelayHost,
+    caller: CallerResponse,
+    signal: AbortSignal,
+  ): Promise<boolean> {
+    const {outcome, minRetryMs} = await this.relay.send(
+      progress,
+      host,
+      caller,
+      signal,
+    );
+    progress.retryReservation?.release();
+    progress.retryReservation = undefined;
+    if (outcome.kind === OutcomeKind.ANSWERED) {
+      this.finisher.finishAnswered(progress, outcome, host.endpoint, caller);
+      return true;
+    }
+    const isOver = outcome.kind === OutcomeKind.CALL_ENDED || signal.aborted;
+    const reason = isOver ? String(signal.reason) : outcome.reason;
+    if (!isOver && this.mayTryNextHost(progress, outcome)) return false;
+    this.finisher.finishUnanswered(progress, caller, reason, minRetryMs);
+    return true;
+  }
+
+  /** Whether the outcome of a relayed call was that host's own, and not that of the call. */
+  private mayTryNextHost(
+    progress: CallProgress,
+    outcome: AttemptOutcome,
+  ): boolean {
+    const {kind, status} = outcome;
+    if (kind === OutcomeKind.NOT_RUN)
+      return status === undefined || status === RELAY_REFUSED;
+    if (kind !== OutcomeKind.BROKEN) return false;
+    return this.retryPolicy.decideRetry(progress, outcome);
+  }
+
   /**
    * Lets a started response wait for a closed runner if all open ones have failed it, or none is open.
    *
@@ -308,7 +379,12 @@
         this.escalationPolicy.acceptsResponse(progress, confidence),
       hasOtherRunner: () =>
         this.retryPolicy.canFailOver(progress) &&
-        this.router.hasOtherRunner(progress, choice.runner, caller.hasStarted),
+        (this.relay.canTake(progress) ||
+          this.router.hasOtherRunner(
+            progress,
+            choice.runner,
+            caller.hasStarted,
+          )),
     });
   }
 
--- a/packages/gateway/src/calls/call_progress.ts
+++ b/packages/gateway/src/calls/call_progress.ts
@@ -40,6 +40,12 @@
   attemptCount = 0;
   /** Number of attempts in which the request was sent to a runner. */
   sentCount = 0;
+  /** Number of runners to which no connection could be opened. */
+  unreachableCount = 0;
+  /** Number of hosts to which the call was relayed. */
+  relayCount = 0;
+  /** Whether this host or the relaying one has counted the call in its retry budget. */
+  isCounted: boolean;
   /** Version of each runner that was unreachable since the response started. */
   readonly unreachableVersions: string[] = [];
   /** Whether a runner may have run the request. */
@@ -65,12 +71,31 @@
   constructor({call, model}: Options) {
     this.call = call;
     this.model = model;
+    this.isCounted = call.relayOrigin?.isCounted ?? false;
+  }
+
+  /** How often the call may still be sent to runners. */
+  get attemptsLeft(): number {
+    const {route, relayOrigin} = this.call;
+    const limit = Math.min(route.attempts, relayOrigin?.attempts ?? Infinity);
+    return Math.max(0, limit - this.sentCount);
+  }
+
+  /** Updates the state with the outcome of the call at another host, which might use up to `attempts`. */
+  recordRelayed(outcome: AttemptOutcome, attempts: number): void {
+    this.attemptCount += 1;
+    this.relayCount += 1;
+    if (!mayHaveRun(outcome)) return;
+    this.mayHaveRun = true;
+    this.sentCount += attempts;
+    this.lastErrorResponse = outcome.response;
   }
 
   /** Updates the state with the outcome of one attempt. */
   recordOutcome(runner: Runner, outcome: AttemptOutcome): void {
     this.attemptCount += 1;
     if (wasSent(outcome)) this.sentCount += 1;
+    if (wasUnreachable(outcome)) this.unreachableCount += 1;
     if (this.startedByVersion !== undefined && wasUnreachable(outcome))
       this.unreachableVersions.push(runner.entry.version);
     if (outcome.kind !== OutcomeKind.LOW_CONFIDENCE && !outcome.isWithheld)
--- a/packages/gateway/src/calls/call_server.ts
+++ b/packages/gateway/src/calls/call_server.ts
@@ -14,6 +14,9 @@
 import type {HeaderNames} from './header_names.js';
 import type {LocalResponse} from './local_response.js';
 import type {IncomingCall} from './incoming_call.js';
+import type {RelayAdmission} from '../relay/relay_admission.js';
+import {RELAY_REFUSED} from '../relay/relay_refused.js';
+import {readRelayOrigin} from '../relay/read_relay_origin.js';
 import {readBody} from './read_body.js';
 import {readNumberHeader} from './read_number_header.js';
 import {RequestValidator} from './request_validator.js';
@@ -42,6 +45,8 @@
   readonly mayPredateConfiguration: () => boolean;
   /** Whether connections are now closed after their responses. */
   readonly isClosing: () => boolean;
+  /** Admission of relayed calls; absent if callers themselves connect to this server. */
+  readonly relayAdmission?: RelayAdmission;
 }
 
 /** Status for a body over the size limit, which is detected only after the other checks. */
@@ -164,14 +169,21 @@
     response: ServerResponse,
     controller: AbortController,
   ): Promise<void> {
-    const {clock, headerNames} = this.options;
+    const {clock, headerNames, relayAdmission} = this.options;
     const acceptedAt = clock.now();
     const caller = new CallerResponse({
       clock,
       response,
       lastEventId: readNumberHeader(request, headerNames.lastEventId),
       shouldCloseConnection: this.options.isClosing,
+      notRunHeader: relayAdmission && headerNames.notRun,
     });
+    const refusal = relayAdmission?.findRefusal();
+    if (refusal !== undefined)
+      return this.reject(request, caller, {
+        status: RELAY_REFUSED,
+        reason: refusal,
+      });
     const validated = this.validator.validate(request);
     if (!('route' in validated)) return this.reject(request, caller, validated);
     const body = await this.readBody(request, validated, controller);
@@ -190,6 +202,7 @@
       validated,
       headerNames,
       acceptedAt,
+      relayOrigin: relayAdmission && readRelayOrigin(request),
     });
     this.recorder.recordAccepted(call);
     await this.forward(call, caller, controller);
--- a/packages/gateway/src/calls/caller_response.ts
+++ b/packages/gateway/src/calls/caller_response.ts
@@ -12,11 +12,18 @@
   readonly lastEventId?: number;
   /** Whether to close the connection after the response; evaluated when the headers are written. */
   readonly shouldCloseConnection: () => boolean;
+  /**
+   * Header that marks the gateway's own responses to requests that have not run; absent if the caller is no host that
+   * relays the call.
+   */
+  readonly notRunHeader?: string;
 }
 
 const MS_PER_SECOND = 1_000;
 /** Header with the time until the next try, in seconds. */
 const RETRY_AFTER = 'retry-after';
+/** Statuses by which the gateway itself tells that the request may have run. */
+const MAY_HAVE_RUN_STATUSES: ReadonlySet<number> = new Set([502, 504]);
 /** Statuses whose responses have no body (RFC 9110, 6.4.1). */
 const NO_BODY_STATUSES: ReadonlySet<number> = new Set([204, 304]);
 
@@ -85,6 +92,9 @@
     headers.push('content-length', String(body.length));
     if (retryAfterMs !== undefined)
       headers.push(RETRY_AFTER, (retryAfterMs / MS_PER_SECOND).toFixed(3));
+    const {notRunHeader} = this.options;
+    if (notRunHeader !== undefined && !MAY_HAVE_RUN_STATUSES.has(status))
+      headers.push(notRunHeader, '1');
     this.writeHead(status, undefined, headers);
     this.response.end(body);
   }
--- a/packages/gateway/src/calls/crash_attribution.ts
+++ b/packages/gateway/src/calls/crash_attribution.ts
@@ -6,6 +6,7 @@
 import type {Quarantine} from '@bayspool/decisions/calls';
 import type {EventLog} from '../observability/event_log.js';
 import type {Runner} from '../runners/runner.js';
+import type {RunnerReachability} from '../runners/runner_reachability.js';
 import {getIncarnationId} from '../runners/get_incarnation_id.js';
 import type {Attempt} from './attempt.js';
 import {OutcomeKind} from './outcome_kind.js';
@@ -16,6 +17,7 @@
 interface Options {
   readonly log: EventLog;
   readonly quarantine: Quarantine;
+  readonly reachability: RunnerReachability;
 }
 
 /** Counts runner crashes against the request that was running, to detect requests that crash the runners. */
@@ -43,7 +45,7 @@
     runner: Runner,
     attempt: Attempt,
   ): void {
-    const {log, quarantine} = this.options;
+    const {log, quarantine, reachability} = this.options;
     const {fingerprint, id: request, route} = call;
     const {hasHead, sinceHeadMs, firstOutputAt, isAlone} = attempt;
     const weight = weighRunnerCrash({
@@ -54,18 +56,20 @@
       hasBodyBytes: firstOutputAt !== undefined,
     });
     if (weight === 0) return;
-    const incarnationId = getIncarnationId(runner.entry);
-    quarantine.recordCrashes(fingerprint, [
-      {start: hashToUint32(incarnationId), weight},
-    ]);
-    log.write('runner_end_counted', {
-      request,
-      fingerprint,
-      runner: runner.entry.id,
-      weight,
-      sum: roundToHundredths(quarantine.weightOf(fingerprint)),
-      isAlone,
-      sinceHeadMs: Math.round(sinceHeadMs),
+    reachability.whenConfirmed(runner, () => {
+      const incarnationId = getIncarnationId(runner.entry);
+      quarantine.recordCrashes(fingerprint, [
+        {start: hashToUint32(incarnationId), weight},
+      ]);
+      log.write('runner_end_counted', {
+        request,
+        fingerprint,
+        runner: runner.entry.id,
+        weight,
+        sum: roundToHundredths(quarantine.weightOf(fingerprint)),
+        isAlone,
+        sinceHeadMs: Math.round(sinceHeadMs),
+      });
     });
   }
 }
--- a/packages/gateway/src/calls/create_call.ts
+++ b/packages/gateway/src/calls/create_call.ts
@@ -4,6 +4,7 @@
   intersectRegions,
   fingerprintRequest,
 } from '@bayspool/decisions/calls';
+import type {RelayOrigin} from '../relay/relay_origin.js';
 import type {ValidatedRequest} from './validated_request.js';
 import type {HeaderNames} from './header_names.js';
 import type {IncomingCall} from './incoming_call.js';
@@ -17,6 +18,8 @@
   readonly headerNames: HeaderNames;
   /** When the request arrived, on this host's clock. */
   readonly acceptedAt: number;
+  /** What the relaying host states of the call, if there is one. */
+  readonly relayOrigin?: RelayOrigin;
 }
 
 /** Part of a caller's deadline reserved for the transit of the response, in ms. */
@@ -29,6 +32,7 @@
   validated,
   headerNames,
   acceptedAt,
+  relayOrigin,
 }: Options): IncomingCall {
   const {route, keyOwner} = validated;
   const {headers} = request;
@@ -63,6 +67,7 @@
     ),
     session: sessionId,
     model: typeof model === 'string' ? model : undefined,
+    relayOrigin,
   };
 }
 
--- a/packages/gateway/src/calls/incoming_call.ts
+++ b/packages/gateway/src/calls/incoming_call.ts
@@ -1,4 +1,5 @@
 import type {CallRoute, Prompt} from '@bayspool/decisions/calls';
+import type {RelayOrigin} from '../relay/relay_origin.js';
 
 /** A validated request with its complete body and its route. */
 export interface IncomingCall {
@@ -28,4 +29,6 @@
   readonly session?: string;
   /** Model named by the caller, if the route doesn't choose one itself. */
   readonly model?: string;
+  /** What the relaying host states of the call; undefined if the caller sent it to this host. */
+  readonly relayOrigin?: RelayOrigin;
 }
--- a/packages/gateway/src/calls/request_recorder.ts
+++ b/packages/gateway/src/calls/request_recorder.ts
@@ -28,9 +28,13 @@
 
   /** Records a request that is handed to the forwarder. */
   recordAccepted(call: IncomingCall): void {
-    const {log, configuration} = this.options;
+    const {log, metrics, configuration} = this.options;
+    const {relayOrigin, route} = call;
+    if (relayOrigin)
+      metrics.takenCalls.inc({route: route.name, peer: relayOrigin.host});
     log.write('request_accepted', {
       request: call.id,
+      relayedBy: call.relayOrigin?.host,
       route: call.route.name,
       kind: call.route.kind,
       workspace: call.workspace,
--- a/packages/gateway/src/calls/retry_policy.ts
+++ b/packages/gateway/src/calls/retry_policy.ts
@@ -97,7 +97,7 @@
     if (remainingMs < MIN_REMAINING_MS || progress.attemptCount >= MAX_ATTEMPTS)
       return false;
     if (this.options.quarantine.remainingMs(call.fingerprint) > 0) return false;
-    if (progress.sentCount >= call.route.attempts) return false;
+    if (progress.attemptsLeft === 0) return false;
     if (outcome.kind === OutcomeKind.NOT_RUN) return true;
     if (outcome.kind === OutcomeKind.LOW_CONFIDENCE) return true;
     return isRetryable(call.route.kind);
@@ -108,7 +108,7 @@
     const {clock, retryBudgetOf} = this.options;
     const {call} = progress;
     if (call.route.kind !== CallKind.RESUMABLE) return false;
-    if (progress.sentCount + 1 >= call.route.attempts) return false;
+    if (progress.attemptsLeft <= 1) return false;
     if (call.deadlineAt - clock.now() < MIN_REMAINING_MS) return false;
     return (
       retryBudgetOf(call.service).remaining >= 1 + BUDGET_KEPT_FOR_FAILURES
@@ -116,8 +116,8 @@
   }
 
   /** Whether the call may be sent once more if its current runner stops sending. */
-  canFailOver({call, sentCount}: CallProgress): boolean {
-    if (sentCount + 1 >= call.route.attempts) return false;
+  canFailOver({call, attemptsLeft}: CallProgress): boolean {
+    if (attemptsLeft <= 1) return false;
     return this.options.retryBudgetOf(call.service).remaining >= 1;
   }
 }
--- a/packages/gateway/src/calls/runner_header_builder.ts
+++ b/packages/gateway/src/calls/runner_header_builder.ts
@@ -1,17 +1,11 @@
 import type {HeaderNames} from './header_names.js';
 import {hopByHopHeaders} from './hop_by_hop_headers.js';
 import type {IncomingCall} from './incoming_call.js';
+import {relayHeaders} from '../relay/relay_headers.js';
+import type {RequestHeaders} from './request_headers.js';
 import {readConnectionOptions} from './read_connection_options.js';
 
-interface HeaderInput {
-  readonly call: IncomingCall;
-  /** Id of the intended runner. */
-  readonly runnerId: string;
-  readonly model?: string;
-  /** Time left until the call's deadline, in ms. */
-  readonly remainingMs: number;
-  readonly lastEventId?: number;
-}
+type HeaderInput = Parameters<RequestHeaders['build']>[0];
 
 /** Value of the priority header for the least urgent calls. */
 const LEAST_URGENT_PRIORITY = 9;
@@ -20,7 +14,7 @@
  * Builds the request headers for a runner: the caller's, without hop-by-hop and reserved ones, plus
  * those that the gateway sets.
  */
-export class RunnerHeaderBuilder {
+export class RunnerHeaderBuilder implements RequestHeaders {
   /** Headers that are never forwarded. */
   private readonly droppedNames: ReadonlySet<string>;
   /** Headers that the runner needs; they are forwarded even if a Connection header lists them. */
@@ -30,6 +24,7 @@
     this.droppedNames = new Set([
       ...hopByHopHeaders,
       ...headerNames.reserved,
+      ...Object.values(relayHeaders),
       headerNames.apiKey,
       headerNames.workspace,
       headerNames.expectedRunner,
--- a/packages/gateway/src/calls/started_response_policy.ts
+++ b/packages/gateway/src/calls/started_response_policy.ts
@@ -143,11 +143,11 @@
  */
 function hasFailed(
   rollout: Rollout,
-  {call, sentCount, failedVersions}: CallProgress,
+  {attemptsLeft, failedVersions}: CallProgress,
 ): boolean {
   if (rollout.phase === RolloutPhase.COMPLETE) return false;
   if (rollout.isRolledBack || rollout.isSuspect) return true;
   const {version} = rollout.order;
   const failures = failedVersions.filter(failed => failed === version).length;
-  return failures > 1 || sentCount + 1 >= call.route.attempts;
+  return failures > 1 || attemptsLeft <= 1;
 }
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -17,6 +17,8 @@
 import {HostState} from './host/host_state.js';
 import {registerGauges} from './observability/register_gauges.js';
 import {Topic} from './records/topic.js';
+import {RelayAdmission} from './relay/relay_admission.js';
+import {RelayHostRegistry} from './relay/relay_host_registry.js';
 import {RolloutController} from './rollouts/rollout_controller.js';
 import {RunnerSubset} from './runners/runner_subset.js';
 import {PrefillRates} from './runners/prefill_rates.js';
@@ -41,6 +43,9 @@
   private readonly stallDetector: StallDetector;
   private readonly rolloutController: RolloutController;
   private readonly callServer: CallServer;
+  /** Takes calls that other hosts relay; absent if there is no port for them. */
+  private readonly relayServer: CallServer | undefined;
+  private readonly relayHosts: RelayHostRegistry;
   private readonly readinessServer: ReadinessServer;
   private readonly metricsServer: MetricsServer;
   private readonly gracefulShutdown: GracefulShutdown;
@@ -74,11 +79,20 @@
       self: hostDirectory.self,
     });
     this.rolloutController = this.createRolloutController();
-    this.callServer = this.createCallServer();
+    this.relayHosts = new RelayHostRegistry({
+      clock,
+      hostDirectory,
+      random: options.random,
+      regionOf: settings.regionOf,
+    });
+    const forwarder = this.createCallForwarder();
+    this.callServer = this.createCallServer(forwarder, settings.callerPort);
+    if (settings.relayPort !== undefined)
+      this.relayServer = this.createRelayServer(forwarder, settings.relayPort);
     this.gracefulShutdown = new GracefulShutdown({
       clock,
       log,
-      callServer: this.callServer,
+      callServers: this.callServers,
       graceMs: () => this.settings.graceMs,
     });
     this.readinessServer = new ReadinessServer({
@@ -108,7 +122,7 @@
     const {log, settings} = this.options;
     await this.readinessServer.start();
     await this.stateSynchronizer.listen();
-    await this.callServer.start();
+    for (const server of this.callServers) await server.start();
     await this.metricsServer.start().catch(error => {
       log.write('unexpected', {where: 'metrics', message: String(error)});
     });
@@ -165,7 +179,14 @@
     this.stateSynchronizer.close();
     this.readinessServer.stop();
     this.metricsServer.stop();
-    this.callServer.stop();
+    for (const server of this.callServers) server.stop();
+    this.state.reachability.stop();
+  }
+
+  private get callServers(): readonly CallServer[] {
+    return this.relayServer
+      ? [this.callServer, this.relayServer]
+      : [this.callServer];
   }
 
   private isReady(): boolean {
@@ -224,7 +245,23 @@
     });
   }
 
-  private createCallServer(): CallServer {
+  private createRelayServer(
+    forwarder: CallForwarder,
+    port: number,
+  ): CallServer {
+    const admission = new RelayAdmission({
+      reachability: this.state.reachability,
+      isShuttingDown: () => this.gracefulShutdown.hasStarted,
+      openCalls: () => this.relayServer?.openCalls ?? 0,
+    });
+    return this.createCallServer(forwarder, port, admission);
+  }
+
+  private createCallServer(
+    forwarder: CallForwarder,
+    port: number,
+    relayAdmission?: RelayAdmission,
+  ): CallServer {
     const {clock, random, log, headerNames, settings} = this.options;
     const {configuration} = this.state;
     return new CallServer({
@@ -234,9 +271,10 @@
       headerNames,
       metrics: this.metrics,
       configuration,
-      forwarder: this.createCallForwarder(),
+      forwarder,
+      relayAdmission,
+      port,
       ip: settings.ip,
-      port: settings.callerPort,
       maxKeyAgeMs: () => this.maxKeyAgeMs(),
       maxDenialAgeMs: () => this.settings.configurationBoundMs,
       mayPredateConfiguration: () =>
@@ -250,7 +288,7 @@
     const {
       directory,
       runnerGate,
-      runnerContact,
+      reachability,
       serviceLimits,
       runnerLoads,
       prefixes,
@@ -277,7 +315,9 @@
       headerNames,
       directory,
       gate: runnerGate,
-      contact: runnerContact,
+      reachability,
+      host: settings.host,
+      relayHosts: this.relayHosts,
       candidates: new CallCandidates({
         directory,
         regionOf: settings.regionOf,
@@ -308,6 +348,7 @@
       this.runMaintenance(),
     );
     for (const {pool} of directory.all()) pool.closeExpired();
+    this.relayHosts.closeExpired();
     quarantine.review();
     const ageMs = Math.round(configuration.ageMs);
     const boundMs = this.freshnessBoundMs;
--- a/packages/gateway/src/gateway_settings.ts
+++ b/packages/gateway/src/gateway_settings.ts
@@ -11,6 +11,8 @@
   readonly readinessPort: number;
   readonly readinessPath: string;
   readonly peerPort: number;
+  /** Port for calls that other hosts relay; undefined if this host takes none. */
+  readonly relayPort?: number;
   /** IP:PORT of hosts to bootstrap from before any is known from the store; often empty. */
   readonly seeds: readonly string[];
   /** Whether all hosts start for the first time now, so that seeds will soon have the state that this one needs. */
--- a/packages/gateway/src/host/host_state.ts
+++ b/packages/gateway/src/host/host_state.ts
@@ -18,10 +18,13 @@
 import {ConnectTimeout} from '../runners/connect_timeout.js';
 import {ConnectionPool} from '../runners/connection_pool.js';
 import {DeclaredLimitBound} from '../runners/declared_limit_bound.js';
+import type {Dialer} from '../runners/dialer.js';
 import {LeavingBound} from '../runners/leaving_bound.js';
 import {PrefixCacheIndex} from '../runners/prefix_cache_index.js';
 import {Runner} from '../runners/runner.js';
-import {RunnerContact} from '../runners/runner_contact.js';
+import {RunnerReachability} from '../runners/runner_reachability.js';
+import {RunnerProbe} from '../runners/runner_probe.js';
+import {TcpDialer} from '../runners/tcp_dialer.js';
 import {RunnerGate} from '../runners/runner_gate.js';
 import {RestBound} from '../runners/rest_bound.js';
 import {SentCalls} from '../runners/sent_calls.js';
@@ -86,8 +89,9 @@
   readonly statedAvailabilities: StatedAvailabilityRegistry;
   /** Loads at the runners over all hosts. */
   readonly runnerLoads: RunnerLoadExchange;
-  /** When this host last received anything from a runner. */
-  readonly runnerContact: RunnerContact;
+  /** Whether this host reaches any runner. */
+  readonly reachability: RunnerReachability;
+  private readonly dialer: Dialer;
   private readonly connectTimeout = new ConnectTimeout();
 
   constructor(private readonly options: Options) {
@@ -106,7 +110,8 @@
       metrics: options.metrics,
     });
     this.metrics = options.metrics;
-    this.runnerContact = new RunnerContact({clock});
+    this.dialer = options.dialer ?? new TcpDialer();
+    this.reachability = this.createReachability();
     this.prefixes = new PrefixCacheIndex({clock});
     this.storeHealth = new StoreHealth({clock, log});
     this.statedAvailabilities = new StatedAvailabilityRegistry({
@@ -122,6 +127,10 @@
         name: settings.host,
         place: settings.place,
         address: `${settings.ip}:${settings.peerPort}`,
+        relayAddress:
+          settings.relayPort === undefined
+            ? undefined
+            : `${settings.ip}:${settings.relayPort}`,
         capacity: settings.capacity,
       },
     });
@@ -241,8 +250,27 @@
     });
   }
 
+  private createReachability(): RunnerReachability {
+    const {clock, log, random} = this.options;
+    const {dialer} = this;
+    const probe = new RunnerProbe({
+      clock,
+      dialer,
+      healthPathOf: service =>
+        this.configuration.current?.services.get(service)?.healthPath ?? '/',
+    });
+    return new RunnerReachability({
+      clock,
+      log,
+      random,
+      runners: () => this.directory.all(),
+      probe: runner => probe.probe(runner),
+    });
+  }
+
   private createRunner(entry: RunnerEntry): Runner {
-    const {clock, metrics, dialer} = this.options;
+    const {clock, metrics} = this.options;
+    const {dialer} = this;
     const {service} = entry;
     const pool = new ConnectionPool({
       clock,
@@ -257,7 +285,7 @@
       entry,
       pool,
       availability: this.statedAvailabilities.get(entry),
-      onHeard: () => this.runnerContact.recordHeard(),
+      onHeard: () => this.reachability.recordHeard(entry.id),
       onReplaced: () => this.directory.invalidateAccepting(),
       onLimitChange: change => this.declaredLimits.recordChange(entry, change),
     });
--- a/packages/gateway/src/lifecycle/graceful_shutdown.ts
+++ b/packages/gateway/src/lifecycle/graceful_shutdown.ts
@@ -7,7 +7,7 @@
 interface Options {
   readonly clock: Clock;
   readonly log: EventLog;
-  readonly callServer: CallServer;
+  readonly callServers: readonly CallServer[];
   /** Grace period until the process is killed, in ms. */
   readonly graceMs: () => number;
 }
@@ -32,25 +32,39 @@
 
   /** Resolves when no call is open any more, or shortly before the grace period ends. */
   async run(reason: string): Promise<void> {
-    const {clock, log, callServer} = this.options;
+    const {clock, log, callServers} = this.options;
     const graceMs = this.options.graceMs();
     const startedAt = clock.now();
     this.isStarted = true;
     log.write('process_stopping', {
       reason,
-      open: callServer.openCalls,
+      open: this.openCalls,
       graceMs,
     });
     const until = startedAt + graceMs - FINAL_RESPONSE_MARGIN_MS;
     await sleep(clock, Math.min(BALANCER_REACTION_MS, graceMs / 2));
-    callServer.closeIdle();
-    while (callServer.openCalls > 0 && clock.now() < until) {
+    this.closeIdle();
+    while (this.openCalls > 0 && clock.now() < until) {
       await sleep(clock, POLL_INTERVAL_MS);
-      callServer.closeIdle();
+      this.closeIdle();
     }
-    const cut = callServer.abortAll(AbortReason.HOST_SHUTDOWN);
+    const cut = callServers.reduce(
+      (sum, server) => sum + server.abortAll(AbortReason.HOST_SHUTDOWN),
+      0,
+    );
     await sleep(clock, POLL_INTERVAL_MS);
     const forMs = Math.round(clock.now() - startedAt);
     log.write('process_stopped', {reason, cut, forMs});
   }
+
+  private get openCalls(): number {
+    return this.options.callServers.reduce(
+      (sum, {openCalls}) => sum + openCalls,
+      0,
+    );
+  }
+
+  private closeIdle(): void {
+    for (const server of this.options.callServers) server.closeIdle();
+  }
 }
--- a/packages/gateway/src/observability/event_fields.ts
+++ b/packages/gateway/src/observability/event_fields.ts
@@ -18,6 +18,8 @@
   readiness_changed: {isReady: boolean; reason: string};
   request_accepted: {
     request: string;
+    /** The host that relayed the call; absent if its caller sent it to this host. */
+    relayedBy?: string;
     route: string;
     kind: string;
     workspace?: string;
@@ -141,6 +143,38 @@
     pressure: number;
     elapsedMs: number;
   };
+  /** A call is sent to another host. */
+  call_relayed: {
+    request: string;
+    peer: string;
+    /** Place of the other host. */
+    place: string;
+    reason: string;
+    /** Time since this host last received anything from any runner; absent if it never did. */
+    runnersSilentMs?: number;
+    /** Time since this host was found to be cut off from all runners; 0 if it is not. */
+    cutOffMs: number;
+    /** Number of runners that the call could not reach, and how often it was sent to runners before. */
+    unreachable: number;
+    sent: number;
+    /** How often the other host may send the call to runners. */
+    attempts: number;
+    /** Calls of this host that the other one has already. */
+    open: number;
+    leftMs: number;
+  };
+  relay_ended: {
+    request: string;
+    peer: string;
+    outcome: string;
+    reason: string;
+    status?: number;
+    lastEvent?: number;
+    forMs: number;
+  };
+  /** This host reaches no runner: none responded to it or to a probe. */
+  runners_unreachable: {silentMs: number; runners: number};
+  runners_reachable: {forMs: number};
   retry_decided: {
     request: string;
     attempt: number;
--- a/packages/gateway/src/observability/gateway_metrics.ts
+++ b/packages/gateway/src/observability/gateway_metrics.ts
@@ -18,6 +18,16 @@
     'service',
     'outcome',
   ]);
+  readonly relayedCalls = this.counter(
+    'relayed_calls_total',
+    'Calls that this host sent to other hosts, as it reached no runner, by outcome',
+    ['service', 'outcome'],
+  );
+  readonly takenCalls = this.counter(
+    'taken_calls_total',
+    'Calls that this host took from other hosts that reach no runner',
+    ['route', 'peer'],
+  );
   readonly retries = this.counter(
     'repeats_total',
     'Attempts beyond the first of a request',
--- a/packages/gateway/src/observability/register_gauges.ts
+++ b/packages/gateway/src/observability/register_gauges.ts
@@ -10,7 +10,7 @@
 import type {HostDirectory} from '../peers/host_directory.js';
 import type {RolloutRegistry} from '../rollouts/rollout_registry.js';
 import {countRunners} from './count_runners.js';
-import type {RunnerContact} from '../runners/runner_contact.js';
+import type {RunnerReachability} from '../runners/runner_reachability.js';
 import type {ServiceLimits} from '../host/service_limits.js';
 import {sampleRolloutOutcomes} from './sample_rollout_outcomes.js';
 import {sampleDeclaredLimit} from './sample_declared_limit.js';
@@ -22,7 +22,7 @@
   readonly eventLoopLag: EventLoopLag;
   readonly configuration: ActiveConfiguration;
   readonly cordons: CordonRegistry;
-  readonly runnerContact: RunnerContact;
+  readonly reachability: RunnerReachability;
   readonly directory: RunnerDirectory;
   readonly callServer: CallServer;
   readonly peerSynchronizer: PeerSynchronizer;
@@ -97,12 +97,16 @@
 }
 
 function registerRunnerGauges(options: Options): void {
-  const {metrics, directory, serviceLimits, quarantine, runnerContact} =
-    options;
+  const {metrics, directory, serviceLimits, quarantine, reachability} = options;
   metrics.registerGauge(
     'runners_silent_seconds',
     'Time since this host last received anything from any runner; 0 if it never did',
-    () => (runnerContact.silentMs ?? 0) / 1000,
+    () => (reachability.silentMs ?? 0) / 1000,
+  );
+  metrics.registerGauge(
+    'runners_unreachable',
+    'Whether this host reaches no runner, so that other hosts serve its calls',
+    () => Number(reachability.isCutOff),
   );
   metrics.registerGauge(
     'quarantined_requests',
--- a/packages/gateway/src/peers/seed_bootstrap.test.ts
+++ b/packages/gateway/src/peers/seed_bootstrap.test.ts
@@ -64,10 +64,11 @@
     fixture.events('host_entered').some(({host}) => host === 'again'),
   );
   await fixture.waitFor(() => isRegistered('again'));
-  const {peerPort} = fixture.hosts[1].settings;
+  const {peerPort, relayPort} = fixture.hosts[1].settings;
   fixture.hosts[1].gateway.stopImmediately();
   const before = {...fixture.store.calls};
-  await fixture.startHost({host: 'again', peerPort, seeds: seeds()});
+  const ports = {peerPort, relayPort};
+  await fixture.startHost({host: 'again', ...ports, seeds: seeds()});
   await fixture.waitReady(2);
   await fixture.waitFor(() => fixture.events('host_entered').length === 3);
   assert.equal(fixture.store.calls.newest, before.newest);
--- /dev/null
+++ b/packages/gateway/src/relay/call_relay.ts
@@ -0,0 +1,193 @@
+import type {Clock} from '@bayspool/kernel';
+import {Attempt} from '../calls/attempt.js';
+import type {AttemptOutcome} from '../calls/attempt_outcome.js';
+import type {CallProgress} from '../calls/call_progress.js';
+import type {CallRejection} from '../calls/call_rejection.js';
+import type {CallerResponse} from '../calls/caller_response.js';
+import type {HeaderNames} from '../calls/header_names.js';
+import {OutcomeKind} from '../calls/outcome_kind.js';
+import type {RetryPolicy} from '../calls/retry_policy.js';
+import type {EventLog} from '../observability/event_log.js';
+import type {GatewayMetrics} from '../observability/gateway_metrics.js';
+import type {RunnerReachability} from '../runners/runner_reachability.js';
+import {RelayHeaderBuilder} from './relay_header_builder.js';
+import type {RelayHost} from './relay_host.js';
+import type {RelayHostRegistry} from './relay_host_registry.js';
+import {RELAY_REFUSED} from './relay_refused.js';
+import type {RelayResult} from './relay_result.js';
+
+interface Options {
+  readonly clock: Clock;
+  readonly log: EventLog;
+  readonly metrics: GatewayMetrics;
+  readonly headerNames: HeaderNames;
+  /** Name of this host. */
+  readonly host: string;
+  readonly reachability: RunnerReachability;
+  readonly hosts: RelayHostRegistry;
+  readonly retryPolicy: RetryPolicy;
+}
+
+/** Number of runners that a call could not reach before another host is asked. */
+const MAX_UNREACHABLE = 3;
+/** Number of hosts that are asked to take one call. */
+const MAX_HOSTS = 3;
+/** How long a host that takes no relayed calls is left out, in ms. */
+const REFUSED_MS = 300;
+/** How long a host that could not be reached, or broke off, is left out, in ms. */
+const FAILED_MS = 1_000;
+/** Silence of another host on all connections after which a call is taken from it, in ms. */
+const SILENT_MS = 500;
+/** Remaining time below which a call is not relayed, in ms. */
+const MIN_REMAINING_MS = 30;
+
+/** Sends calls to other hosts while this one reaches no runner. */
+export class CallRelay {
+  constructor(private readonly options: Options) {}
+
+  /** Chooses the host that gets a call next; undefined if the call is not to be relayed, or no host takes it. */
+  choose(progress: CallProgress): RelayHost | undefined {
+    if (!this.mayRelay(progress)) return undefined;
+    const isNeeded =
+      this.options.reachability.isCutOff ||
+      progress.unreachableCount >= MAX_UNREACHABLE;
+    if (!isNeeded) return undefined;
+    return this.options.hosts.choose(progress.call.regions);
+  }
+
+  /** Whether the call could be relayed if its runner stops sending. */
+  canTake(progress: CallProgress): boolean {
+    const {reachability, hosts} = this.options;
+    if (!reachability.isCutOff || !this.mayRelay(progress)) return false;
+    return hosts.choose(progress.call.regions) !== undefined;
+  }
+
+  /** Returns why a call that was not relayed can't be served; undefined if it may be sent to a runner. */
+  findRejection({call}: CallProgress): CallRejection | undefined {
+    const {reachability, hosts} = this.options;
+    if (!reachability.isCutOff) return undefined;
+    return {
+      reason: 'this host reaches no runner, and no other host takes the call',
+      minRetryMs: hosts.computeWaitMs(call.regions),
+    };
+  }
+
+  /** Sends a call to another host, and relays its response. */
+  async send(
+    progress: CallProgress,
+    host: RelayHost,
+    caller: CallerResponse,
+    signal: AbortSignal,
+  ): Promise<RelayResult> {
+    const {clock, metrics} = this.options;
+    const startedAt = clock.now();
+    const attempts = this.shareAttempts(progress);
+    this.logStart(progress, host, attempts);
+    const attempt = this.createAttempt(
+      progress,
+      host,
+      attempts,
+      caller,
+      signal,
+    );
+    const outcome = await attempt.run();
+    this.noteOutcome(host, outcome);
+    progress.recordRelayed(outcome, attempts);
+    metrics.relayedCalls.inc({
+      service: progress.call.service,
+      outcome: outcome.kind,
+    });
+    this.options.log.write('relay_ended', {
+      request: progress.call.id,
+      peer: host.name,
+      outcome: outcome.kind,
+      reason: outcome.reason,
+      status: outcome.status,
+      lastEvent: caller.lastEventId,
+      forMs: Math.round(clock.now() - startedAt),
+    });
+    return {outcome, minRetryMs: attempt.statement?.rest.forMs};
+  }
+
+  private mayRelay({call, relayCount, attemptsLeft}: CallProgress): boolean {
+    // A relayed call goes no further: two hosts could take each other for connected.
+    if (call.relayOrigin) return false;
+    const remainingMs = call.deadlineAt - this.options.clock.now();
+    return (
+      relayCount < MAX_HOSTS &&
+      attemptsLeft > 0 &&
+      remainingMs >= MIN_REMAINING_MS
+    );
+  }
+
+  /** Leaves one attempt for a further host, in case this one fails midway. */
+  private shareAttempts({attemptsLeft}: CallProgress): number {
+    return Math.max(1, attemptsLeft - 1);
+  }
+
+  private createAttempt(
+    progress: CallProgress,
+    {endpoint}: RelayHost,
+    attempts: number,
+    caller: CallerResponse,
+    signal: AbortSignal,
+  ): Attempt {
+    const {clock, headerNames, host, hosts, retryPolicy} = this.options;
+    const {call, isCounted} = progress;
+    const origin = {host, attempts, isCounted};
+    const choice = {workMs: 0, waitMs: 0, unreadTokens: 0, ejected: 0};
+    return new Attempt({
+      clock,
+      headerNames,
+      call,
+      caller,
+      signal,
+      choice: {...choice, runner: endpoint, reason: 'relay'},
+      headerBuilder: new RelayHeaderBuilder({headerNames, origin}),
+      admit: () => retryPolicy.spendReservation(progress),
+      // The other host has decided whether the response is used.
+      acceptsConfidence: () => true,
+      hasOtherRunner: () => {
+        const silentMs = clock.now() - endpoint.silentSince;
+        const hasOther = hosts.choose(call.regions) !== undefined;
+        return (
+          silentMs > SILENT_MS && attempts < progress.attemptsLeft && hasOther
+        );
+      },
+    });
+  }
+
+  private noteOutcome(
+    host: RelayHost,
+    {kind, status, isWithheld}: AttemptOutcome,
+  ): void {
+    const {reachability} = this.options;
+    if (kind === OutcomeKind.ANSWERED) reachability.recordServedElsewhere();
+    if (kind === OutcomeKind.BROKEN) host.noteUnavailable(FAILED_MS);
+    if (kind !== OutcomeKind.NOT_RUN || isWithheld) return;
+    if (status === RELAY_REFUSED) host.noteUnavailable(REFUSED_MS);
+    if (status === undefined) host.noteUnavailable(FAILED_MS);
+  }
+
+  private logStart(
+    {call, unreachableCount, sentCount}: CallProgress,
+    {name, endpoint}: RelayHost,
+    attempts: number,
+  ): void {
+    const {log, reachability} = this.options;
+    const {silentMs, cutOffMs, isCutOff} = reachability;
+    log.write('call_relayed', {
+      request: call.id,
+      peer: name,
+      place: endpoint.entry.place,
+      reason: isCutOff ? 'no runner is reached' : 'runners not reached',
+      runnersSilentMs: silentMs && Math.round(silentMs),
+      cutOffMs: Math.round(cutOffMs),
+      unreachable: unreachableCount,
+      sent: sentCount,
+      attempts,
+      open: endpoint.totalRunning,
+      leftMs: Math.round(call.deadlineAt - this.options.clock.now()),
+    });
+  }
+}
--- /dev/null
+++ b/packages/gateway/src/relay/relay_admission.ts
@@ -0,0 +1,25 @@
+import type {RunnerReachability} from '../runners/runner_reachability.js';
+
+interface Options {
+  readonly reachability: RunnerReachability;
+  readonly isShuttingDown: () => boolean;
+  /** Number of relayed calls that are open. */
+  readonly openCalls: () => number;
+}
+
+/** Maximum number of relayed calls that are open at once: as many as a host has of its own in a busy time. */
+const MAX_OPEN_CALLS = 256;
+
+/** Decides whether this host takes a call that another one relays. */
+export class RelayAdmission {
+  constructor(private readonly options: Options) {}
+
+  /** Returns why no relayed call is taken now; undefined if it is. */
+  findRefusal(): string | undefined {
+    const {reachability, isShuttingDown, openCalls} = this.options;
+    if (isShuttingDown()) return 'host is shutting down';
+    if (reachability.isCutOff) return 'host reaches no runner';
+    if (openCalls() > MAX_OPEN_CALLS) return 'too many relayed calls';
+    return undefined;
+  }
+}
--- a/packages/gateway/src/runners/connection_pool.ts
+++ b/packages/gateway/src/runners/connection_pool.ts
@@ -3,6 +3,7 @@
 import type {ConnectTimeout} from './connect_timeout.js';
 import {ConnectFailure} from './connect_failure.js';
 import type {Dialer} from './dialer.js';
+import {openSocket} from './open_socket.js';
 import {PooledConnection} from './pooled_connection.js';
 import {TcpDialer} from './tcp_dialer.js';
 
@@ -19,9 +20,6 @@
   readonly dialer?: Dialer;
 }
 
-/** Idle time after which the system sends TCP keep-alive probes, in ms. */
-const KEEP_ALIVE_PROBE_DELAY_MS = 2_000;
-
 /** Pool of this host's connections to one runner. */
 export class ConnectionPool {
   private readonly idle: PooledConnection[] = [];
@@ -74,11 +72,8 @@
     this.openCount += 1;
     let socket: Socket;
     try {
-      socket = await openSocket(
-        clock,
-        () => this.dialer.dial(address),
-        connectTimeout,
-      );
+      const {dialer} = this;
+      socket = await openSocket({clock, dialer, address, connectTimeout});
     } catch (error) {
       this.openCount -= 1;
       throw error;
@@ -104,35 +99,3 @@
     if (index >= 0) this.idle.splice(index, 1);
   }
 }
-
-function openSocket(
-  clock: Clock,
-  dial: () => Socket,
-  connectTimeout: ConnectTimeout,
-): Promise<Socket> {
-  return new Promise((resolve, reject) => {
-    const socket = dial();
-    const startedAt = clock.now();
-    const timer = clock.after(connectTimeout.timeoutMs, () => {
-      connectTimeout.noteTimeout();
-      fail('timeout');
-    });
-    socket.once('connect', () => {
-      timer.cancel();
-      connectTimeout.noteConnected(clock.now() - startedAt);
-      socket.off('error', onError);
-      socket.setKeepAlive(true, KEEP_ALIVE_PROBE_DELAY_MS);
-      resolve(socket);
-    });
-    socket.once('error', onError);
-    function onError(error: NodeJS.ErrnoException): void {
-      fail(error.code ?? 'error');
-    }
-    function fail(reason: string): void {
-      timer.cancel();
-      socket.on('error', () => undefined);
-      socket.destroy();
-      reject(new ConnectFailure(reason));
-    }
-  });
-}
--- a/packages/gateway/src/runners/runner.ts
+++ b/packages/gateway/src/runners/runner.ts
@@ -67,6 +67,7 @@
   private meanGapMs = 0;
   private meanDurationMs = 0;
   private awaitingFirstByte = 0;
+  private lastUnreachableAt = -Infinity;
   private meanWorkMs = 0;
   /** End of the cold phase after a start; 0 if the runner is not cold. */
   private coldUntil = 0;
@@ -196,6 +197,16 @@
     this.options.onHeard?.();
   }
 
+  /** When a connection to the runner last failed or broke, on this host's clock; -Infinity if none did. */
+  get unreachableAt(): number {
+    return this.lastUnreachableAt;
+  }
+
+  /** Notes that a connection to the runner could not be opened, or broke without a complete response. */
+  noteUnreachable(): void {
+    this.lastUnreachableAt = this.options.clock.now();
+  }
+
   /** Discards the silence so far, which was not the runner's: this host did not read what it sent. */
   resetSilence(): void {
     this.lastBytesAt = this.options.clock.now();
--- /dev/null
+++ b/packages/gateway/src/runners/runner_reachability.ts
@@ -0,0 +1,206 @@
+import {sleep} from '@bayspool/kernel';
+import type {Clock, RandomSource} from '@bayspool/kernel';
+import type {EventLog} from '../observability/event_log.js';
+import type {Runner} from './runner.js';
+
+interface Options {
+  readonly clock: Clock;
+  readonly random: RandomSource;
+  readonly log: EventLog;
+  /** All runners known now. */
+  readonly runners: () => readonly Runner[];
+  /** Resolves to whether a runner responds on a new connection. */
+  readonly probe: (runner: Runner) => Promise<boolean>;
+}
+
+/** A runner's end that says something of a request only if this host's own links work. */
+interface PendingEvidence {
+  readonly runnerId: string;
+  readonly apply: () => void;
+}
+
+const State = {
+  REACHABLE: 'reachable',
+  /** Probes are under way. */
+  SUSPECTED: 'suspected',
+  CUT_OFF: 'cut off',
+} as const;
+type State = (typeof State)[keyof typeof State];
+
+/** Number of runners, or all if there are fewer, that have to be out of reach for a suspicion. */
+const MIN_UNREACHABLE = 3;
+/** Time without anything from any runner until failed connections cause a suspicion, in ms. */
+const MIN_FAILING_MS = 100;
+/** Time without anything from any runner until overdue responses cause a suspicion, in ms. */
+const MIN_SILENT_MS = 300;
+/** Time between two probes while the host is cut off, in ms. */
+const PROBE_INTERVAL_MS = 250;
+/** Probes in a row that have to succeed until the host counts as connected again. */
+const PROBES_TO_RETURN = 2;
+/** Time that a runner's end may wait for other traffic to show that the links work, in ms, before a probe is sent. */
+const EVIDENCE_DELAY_MS = 20;
+
+/** Tells whether this host reaches any runner at all, from what it hears of them and from probes. */
+export class RunnerReachability {
+  private state: State = State.REACHABLE;
+  private heardAt: number;
+  private hasHeard = false;
+  private cutOffAt = 0;
+  private pending: PendingEvidence[] = [];
+  private isStopped = false;
+
+  constructor(private readonly options: Options) {
+    this.heardAt = options.clock.now();
+  }
+
+  /** Whether no runner is reached; checks the latest evidence first. */
+  get isCutOff(): boolean {
+    if (this.state === State.REACHABLE && this.isSuspicious())
+      void this.verify();
+    return this.state === State.CUT_OFF;
+  }
+
+  /** Time since the last bytes from any runner, in ms; undefined if there were none since the start. */
+  get silentMs(): number | undefined {
+    return this.hasHeard ? this.sinceHeardMs : undefined;
+  }
+
+  /** Time since the host was found to be cut off, in ms; 0 if it is not. */
+  get cutOffMs(): number {
+    if (this.state !== State.CUT_OFF) return 0;
+    return this.options.clock.now() - this.cutOffAt;
+  }
+
+  /** Records that bytes arrived from a runner. */
+  recordHeard(runnerId: string): void {
+    this.heardAt = this.options.clock.now();
+    this.hasHeard = true;
+    if (this.pending.length === 0) return;
+    const confirmed = this.pending.filter(item => item.runnerId !== runnerId);
+    this.pending = this.pending.filter(item => item.runnerId === runnerId);
+    for (const {apply} of confirmed) apply();
+  }
+
+  /** Records that another host served a call: if this one is cut off, the runners did not end, and evidence of that is dropped. */
+  recordServedElsewhere(): void {
+    if (this.state === State.CUT_OFF) this.pending = [];
+  }
+
+  /** Applies evidence from the end of a runner's connection once another runner is heard of. */
+  whenConfirmed(runner: Runner, apply: () => void): void {
+    const item = {runnerId: runner.id, apply};
+    this.pending.push(item);
+    this.options.clock.after(EVIDENCE_DELAY_MS, () => {
+      if (this.pending.includes(item)) void this.verify();
+    });
+  }
+
+  /** Stops probing. */
+  stop(): void {
+    this.isStopped = true;
+  }
+
+  private get sinceHeardMs(): number {
+    return this.options.clock.now() - this.heardAt;
+  }
+
+  private isSuspicious(): boolean {
+    if (this.sinceHeardMs < MIN_FAILING_MS) return false;
+    const runners = this.options.runners();
+    const countsSilent = this.sinceHeardMs >= MIN_SILENT_MS;
+    const unreachable = runners.filter(
+      runner =>
+        runner.unreachableAt > this.heardAt ||
+        (countsSilent && this.isOverdue(runner)),
+    );
+    const least = Math.min(MIN_UNREACHABLE, runners.length);
+    return least > 0 && unreachable.length >= least;
+  }
+
+  private isOverdue(runner: Runner): boolean {
+    const silentForMs = this.options.clock.now() - runner.silentSince;
+    return silentForMs >= MIN_SILENT_MS && runner.isQuiet;
+  }
+
+  /** Probes a few runners; the host is cut off if none responds and nothing else is heard meanwhile. */
+  private async verify(): Promise<void> {
+    if (this.state !== State.REACHABLE) return;
+    this.state = State.SUSPECTED;
+    const startedAt = this.options.clock.now();
+    const sample = this.sampleLeastSuspicious();
+    const responded = await Promise.all(
+      sample.map(runner => this.probe(runner)),
+    );
+    if (this.isStopped) return;
+    const isReached = responded.includes(true) || this.heardAt >= startedAt;
+    if (isReached || sample.length === 0) this.confirmReachable();
+    else this.enterCutOff();
+  }
+
+  /** What is still pending concerns the only runner that is heard of, or there is none to ask. */
+  private confirmReachable(): void {
+    this.state = State.REACHABLE;
+    for (const {apply} of this.pending.splice(0)) apply();
+  }
+
+  private enterCutOff(): void {
+    const {clock, log, runners} = this.options;
+    this.state = State.CUT_OFF;
+    this.cutOffAt = clock.now();
+    this.forgetFailures();
+    log.write('runners_unreachable', {
+      silentMs: Math.round(this.sinceHeardMs),
+      runners: runners().length,
+    });
+    void this.waitForReturn();
+  }
+
+  private async waitForReturn(): Promise<void> {
+    const {clock, log} = this.options;
+    let successes = 0;
+    while (successes < PROBES_TO_RETURN) {
+      if (successes === 0) await sleep(clock, PROBE_INTERVAL_MS);
+      if (this.isStopped) return;
+      const [runner] = this.sampleRunners(1);
+      const hasResponded = runner !== undefined && (await this.probe(runner));
+      successes = hasResponded ? successes + 1 : 0;
+    }
+    log.write('runners_reachable', {forMs: Math.round(this.cutOffMs)});
+    this.state = State.REACHABLE;
+    this.forgetFailures();
+  }
+
+  /** The failures were those of this host's links. */
+  private forgetFailures(): void {
+    for (const {health} of this.options.runners()) health.reset();
+  }
+
+  private async probe(runner: Runner): Promise<boolean> {
+    const hasResponded = await this.options.probe(runner);
+    if (hasResponded) this.recordHeard(runner.id);
+    return hasResponded;
+  }
+
+  /** Draws the runners to probe: those whose connections failed longest ago, or never, are the likeliest to respond. */
+  private sampleLeastSuspicious(): Runner[] {
+    const all = this.sampleRunners(Infinity);
+    return all
+      .sort((a, b) => compareTimes(a.unreachableAt, b.unreachableAt))
+      .slice(0, MIN_UNREACHABLE);
+  }
+
+  private sampleRunners(count: number): Runner[] {
+    const {random, runners} = this.options;
+    const rest = runners().filter(({entry}) => !entry.isDraining);
+    const sample: Runner[] = [];
+    while (sample.length < count && rest.length > 0)
+      sample.push(...rest.splice(random.below(rest.length), 1));
+    return sample;
+  }
+}
+
+/** Orders times, which may be infinite. */
+function compareTimes(a: number, b: number): number {
+  if (a === b) return 0;
+  return a < b ? -1 : 1;
+}
--- a/packages/gateway/src/runners/unreachable_runners.test.ts
+++ b/packages/gateway/src/runners/unreachable_runners.test.ts
@@ -1,11 +1,15 @@
 // Guards against refusing callers at hosts whose links to all runners are cut, while the other hosts serve theirs.
 import assert from 'node:assert/strict';
-import {afterEach, test} from 'node:test';
+import {describe, test} from 'node:test';
+import type {TestContext} from 'node:test';
 import {setTimeout as sleep} from 'node:timers/promises';
+import {CallKind} from '@bayspool/decisions/calls';
 import {LinkFault} from '../testing/link_fault.js';
 import {MultiHostFixture} from '../testing/multi_host_fixture.js';
+import {plainHeaderNames as names} from '../testing/plain_header_names.js';
 
 type Answer = MultiHostFixture['answers'][number];
+type Script = MultiHostFixture['script'];
 
 /** Time after the begin of a cut from which callers have to be served, in ms. */
 const CONTACT_MS = 3_000;
@@ -13,43 +17,239 @@
 const JUDGED_MS = 3_000;
 /** One of this many calls may fail. */
 const CALLS_PER_FAILURE = 50;
+/** Time within which a call that can't be served has to be rejected, in ms. */
+const REJECTED_WITHIN_MS = 100;
+/** Time after the end of a cut from which hosts use their own links again, in ms. */
+const RETURN_MS = 1_000;
+const HOSTS = 4;
 const OK = 200;
+const UNAVAILABLE = 503;
+const EVENTS = 6;
+const EVENT_PAUSE_MS = 60;
+/** The hosts of the first place. */
+const PLACE_HOSTS = [0, 2];
 
-let fixture: MultiHostFixture;
+const FAULTS = [
+  LinkFault.RESET,
+  LinkFault.CLOSED,
+  LinkFault.HUNG,
+  LinkFault.SILENT,
+  LinkFault.REFUSED,
+];
 
-afterEach(() => fixture.stop());
+async function startServing(
+  context: TestContext,
+  options: ConstructorParameters<typeof MultiHostFixture>[0] = {},
+): Promise<MultiHostFixture> {
+  const fixture = new MultiHostFixture({...options, hasFaultyLinks: true});
+  context.after(() => fixture.stop());
+  await fixture.start();
+  await fixture.callFor({forMs: 500});
+  return fixture;
+}
 
-function cut(hosts: readonly number[], fault: LinkFault): void {
+function setFault(
+  fixture: MultiHostFixture,
+  hosts: readonly number[],
+  fault: LinkFault,
+): void {
   for (const host of hosts) fixture.gateways.hosts[host].dialer.setFault(fault);
 }
 
-/** Checks the calls sent from the given time on. */
-function assertServed(answers: readonly Answer[], from: number): void {
-  const judged = answers.filter(
-    ({endedAt, durationMs}) => endedAt - durationMs >= from,
+/** Cuts hosts off, and returns the calls that they have to serve. */
+async function callWhileCut(
+  fixture: MultiHostFixture,
+  hosts: readonly number[],
+  fault: LinkFault,
+): Promise<Answer[]> {
+  setFault(fixture, hosts, fault);
+  await fixture.callFor({forMs: CONTACT_MS});
+  const answers = await fixture.callFor({forMs: JUDGED_MS});
+  const cut = new Set(hosts.map(host => `host-${host + 1}`));
+  return answers.filter(({host}) => cut.has(host));
+}
+
+function assertServed(answers: readonly Answer[]): void {
+  const failed = answers.filter(
+    ({status, isComplete}) => status !== OK || !isComplete,
   );
-  const failed = judged.filter(({status, isComplete}) => {
-    return status !== OK || !isComplete;
-  });
   const shown = failed.map(
-    ({host, status, body, durationMs}) =>
-      `${host}: ${status} ${body.trim()} after ${Math.round(durationMs)} ms`,
+    ({request, host, status, body, durationMs}) =>
+      `${request} at ${host}: ${status} ${body.trim()} after ${Math.round(durationMs)} ms`,
   );
+  assert.ok(answers.length > 0);
   assert.ok(
-    failed.length <= judged.length / CALLS_PER_FAILURE,
-    `${failed.length} of ${judged.length} calls failed:\n${shown.join('\n')}`,
+    failed.length <= answers.length / CALLS_PER_FAILURE,
+    `${failed.length} of ${answers.length} calls failed:\n${shown.join('\n')}`,
   );
 }
 
-void test('callers of a host whose connections to all runners are reset are served', async () => {
-  fixture = new MultiHostFixture({hasFaultyLinks: true});
-  await fixture.start();
-  await fixture.callFor({forMs: 500});
-  cut([0], LinkFault.RESET);
-  await fixture.callFor({forMs: CONTACT_MS});
-  const from = performance.now();
-  const answers = await fixture.callFor({forMs: JUDGED_MS});
-  await sleep(0);
-  const atHost = answers.filter(({host}) => host === 'host-1');
-  assertServed(atHost, from);
+/** Checks that no request was run twice. */
+function assertRunOnce(fixture: MultiHostFixture): void {
+  const ids = fixture.runners
+    .flatMap(({entry}) => fixture.arrivalsAt(entry.id))
+    .map(({request}) => request)
+    .filter(request => request.startsWith('call-'));
+  const seen = new Set<string>();
+  const repeated = ids.filter(id => seen.has(id) || !seen.add(id));
+  assert.deepEqual(repeated, []);
+}
+
+const streamEvents: Script = ({request, runner, headers}, response) => {
+  response.writeHead(OK, {
+    [names.requestId]: request,
+    [names.signature]: runner,
+  });
+  let next = Number(headers[names.lastEventId] ?? 0) + 1;
+  const timer = setInterval(() => {
+    response.write(`id: ${next}\ndata: ${next}\n\n`);
+    next += 1;
+    if (next <= EVENTS) return;
+    clearInterval(timer);
+    response.end();
+  }, EVENT_PAUSE_MS);
+  response.once('close', () => clearInterval(timer));
+};
+
+function assertWholeStreams(answers: readonly Answer[]): void {
+  const expected = Array.from(
+    {length: EVENTS},
+    (_, i) => `id: ${i + 1}\ndata: ${i + 1}\n\n`,
+  ).join('');
+  for (const {body, status} of answers)
+    if (status === OK) assert.equal(body, expected);
+}
+
+/** The tests mostly wait, so several run at a time. */
+void describe('hosts that reach no runner', {concurrency: 6}, () => {
+  void test('callers of a host whose connections to all runners are reset are served', async context => {
+    const fixture = await startServing(context);
+    assertServed(await callWhileCut(fixture, [0], LinkFault.RESET));
+  });
+
+  for (const fault of FAULTS) {
+    void test(`callers of both hosts of a place are served by the other place, links ${fault}`, async context => {
+      const fixture = await startServing(context);
+      assertServed(await callWhileCut(fixture, PLACE_HOSTS, fault));
+    });
+
+    void test(`calls that may run once are served and run once, links ${fault}`, async context => {
+      const fixture = await startServing(context, {
+        route: {kind: CallKind.UNSAFE},
+      });
+      assertServed(await callWhileCut(fixture, [0], fault));
+      assertRunOnce(fixture);
+    });
+
+    void test(`streams are served whole, links ${fault}`, async context => {
+      const fixture = await startServing(context, {
+        route: {kind: CallKind.RESUMABLE},
+        script: streamEvents,
+      });
+      const answers = await callWhileCut(fixture, [0], fault);
+      assertServed(answers);
+      assertWholeStreams(answers);
+    });
+
+    void test(`a host that is cut off uses its own links again after the cut, links ${fault}`, async context => {
+      const fixture = await startServing(context);
+      setFault(fixture, [0], fault);
+      await fixture.callFor({forMs: CONTACT_MS});
+      setFault(fixture, [0], LinkFault.NONE);
+      await sleep(RETURN_MS);
+      const relayed = fixture.gateways.events('call_relayed').length;
+      assertServed(await fixture.callFor({forMs: RETURN_MS}));
+      assert.equal(fixture.gateways.events('call_relayed').length, relayed);
+      assert.equal(
+        fixture.gateways
+          .events('runner_ejected')
+          .filter(({host}) => host !== 'host-1').length,
+        0,
+      );
+    });
+  }
+
+  void test('three of four hosts are cut off: the fourth serves their callers', async context => {
+    const fixture = await startServing(context);
+    assertServed(await callWhileCut(fixture, [0, 1, 2], LinkFault.HUNG));
+  });
+
+  void test('all hosts are cut off: calls are rejected at once with a time to return', async context => {
+    const fixture = await startServing(context);
+    const answers = await callWhileCut(fixture, [0, 1, 2, 3], LinkFault.HUNG);
+    const slow = answers.filter(
+      ({durationMs}) => durationMs > REJECTED_WITHIN_MS,
+    );
+    assert.deepEqual(
+      slow.map(({status, durationMs}) => `${status} after ${durationMs}`),
+      [],
+    );
+    for (const {status, headers} of answers) {
+      assert.equal(status, UNAVAILABLE);
+      assert.ok(Number(headers['retry-after']) > 0);
+    }
+  });
+
+  void test('one of four runners is still reached: its host serves all calls itself', async context => {
+    const fixture = await startServing(context);
+    const [, ...lost] = fixture.runners.map(({address}) => address);
+    fixture.gateways.hosts[0].dialer.setFault(LinkFault.HUNG, lost);
+    await fixture.callFor({forMs: CONTACT_MS});
+    const answers = await fixture.callFor({forMs: JUDGED_MS});
+    assertServed(answers.filter(({host}) => host === 'host-1'));
+  });
+
+  void test('links go on and off', async context => {
+    const fixture = await startServing(context);
+    let isOver = false;
+    const flapping = (async () => {
+      for (let i = 0; !isOver; i++) {
+        setFault(fixture, [0], i % 2 === 0 ? LinkFault.HUNG : LinkFault.NONE);
+        await sleep(700);
+      }
+    })();
+    await fixture.callFor({forMs: CONTACT_MS});
+    const answers = await fixture.callFor({forMs: 2 * JUDGED_MS});
+    isOver = true;
+    await flapping;
+    assertServed(answers.filter(({host}) => host === 'host-1'));
+  });
+
+  void test('the host that takes relayed calls shuts down: another one takes them', async context => {
+    const fixture = await startServing(context, {places: ['a']});
+    setFault(fixture, [0], LinkFault.RESET);
+    await fixture.callFor({forMs: CONTACT_MS});
+    const {gateway} = fixture.gateways.hosts[1];
+    const stopped = gateway.shutDown('test');
+    const answers = await fixture.callFor({forMs: 2_000, hosts: [0, 2, 3]});
+    await stopped;
+    assertServed(answers.filter(({host}) => host === 'host-1'));
+  });
+
+  void test('a caller that leaves is heard of by the runner behind the other host', async context => {
+    const fixture = await startServing(context);
+    setFault(fixture, [0], LinkFault.RESET);
+    await fixture.callFor({forMs: 1_000});
+    fixture.script = () => undefined;
+    const call = fixture.gateways.call({
+      host: 0,
+      headers: {[names.requestId]: 'left'},
+      disconnectAfterMs: 200,
+    });
+    await assert.rejects(call);
+    await fixture.gateways.waitFor(() =>
+      fixture.runners.some(({abortedIds}) => abortedIds.includes('left')),
+    );
+  });
+
+  void test('all hosts take part: a cut says nothing against runners at the others', async context => {
+    const fixture = await startServing(context);
+    await callWhileCut(fixture, [0], LinkFault.CLOSED);
+    const others = fixture.gateways
+      .events('runner_ejected')
+      .filter(({host}) => host !== 'host-1');
+    assert.deepEqual(others, []);
+    assert.deepEqual(fixture.gateways.events('request_quarantined'), []);
+    assert.equal(fixture.gateways.hosts.length, HOSTS);
+  });
 });
--- a/packages/gateway/src/testing/gateway_fixture.ts
+++ b/packages/gateway/src/testing/gateway_fixture.ts
@@ -68,8 +68,8 @@
     overrides: Partial<GatewaySettings> = {},
     store = this.store,
   ): Promise<Host> {
-    const [callerPort, readinessPort, peerPort, metricsPort] =
-      await findPorts(4);
+    const [callerPort, readinessPort, peerPort, metricsPort, relayPort] =
+      await findPorts(5);
     const settings: GatewaySettings = {
       host: `host-${this.hosts.length + 1}`,
       place: 'a',
@@ -80,6 +80,7 @@
       readinessPort,
       readinessPath: '/ready',
       peerPort,
+      relayPort,
       seeds: [],
       isFirstStart: false,
       metricsPort,
--- a/packages/gateway/src/testing/multi_host_fixture.ts
+++ b/packages/gateway/src/testing/multi_host_fixture.ts
@@ -21,6 +21,8 @@
   readonly headers?: Readonly<Record<string, string>>;
   /** Time between two calls, over all hosts, in ms. */
   readonly pauseMs?: number;
+  /** The hosts that are called; all if absent. */
+  readonly hosts?: readonly number[];
 }
 
 /** A request that arrived at a runner. */
@@ -53,6 +55,7 @@
 type Script = (call: RunnerCall, response: ServerResponse) => void;
 
 const HOSTS = 4;
+const ALL_HOSTS = Array.from({length: HOSTS}, (_, i) => i);
 const RUNNERS = 4;
 const CALL_PAUSE_MS = 25;
 const HOST_HEADER = 'x-by';
@@ -136,11 +139,12 @@
     forMs,
     headers,
     pauseMs = CALL_PAUSE_MS,
+    hosts = ALL_HOSTS,
   }: CallOptions): Promise<Answer[]> {
     const until = performance.now() + forMs;
     const answers: Array<Promise<Answer>> = [];
-    for (let host = 0; performance.now() < until; host = (host + 1) % HOSTS) {
-      answers.push(this.callOnce(host, headers));
+    for (let i = 0; performance.now() < until; i++) {
+      answers.push(this.callOnce(hosts[i % hosts.length], headers));
       await new Promise(resolve => setTimeout(resolve, pauseMs));
     }
     return Promise.all(answers);
--- a/packages/gateway/src/testing/scripted_runner.ts
+++ b/packages/gateway/src/testing/scripted_runner.ts
@@ -24,6 +24,9 @@
   readonly script?: Script;
 }
 
+/** Path of health checks, which are answered without the script. */
+const HEALTH_PATH = '/';
+
 /** A runner whose responses a test scripts. */
 export class ScriptedRunner {
   /** All requests received, in order. */
@@ -77,6 +80,7 @@
     request: IncomingMessage,
     response: ServerResponse,
   ): Promise<void> {
+    if (request.url === HEALTH_PATH) return void response.end();
     const chunks: Buffer[] = [];
     for await (const chunk of request as AsyncIterable<Buffer>)
       chunks.push(chunk);
