Runners that state that they fail under rejections are not sent more than they have room for

Callers saw services go down runner by runner: Server-Brittle was read by nobody, so a runner that lets fewer requests wait had to turn away more than it bears, fell, and its load went to the next.

Now it is read with the others, as long as responses carry it, and is one more bound at the gate: each host has a share, by rank, of the requests for which the runner is believed to have room (its slots at first); a rejection halves that, and the host sends nothing for the second over which the runner counts, longer with many hosts. Below half the room any host may send.

--- a/packages/gateway/src/calls/attempt.ts
+++ b/packages/gateway/src/calls/attempt.ts
@@ -60,6 +60,7 @@
   private wasRunnerIdle = false;
   /** Number of this request among all that this host has sent to the runner. */
   private sendNumber = 0;
+  private isAdmitted = false;
 
   constructor(private readonly options: Options) {
     this.startedAt = options.clock.now();
@@ -122,6 +123,7 @@
       this.silenceDetector.stop();
       this.recordFirstOutput();
       this.wasRunnerSilent = runner.isQuiet;
+      if (this.isAdmitted) runner.noteAdmittedEnded();
       runner.noteEnded(this.options.clock.now() - this.startedAt);
       signal.removeEventListener('abort', forwardAbort);
     }
@@ -141,6 +143,8 @@
         isWithheld: true,
       };
     }
+    this.isAdmitted = true;
+    runner.noteAdmitted();
     const headers = headerBuilder.build({
       call,
       model,
@@ -222,6 +226,7 @@
       response.headers[headerNames.notRun] !== undefined
     ) {
       if (status === MISDIRECTED) choice.runner.noteReplaced();
+      else choice.runner.brittleness.noteRejected();
       response.resume();
       return {
         kind: OutcomeKind.NOT_RUN,
--- a/packages/gateway/src/calls/header_names.ts
+++ b/packages/gateway/src/calls/header_names.ts
@@ -32,6 +32,8 @@
   readonly leaving: string;
   /** Beside a runner's 503: how long it wants no requests from this host, in seconds. */
   readonly retryAfter: string;
+  /** Number of rejections in a second above which a runner fails; it applies as long as responses carry it. */
+  readonly brittle: string;
   /** Priority at the runner, from 0 (most urgent) to 9. */
   readonly priority: string;
   /** Further headers that only the gateway may send to runners. */
--- a/packages/gateway/src/calls/withheld_runner_reporter.ts
+++ b/packages/gateway/src/calls/withheld_runner_reporter.ts
@@ -36,7 +36,8 @@
     {runner, bound, share, sent, waitMs}: WithheldRunner,
     withheld: number,
   ): void {
-    const {perSecond, restMs, ageMs} = bound.describeStatement(runner);
+    const {perSecond, restMs, ageMs, brittlePerSecond, room} =
+      bound.describeStatement(runner);
     this.options.log.write('runner_withheld', {
       request: call.id,
       attempt: attemptCount + 1,
@@ -44,6 +45,8 @@
       reason: bound.reason,
       perSecond,
       restMs,
+      brittlePerSecond,
+      room,
       ageMs: ageMs === undefined ? undefined : Math.round(ageMs),
       share: share.calls,
       windowMs: share.windowMs,
--- a/packages/gateway/src/host/host_state.ts
+++ b/packages/gateway/src/host/host_state.ts
@@ -14,6 +14,7 @@
 import {Topic} from '../records/topic.js';
 import {RolloutRegistry} from '../rollouts/rollout_registry.js';
 import {RolloutStartRecords} from '../rollouts/rollout_start_records.js';
+import {BrittleBound} from '../runners/brittle_bound.js';
 import {ColdStartBound} from '../runners/cold_start_bound.js';
 import {ConnectTimeout} from '../runners/connect_timeout.js';
 import {ConnectionPool} from '../runners/connection_pool.js';
@@ -168,12 +169,19 @@
         this.hostDirectory.isLoaded ? this.hostDirectory.listRegistered() : [],
       tolerance: () => getLimitTolerance(currentSettings()),
     });
+    const brittleBound = new BrittleBound({
+      clock,
+      host: settings.host,
+      hosts: () =>
+        this.hostDirectory.isLoaded ? this.hostDirectory.listRegistered() : [],
+    });
     const sentCalls = new SentCalls({clock, retentionMs: SENT_CALL_TTL_MS});
     this.runnerGate = new RunnerGate({
       cordons,
       bounds: [
         new LeavingBound(),
         new RestBound(),
+        brittleBound,
         coldStartBound,
         declaredLimitBound,
       ],
--- a/packages/gateway/src/observability/event_fields.ts
+++ b/packages/gateway/src/observability/event_fields.ts
@@ -80,6 +80,9 @@
     perSecond?: number;
     /** The rest that the runner asked this host for. */
     restMs?: number;
+    /** Rejections in a second above which the runner fails, and the requests of all hosts for which it is believed to have room. */
+    brittlePerSecond?: number;
+    room?: number;
     /** Time since this host learned of the statement behind the bound. */
     ageMs?: number;
     /** This host's share of the calls in a window, and how many it sent. */
--- a/packages/gateway/src/relay/relay_host_registry.ts
+++ b/packages/gateway/src/relay/relay_host_registry.ts
@@ -55,12 +55,16 @@
   private list(regions: readonly string[] | undefined): RelayHost[] {
     const {hostDirectory, regionOf} = this.options;
     const {self} = hostDirectory;
+    const places = [self.place, ...hostDirectory.listOtherPlaces()];
     const found: RelayHost[] = [];
-    for (const entry of hostDirectory.listLive()) {
-      const {name, place, relayAddress} = entry;
-      if (name === self.name || relayAddress === undefined) continue;
+    for (const place of places) {
       if (regions && !regions.includes(regionOf[place])) continue;
-      found.push(this.get(entry, relayAddress));
+      // Those that did not respond to this host a moment ago are left out.
+      for (const entry of hostDirectory.listReaderCandidates(place)) {
+        const {name, relayAddress} = entry;
+        if (name === self.name || relayAddress === undefined) continue;
+        found.push(this.get(entry, relayAddress));
+      }
     }
     return found;
   }
--- a/packages/gateway/src/runners/bound_statement.ts
+++ b/packages/gateway/src/runners/bound_statement.ts
@@ -6,4 +6,8 @@
   readonly perSecond?: number;
   /** Time for which the runner asked this host to send it nothing, in ms. */
   readonly restMs?: number;
+  /** Rejections in a second above which the runner fails. */
+  readonly brittlePerSecond?: number;
+  /** Requests of all hosts for which it is believed to have room. */
+  readonly room?: number;
 }
--- /dev/null
+++ b/packages/gateway/src/runners/brittle_bound.ts
@@ -0,0 +1,80 @@
+import {computeHostShare, rankByHash} from '@bayspool/decisions/calls';
+import type {Clock} from '@bayspool/kernel';
+import type {BoundStatement} from './bound_statement.js';
+import type {HostShare} from './host_share.js';
+import {PerRunnerCache} from './per_runner_cache.js';
+import type {Runner} from './runner.js';
+import type {RunnerBound} from './runner_bound.js';
+
+interface Options {
+  readonly clock: Clock;
+  /** The name of this host. */
+  readonly host: string;
+  /** Names of all registered hosts, reachable or not; empty until they are known. */
+  readonly hosts: () => readonly string[];
+}
+
+interface HostRank {
+  readonly hosts: number;
+  readonly rank: number;
+}
+
+/** How long a rank is cached before it is computed from the current hosts again, in ms. */
+const RANK_TTL_MS = 500;
+/** Time after a rejection for which nothing is sent, in ms: the time over which the runner counts. */
+const REJECTION_WINDOW_MS = 1_000;
+/** Time after which a request in flight may have ended, in ms. */
+const RECHECK_MS = 100;
+/** Part of the room that may be taken whoever has a share, so that hosts without one are not shut out at low load. */
+const UNSHARED_PART = 0.5;
+
+/**
+ * Bounds the requests that are at runners which fail if they reject too many. Each host has a share of the room by
+ * its rank; after a rejection it sends nothing for the time over which the runner counts, and takes the room to be smaller.
+ */
+export class BrittleBound implements RunnerBound {
+  readonly reason = 'runner would fail if it rejected requests';
+  readonly rejectionReason = 'runners have no room, and would fail';
+  private readonly ranks: PerRunnerCache<HostRank>;
+
+  constructor(private readonly options: Options) {
+    this.ranks = new PerRunnerCache({
+      clock: options.clock,
+      ttlMs: RANK_TTL_MS,
+      compute: runner => this.computeRank(runner),
+    });
+  }
+
+  computeShare(runner: Runner): HostShare | undefined {
+    const {brittleness, inFlight} = runner;
+    const {perSecond, room, sinceRejectedMs} = brittleness;
+    if (perSecond === undefined) return undefined;
+    const rank = this.ranks.get(runner);
+    const pauseMs = this.computePauseMs(rank.hosts, perSecond);
+    if (sinceRejectedMs < pauseMs) return close(pauseMs - sinceRejectedMs);
+    const share = computeHostShare({...rank, calls: room, minUsefulCalls: 1});
+    const isLoadLow = inFlight + runner.peerLoad.running < room * UNSHARED_PART;
+    return inFlight < share || isLoadLow ? undefined : close(RECHECK_MS);
+  }
+
+  describeStatement({brittleness}: Runner): BoundStatement {
+    const {perSecond, ageMs, room} = brittleness;
+    return {brittlePerSecond: perSecond, ageMs, room};
+  }
+
+  /** Spreads the rejections that all hosts may cause over time. */
+  private computePauseMs(hosts: number, perSecond: number): number {
+    const turns = Math.max(1, hosts / Math.max(1, perSecond));
+    return REJECTION_WINDOW_MS * turns;
+  }
+
+  private computeRank({entry: {id}}: Runner): HostRank {
+    const hosts = this.options.hosts();
+    const rank = rankByHash(`brittle|${id}`, hosts).indexOf(this.options.host);
+    return {hosts: hosts.length, rank};
+  }
+}
+
+function close(reopensInMs: number): HostShare {
+  return {calls: 0, windowMs: 1, minIntervalMs: 0, reopensInMs};
+}
--- a/packages/gateway/src/runners/runner.ts
+++ b/packages/gateway/src/runners/runner.ts
@@ -2,6 +2,7 @@
 import type {RunnerEntry} from '@bayspool/decisions/calls';
 import type {Clock} from '@bayspool/kernel';
 import type {ConnectionPool} from './connection_pool.js';
+import {Brittleness} from './brittleness.js';
 import {PeerLoad} from './peer_load.js';
 import {DeclaredLimit} from './declared_limit.js';
 import type {LimitChange} from './limit_change.js';
@@ -54,6 +55,8 @@
   readonly limit: DeclaredLimit;
   /** Whether the runner takes requests, by its own statements. */
   readonly availability: StatedAvailability;
+  /** Whether it states that it fails if it rejects too many requests, and its room. */
+  readonly brittleness: Brittleness;
   /** 32-bit hash of the id. */
   readonly idHash: number;
   private currentEntry: RunnerEntry;
@@ -67,6 +70,7 @@
   private meanGapMs = 0;
   private meanDurationMs = 0;
   private awaitingFirstByte = 0;
+  private admittedCount = 0;
   private lastUnreachableAt = -Infinity;
   private meanWorkMs = 0;
   /** End of the cold phase after a start; 0 if the runner is not cold. */
@@ -82,6 +86,7 @@
     this.peerLoad = new PeerLoad(options);
     const {clock, availability = new StatedAvailability({clock})} = options;
     this.availability = availability;
+    this.brittleness = new Brittleness({clock, slots: () => this.slots});
     this.limit = new DeclaredLimit({
       clock: options.clock,
       onChange: options.onLimitChange,
@@ -219,6 +224,7 @@
    */
   noteStatement(statement: RunnerStatement, sentAt: number): void {
     this.availability.updateFromResponse(statement);
+    this.brittleness.updateFromResponse(statement.brittle.perSecond);
     const now = this.options.clock.now();
     this.limit.updateFromResponse(statement.limit, sentAt, now);
   }
@@ -250,6 +256,21 @@
     this.pendingMs = Math.max(0, this.pendingMs - workMs);
   }
 
+  /** Number of this host's requests that were sent to the runner and have not ended. */
+  get inFlight(): number {
+    return this.admittedCount;
+  }
+
+  /** Notes that a request passed admission and is sent now. */
+  noteAdmitted(): void {
+    this.admittedCount += 1;
+  }
+
+  /** Notes that an admitted request ended. */
+  noteAdmittedEnded(): void {
+    this.admittedCount -= 1;
+  }
+
   /** @param forMs duration of the request */
   noteEnded(forMs: number): void {
     this.running = Math.max(0, this.running - 1);
--- a/packages/gateway/src/runners/runner_statement.ts
+++ b/packages/gateway/src/runners/runner_statement.ts
@@ -1,3 +1,4 @@
+import type {BrittleHeader} from './brittle_header.js';
 import type {LeavingHeader} from './leaving_header.js';
 import type {LimitHeader} from './limit_header.js';
 import type {RestHeader} from './rest_header.js';
@@ -7,4 +8,5 @@
   readonly limit: LimitHeader;
   readonly leaving: LeavingHeader;
   readonly rest: RestHeader;
+  readonly brittle: BrittleHeader;
 }
--- a/packages/gateway/src/runners/stated_availability.ts
+++ b/packages/gateway/src/runners/stated_availability.ts
@@ -49,8 +49,10 @@
   }
 
   /** Updates the availability from the headers of a response. */
-  updateFromResponse({leaving, rest}: RunnerStatement): void {
-    this.reportMalformed(leaving.malformed ?? rest.malformed);
+  updateFromResponse({leaving, rest, brittle}: RunnerStatement): void {
+    this.reportMalformed(
+      leaving.malformed ?? rest.malformed ?? brittle.malformed,
+    );
     if (leaving.isLeaving) this.markLeaving();
     if (rest.forMs !== undefined) this.extendRest(rest.forMs);
   }
--- a/packages/gateway/src/runners/stated_availability_registry.test.ts
+++ b/packages/gateway/src/runners/stated_availability_registry.test.ts
@@ -31,6 +31,7 @@
   const after = registry.get(entry);
   before.updateFromResponse({
     limit: {},
+    brittle: {},
     leaving: {isLeaving: true},
     rest: {},
   });
@@ -39,7 +40,7 @@
 
 void test('a malformed value is reported once, also if sound responses come between', () => {
   const availability = registry.get(entry);
-  const sound = {limit: {}, leaving: {isLeaving: false}, rest: {}};
+  const sound = {limit: {}, brittle: {}, leaving: {isLeaving: false}, rest: {}};
   for (let i = 0; i < 10; i++) {
     availability.updateFromResponse({...sound, rest: {malformed: 'soon'}});
     availability.updateFromResponse(sound);
--- a/packages/gateway/src/testing/plain_header_names.ts
+++ b/packages/gateway/src/testing/plain_header_names.ts
@@ -19,6 +19,7 @@
   limit: 'x-limit',
   leaving: 'x-leaving',
   retryAfter: 'retry-after',
+  brittle: 'x-brittle',
   priority: 'x-priority',
   reserved: ['x-hold'],
 };
