--- a/packages/standins/src/faults/fault_mode.ts
+++ b/packages/standins/src/faults/fault_mode.ts
@@ -3,6 +3,8 @@
   PASS: 'pass',
   /** Ends open connections at once, and new ones as they come. */
   CUT: 'cut',
+  /** Ends new connections as they come; open ones work. */
+  REFUSE: 'refuse',
   /** Swallows everything, so that both sides wait. */
   HOLD: 'hold',
   /** Swallows what the client sends. */
