A relayed call that breaks behind another host does not shut that host out

Cause, by reading: one stream that broke behind the only host left took that host out of the choice for a second, for all calls. Now only a host that sends no response at all, or refuses, is left out, for 0.3 s.

--- a/packages/gateway/src/relay/call_relay.ts
+++ b/packages/gateway/src/relay/call_relay.ts
@@ -32,10 +32,8 @@
 const MAX_UNREACHABLE = 3;
 /** Number of hosts that are asked to take one call. */
 const MAX_HOSTS = 3;
-/** How long a host that takes no relayed calls is left out, in ms. */
-const REFUSED_MS = 300;
-/** How long a host that could not be reached, or broke off, is left out, in ms. */
-const FAILED_MS = 1_000;
+/** How long a host that takes no relayed calls, or does not respond, is left out, in ms. */
+const UNAVAILABLE_MS = 300;
 /** Silence of another host on all connections after which a call is taken from it, in ms. */
 const SILENT_MS = 500;
 /** Remaining time below which a call is not relayed, in ms. */
@@ -91,7 +89,9 @@
       signal,
     );
     const outcome = await attempt.run();
-    this.noteOutcome(host, outcome);
+    if (isUnavailable(attempt, outcome)) host.noteUnavailable(UNAVAILABLE_MS);
+    if (outcome.kind === OutcomeKind.ANSWERED)
+      this.options.reachability.recordServedElsewhere();
     progress.recordRelayed(outcome, attempts);
     metrics.relayedCalls.inc({
       service: progress.call.service,
@@ -157,18 +157,6 @@
     });
   }
 
-  private noteOutcome(
-    host: RelayHost,
-    {kind, status, isWithheld}: AttemptOutcome,
-  ): void {
-    const {reachability} = this.options;
-    if (kind === OutcomeKind.ANSWERED) reachability.recordServedElsewhere();
-    if (kind === OutcomeKind.BROKEN) host.noteUnavailable(FAILED_MS);
-    if (kind !== OutcomeKind.NOT_RUN || isWithheld) return;
-    if (status === RELAY_REFUSED) host.noteUnavailable(REFUSED_MS);
-    if (status === undefined) host.noteUnavailable(FAILED_MS);
-  }
-
   private logStart(
     {call, unreachableCount, sentCount}: CallProgress,
     {name, endpoint}: RelayHost,
@@ -191,3 +179,13 @@
     });
   }
 }
+
+/** Whether the outcome shows that the other host itself takes no calls, whatever became of this one behind it. */
+function isUnavailable(
+  {hasHead}: Attempt,
+  {kind, status, isWithheld}: AttemptOutcome,
+): boolean {
+  if (kind === OutcomeKind.BROKEN) return !hasHead;
+  if (kind !== OutcomeKind.NOT_RUN || isWithheld) return false;
+  return status === undefined || status === RELAY_REFUSED;
+}
