--- a/packages/gateway/src/calls/call_forwarder.ts
+++ b/packages/gateway/src/calls/call_forwarder.ts
@@ -13,10 +13,8 @@
 import type {PrefixCacheIndex} from '../runners/prefix_cache_index.js';
 import type {PrefillRates} from '../runners/prefill_rates.js';
 import type {Runner} from '../runners/runner.js';
-import type {RelayHost} from '../relay/relay_host.js';
 import type {RelayHostRegistry} from '../relay/relay_host_registry.js';
 import {CallRelay} from '../relay/call_relay.js';
-import {RELAY_REFUSED} from '../relay/relay_refused.js';
 import type {RunnerChoice} from '../runners/runner_choice.js';
 import type {RunnerReachability} from '../runners/runner_reachability.js';
 import type {RunnerChooser} from '../runners/runner_chooser.js';
@@ -118,12 +116,6 @@
       quarantine,
       retryBudgetOf,
     });
-    const {relayHosts: hosts} = options;
-    this.relay = new CallRelay({
-      ...options,
-      hosts,
-      retryPolicy: this.retryPolicy,
-    });
     this.escalationPolicy = new EscalationPolicy({
       ...options,
       retryPolicy: this.retryPolicy,
@@ -132,6 +124,12 @@
     this.headerBuilder = new RunnerHeaderBuilder(options.headerNames);
     this.startedResponseWait = new StartedResponseWait(options);
     this.finisher = new CallFinisher(options);
+    this.relay = new CallRelay({
+      ...options,
+      hosts: options.relayHosts,
+      retryPolicy: this.retryPolicy,
+      finisher: this.finisher,
+    });
   }
 
   /**
@@ -168,7 +166,8 @@
     for (;;) {
       const relayHost = this.relay.choose(progress);
       if (relayHost) {
-        if (await this.runRelayed(progress, relayHost, caller, signal)) return;
+        const {relay} = this;
+        if (await relay.run(progress, relayHost, caller, signal)) return;
         continue;
       }
       const unreachable = this.relay.findRejection(progress);
@@ -222,48 +221,6 @@
     this.options.retryBudgetOf(progress.call.service).recordCall();
   }
 
-  /**
-   * Relays a call to another host.
-   *
-   * @returns whether the call has ended
-   */
-  private async runRelayed(
-    progress: CallProgress,
-    host: RelayHost,
-    caller: CallerResponse,
-    signal: AbortSignal,
-  ): Promise<boolean> {
-    const {outcome, minRetryMs} = await this.relay.send(
-      progress,
-      host,
-      caller,
-      signal,
-    );
-    progress.retryReservation?.release();
-    progress.retryReservation = undefined;
-    if (outcome.kind === OutcomeKind.ANSWERED) {
-      this.finisher.finishAnswered(progress, outcome, host.endpoint, caller);
-      return true;
-    }
-    const isOver = outcome.kind === OutcomeKind.CALL_ENDED || signal.aborted;
-    const reason = isOver ? String(signal.reason) : outcome.reason;
-    if (!isOver && this.mayTryNextHost(progress, outcome)) return false;
-    this.finisher.finishUnanswered(progress, caller, reason, minRetryMs);
-    return true;
-  }
-
-  /** Whether the outcome of a relayed call was that host's own, and not that of the call. */
-  private mayTryNextHost(
-    progress: CallProgress,
-    outcome: AttemptOutcome,
-  ): boolean {
-    const {kind, status} = outcome;
-    if (kind === OutcomeKind.NOT_RUN)
-      return status === undefined || status === RELAY_REFUSED;
-    if (kind !== OutcomeKind.BROKEN) return false;
-    return this.retryPolicy.decideRetry(progress, outcome);
-  }
-
   /**
    * Lets a started response wait for a closed runner if all open ones have failed it, or none is open.
    *
--- a/packages/gateway/src/observability/event_fields.ts
+++ b/packages/gateway/src/observability/event_fields.ts
@@ -172,7 +172,6 @@
     outcome: string;
     reason: string;
     status?: number;
-    lastEvent?: number;
     forMs: number;
   };
   /** This host reaches no runner: none responded to it or to a probe. */
--- a/packages/gateway/src/relay/call_relay.ts
+++ b/packages/gateway/src/relay/call_relay.ts
@@ -1,6 +1,7 @@
 import type {Clock} from '@bayspool/kernel';
 import {Attempt} from '../calls/attempt.js';
 import type {AttemptOutcome} from '../calls/attempt_outcome.js';
+import type {CallFinisher} from '../calls/call_finisher.js';
 import type {CallProgress} from '../calls/call_progress.js';
 import type {CallRejection} from '../calls/call_rejection.js';
 import type {CallerResponse} from '../calls/caller_response.js';
@@ -14,7 +15,6 @@
 import type {RelayHost} from './relay_host.js';
 import type {RelayHostRegistry} from './relay_host_registry.js';
 import {RELAY_REFUSED} from './relay_refused.js';
-import type {RelayResult} from './relay_result.js';
 
 interface Options {
   readonly clock: Clock;
@@ -26,10 +26,11 @@
   readonly reachability: RunnerReachability;
   readonly hosts: RelayHostRegistry;
   readonly retryPolicy: RetryPolicy;
+  readonly finisher: CallFinisher;
 }
 
-/** Number of runners that a call could not reach before another host is asked. */
-const MAX_UNREACHABLE = 3;
+/** Number of runners that a call could not reach after which another host is asked. */
+const UNREACHABLE_BEFORE_RELAY = 3;
 /** Number of hosts that are asked to take one call. */
 const MAX_HOSTS = 3;
 /** How long a host that takes no relayed calls, or does not respond, is left out, in ms. */
@@ -48,7 +49,7 @@
     if (!this.mayRelay(progress)) return undefined;
     const isNeeded =
       this.options.reachability.isCutOff ||
-      progress.unreachableCount >= MAX_UNREACHABLE;
+      progress.unreachableCount >= UNREACHABLE_BEFORE_RELAY;
     if (!isNeeded) return undefined;
     return this.options.hosts.choose(progress.call.regions);
   }
@@ -70,17 +71,19 @@
     };
   }
 
-  /** Sends a call to another host, and relays its response. */
-  async send(
+  /**
+   * Sends a call to another host, and relays its response.
+   *
+   * @returns whether the call has ended
+   */
+  async run(
     progress: CallProgress,
     host: RelayHost,
     caller: CallerResponse,
     signal: AbortSignal,
-  ): Promise<RelayResult> {
-    const {clock, metrics} = this.options;
-    const startedAt = clock.now();
+  ): Promise<boolean> {
+    const {finisher, reachability} = this.options;
     const attempts = this.shareAttempts(progress);
-    this.logStart(progress, host, attempts);
     const attempt = this.createAttempt(
       progress,
       host,
@@ -88,25 +91,58 @@
       caller,
       signal,
     );
+    const outcome = await this.runAttempt(progress, host, attempt, attempts);
+    progress.recordRelayed(outcome, attempts);
+    progress.retryReservation?.release();
+    progress.retryReservation = undefined;
+    if (outcome.kind === OutcomeKind.ANSWERED) {
+      reachability.recordServedElsewhere();
+      finisher.finishAnswered(progress, outcome, host.endpoint, caller);
+      return true;
+    }
+    const isOver = outcome.kind === OutcomeKind.CALL_ENDED || signal.aborted;
+    if (!isOver && this.mayTryNextHost(progress, outcome)) return false;
+    const reason = isOver ? String(signal.reason) : outcome.reason;
+    const minRetryMs = attempt.statement?.rest.forMs;
+    finisher.finishUnanswered(progress, caller, reason, minRetryMs);
+    return true;
+  }
+
+  private async runAttempt(
+    progress: CallProgress,
+    host: RelayHost,
+    attempt: Attempt,
+    attempts: number,
+  ): Promise<AttemptOutcome> {
+    const {clock, log, metrics} = this.options;
+    const {id: request, service} = progress.call;
+    const startedAt = clock.now();
+    this.logStart(progress, host, attempts);
     const outcome = await attempt.run();
+    const {kind, reason, status} = outcome;
     if (isUnavailable(attempt, outcome)) host.noteUnavailable(UNAVAILABLE_MS);
-    if (outcome.kind === OutcomeKind.ANSWERED)
-      this.options.reachability.recordServedElsewhere();
-    progress.recordRelayed(outcome, attempts);
-    metrics.relayedCalls.inc({
-      service: progress.call.service,
-      outcome: outcome.kind,
-    });
-    this.options.log.write('relay_ended', {
-      request: progress.call.id,
+    metrics.relayedCalls.inc({service, outcome: kind});
+    log.write('relay_ended', {
+      request,
       peer: host.name,
-      outcome: outcome.kind,
-      reason: outcome.reason,
-      status: outcome.status,
-      lastEvent: caller.lastEventId,
+      outcome: kind,
+      reason,
+      status,
       forMs: Math.round(clock.now() - startedAt),
     });
-    return {outcome, minRetryMs: attempt.statement?.rest.forMs};
+    return outcome;
+  }
+
+  /** Whether the outcome is that of the other host, or of the connection to it, and not of the call. */
+  private mayTryNextHost(
+    progress: CallProgress,
+    outcome: AttemptOutcome,
+  ): boolean {
+    const {kind, status} = outcome;
+    if (kind === OutcomeKind.NOT_RUN)
+      return status === undefined || status === RELAY_REFUSED;
+    if (kind !== OutcomeKind.BROKEN) return false;
+    return this.options.retryPolicy.decideRetry(progress, outcome);
   }
 
   private mayRelay({call, relayCount, attemptsLeft}: CallProgress): boolean {
--- a/packages/gateway/src/relay/relay_host_registry.ts
+++ b/packages/gateway/src/relay/relay_host_registry.ts
@@ -74,7 +74,8 @@
     address: string,
   ): RelayHost {
     const known = this.hosts.get(entry.name);
-    if (known?.address === address) return known;
+    // A host that answered 421 counts as replaced, so its connections are not kept.
+    if (known?.address === address && !known.endpoint.isReplaced) return known;
     known?.endpoint.retire();
     const {clock} = this.options;
     const host = new RelayHost({clock, entry, address});
