Callers of a place whose hosts all reach no runner are served by the next place

Callers saw 503 at a host in the cut although other places served: a call asked three hosts, nearest first, and those of the own place were all in the cut; each was left out for 0.3 s only, so in a place of many hosts calls never got to the next one. Cause: what one call learned of a place was not known for the next.

Now two refusals in a row make the other places preferred for a second, and a call asks up to five hosts.

--- a/packages/gateway/src/relay/call_relay.ts
+++ b/packages/gateway/src/relay/call_relay.ts
@@ -31,9 +31,9 @@
 
 /** Number of runners that a call could not reach after which another host is asked. */
 const UNREACHABLE_BEFORE_RELAY = 3;
-/** Number of hosts that are asked to take one call. */
-const MAX_HOSTS = 3;
-/** How long a host that takes no relayed calls, or does not respond, is left out, in ms. */
+/** Number of hosts that are asked to take one call: a refusal takes a round trip. */
+const MAX_HOSTS = 5;
+/** How long a host that does not respond is left out, in ms. */
 const UNAVAILABLE_MS = 300;
 /** Silence of another host on all connections after which a call is taken from it, in ms. */
 const SILENT_MS = 500;
@@ -120,7 +120,7 @@
     this.logStart(progress, host, attempts);
     const outcome = await attempt.run();
     const {kind, reason, status} = outcome;
-    if (isUnavailable(attempt, outcome)) host.noteUnavailable(UNAVAILABLE_MS);
+    this.noteOutcome(host, attempt, outcome);
     metrics.relayedCalls.inc({service, outcome: kind});
     log.write('relay_ended', {
       request,
@@ -133,6 +133,18 @@
     return outcome;
   }
 
+  private noteOutcome(
+    host: RelayHost,
+    attempt: Attempt,
+    outcome: AttemptOutcome,
+  ): void {
+    const {hosts} = this.options;
+    if (outcome.status === RELAY_REFUSED) hosts.noteRefused(host);
+    else if (hasNoResponse(attempt, outcome))
+      host.noteUnavailable(UNAVAILABLE_MS);
+    else hosts.noteTaken(host);
+  }
+
   /** Whether the outcome is that of the other host, or of the connection to it, and not of the call. */
   private mayTryNextHost(
     progress: CallProgress,
@@ -216,12 +228,11 @@
   }
 }
 
-/** Whether the outcome shows that the other host itself takes no calls, whatever became of this one behind it. */
-function isUnavailable(
+/** Whether the other host sent no response, although the call did not end here. */
+function hasNoResponse(
   {hasHead}: Attempt,
   {kind, status, isWithheld}: AttemptOutcome,
 ): boolean {
   if (kind === OutcomeKind.BROKEN) return !hasHead;
-  if (kind !== OutcomeKind.NOT_RUN || isWithheld) return false;
-  return status === undefined || status === RELAY_REFUSED;
+  return kind === OutcomeKind.NOT_RUN && status === undefined && !isWithheld;
 }
--- a/packages/gateway/src/relay/relay_host.ts
+++ b/packages/gateway/src/relay/relay_host.ts
@@ -41,6 +41,10 @@
     return this.options.entry.name;
   }
 
+  get place(): string {
+    return this.options.entry.place;
+  }
+
   get address(): string {
     return this.options.address;
   }
--- a/packages/gateway/src/relay/relay_host_registry.ts
+++ b/packages/gateway/src/relay/relay_host_registry.ts
@@ -10,14 +10,30 @@
   readonly regionOf: Readonly<Record<string, string>>;
 }
 
+/** How long a host that takes no relayed calls is left out, in ms. */
+const REFUSED_MS = 300;
+/** Refusals in a row by hosts of a place after which hosts of other places are preferred. */
+const MAX_REFUSALS_IN_A_ROW = 2;
+/** How long they are preferred, in ms. */
+const PLACE_REFUSED_MS = 1_000;
+
+/** What the hosts of a place last answered to relayed calls. */
+interface PlaceRefusals {
+  inARow: number;
+  /** Until when hosts of other places are preferred, on this host's clock. */
+  refusedUntil: number;
+}
+
 /** The hosts to which this one can relay calls. */
 export class RelayHostRegistry {
   private readonly hosts = new Map<string, RelayHost>();
+  private readonly refusalsByPlace = new Map<string, PlaceRefusals>();
 
   constructor(private readonly options: Options) {}
 
   /**
-   * Chooses a host that takes calls now: one of this host's place, or of another place if there is none.
+   * Chooses a host that takes calls now: one of this host's place, or of another place if there is none, or if those
+   * asked last have refused.
    *
    * @param regions places outside these are left out; undefined if all are allowed
    */
@@ -27,10 +43,26 @@
         unavailableMs === 0 && endpoint.pool.hasCapacity,
     );
     const {place} = this.options.hostDirectory.self;
-    const near = available.filter(
-      ({endpoint}) => endpoint.entry.place === place,
-    );
-    return this.chooseLessLoaded(near.length > 0 ? near : available);
+    const near = available.filter(host => host.place === place);
+    const willing = available.filter(host => !this.isRefused(host.place));
+    const preferred = [near.filter(host => willing.includes(host)), willing];
+    const hosts = preferred.find(({length}) => length > 0) ?? available;
+    return this.chooseLessLoaded(hosts);
+  }
+
+  /** Notes that a host refused a call, as it takes none now. */
+  noteRefused(host: RelayHost): void {
+    host.noteUnavailable(REFUSED_MS);
+    const refusals = this.refusalsOf(host.place);
+    refusals.inARow += 1;
+    if (refusals.inARow < MAX_REFUSALS_IN_A_ROW) return;
+    refusals.inARow = 0;
+    refusals.refusedUntil = this.options.clock.now() + PLACE_REFUSED_MS;
+  }
+
+  /** Notes that a host took a call. */
+  noteTaken({place}: RelayHost): void {
+    this.refusalsOf(place).inARow = 0;
   }
 
   /** Time until one of the hosts takes calls again, in ms; undefined if there is no host. */
@@ -52,6 +84,18 @@
     }
   }
 
+  private isRefused(place: string): boolean {
+    return this.options.clock.now() < this.refusalsOf(place).refusedUntil;
+  }
+
+  private refusalsOf(place: string): PlaceRefusals {
+    const known = this.refusalsByPlace.get(place);
+    if (known) return known;
+    const refusals = {inARow: 0, refusedUntil: -Infinity};
+    this.refusalsByPlace.set(place, refusals);
+    return refusals;
+  }
+
   private list(regions: readonly string[] | undefined): RelayHost[] {
     const {hostDirectory, regionOf} = this.options;
     const {self} = hostDirectory;
--- /dev/null
+++ b/packages/gateway/src/relay/relayed_calls.test.ts
@@ -0,0 +1,95 @@
+// Guards against failing calls of a host that reaches no runner because of what one other host does, or what is behind it.
+import assert from 'node:assert/strict';
+import {createServer} from 'node:http';
+import type {RequestListener, Server} from 'node:http';
+import type {AddressInfo} from 'node:net';
+import {describe, test} from 'node:test';
+import type {TestContext} from 'node:test';
+import {hostKey} from '../peers/host_key.js';
+import {Topic} from '../records/topic.js';
+import {LinkFault} from '../testing/link_fault.js';
+import {MultiHostFixture} from '../testing/multi_host_fixture.js';
+import {plainHeaderNames as names} from '../testing/plain_header_names.js';
+
+type Answer = MultiHostFixture['answers'][number];
+type Options = ConstructorParameters<typeof MultiHostFixture>[0];
+
+/** Time after the begin of a cut from which callers have to be served, in ms. */
+const CONTACT_MS = 3_000;
+const JUDGED_MS = 3_000;
+/** One of this many calls may fail. */
+const CALLS_PER_FAILURE = 50;
+/** Hosts of a place that all refuse relayed calls. */
+const REFUSING_HOSTS = 12;
+const OK = 200;
+const REFUSED = 429;
+
+async function startServing(
+  context: TestContext,
+  options: Options = {},
+): Promise<MultiHostFixture> {
+  const fixture = new MultiHostFixture({...options, hasFaultyLinks: true});
+  context.after(() => fixture.stop());
+  await fixture.start();
+  await fixture.callFor({forMs: 500});
+  return fixture;
+}
+
+function cut(
+  {gateways}: MultiHostFixture,
+  hosts: readonly number[],
+  fault: LinkFault,
+): void {
+  for (const host of hosts) gateways.hosts[host].dialer.setFault(fault);
+}
+
+/** Registers a host of the first place that answers relayed calls as given. */
+async function registerHost(
+  context: TestContext,
+  {gateways}: MultiHostFixture,
+  name: string,
+  listener: RequestListener,
+): Promise<void> {
+  const server: Server = createServer(listener);
+  await new Promise<void>(resolve => {
+    server.listen(0, '127.0.0.1', resolve);
+  });
+  context.after(() => {
+    server.close();
+    server.closeAllConnections();
+  });
+  const {port} = server.address() as AddressInfo;
+  const address = `127.0.0.1:${port}`;
+  const entry = {name, place: 'a', address, relayAddress: address, capacity: 0};
+  gateways.store.put(Topic.HOSTS, hostKey.forName(name), entry);
+}
+
+function assertServed(answers: readonly Answer[]): void {
+  const failed = answers.filter(
+    ({status, isComplete}) => status !== OK || !isComplete,
+  );
+  const shown = failed.map(
+    ({host, status, body, durationMs}) =>
+      `${host}: ${status} ${body.trim()} after ${Math.round(durationMs)} ms`,
+  );
+  assert.ok(answers.length > 0);
+  assert.ok(
+    failed.length <= answers.length / CALLS_PER_FAILURE,
+    `${failed.length} of ${answers.length} calls failed:\n${shown.join('\n')}`,
+  );
+}
+
+/** The tests mostly wait, so several run at a time. */
+void describe('relayed calls', {concurrency: 4}, () => {
+  void test('all other hosts of a place refuse: the next place takes the calls', async context => {
+    const fixture = await startServing(context, {places: ['a', 'b', 'b', 'b']});
+    for (let i = 0; i < REFUSING_HOSTS; i++)
+      await registerHost(context, fixture, `refusing-${i}`, (_, response) => {
+        response.writeHead(REFUSED, {[names.notRun]: '1'}).end();
+      });
+    cut(fixture, [0], LinkFault.RESET);
+    await fixture.callFor({forMs: CONTACT_MS});
+    const answers = await fixture.callFor({forMs: JUDGED_MS, hosts: [0]});
+    assertServed(answers);
+  });
+});
