Another host that takes connections but does not respond gets no further calls

Callers of a host in a cut lost the calls that went to a host that stood still (unsafe ones for their whole time), and, where the only host left had a silent runner, all calls were taken from that host after 0.5 s and it was left out. Cause: the silence of a host and that of a runner behind it were one.

--- a/packages/gateway/src/relay/call_relay.ts
+++ b/packages/gateway/src/relay/call_relay.ts
@@ -35,8 +35,6 @@
 const MAX_HOSTS = 5;
 /** How long a host that does not respond is left out, in ms. */
 const UNAVAILABLE_MS = 300;
-/** Silence of another host on all connections after which a call is taken from it, in ms. */
-const SILENT_MS = 500;
 /** Remaining time below which a call is not relayed, in ms. */
 const MIN_REMAINING_MS = 30;
 
@@ -175,7 +173,7 @@
 
   private createAttempt(
     progress: CallProgress,
-    {endpoint}: RelayHost,
+    relayHost: RelayHost,
     attempts: number,
     caller: CallerResponse,
     signal: AbortSignal,
@@ -190,17 +188,15 @@
       call,
       caller,
       signal,
-      choice: {...choice, runner: endpoint, reason: 'relay'},
+      choice: {...choice, runner: relayHost.endpoint, reason: 'relay'},
       headerBuilder: new RelayHeaderBuilder({headerNames, origin}),
       admit: () => retryPolicy.spendReservation(progress),
       // The other host has decided whether the response is used.
       acceptsConfidence: () => true,
       hasOtherRunner: () => {
-        const silentMs = clock.now() - endpoint.silentSince;
-        const hasOther = hosts.choose(call.regions) !== undefined;
-        return (
-          silentMs > SILENT_MS && attempts < progress.attemptsLeft && hasOther
-        );
+        const other = hosts.choose(call.regions);
+        const hasAttempts = attempts < progress.attemptsLeft;
+        return relayHost.isUnresponsive && hasAttempts && other !== undefined;
       },
     });
   }
--- a/packages/gateway/src/relay/relay_host_registry.ts
+++ b/packages/gateway/src/relay/relay_host_registry.ts
@@ -1,5 +1,7 @@
 import type {Clock, RandomSource} from '@bayspool/kernel';
 import type {HostDirectory} from '../peers/host_directory.js';
+import {RunnerProbe} from '../runners/runner_probe.js';
+import {TcpDialer} from '../runners/tcp_dialer.js';
 import {RelayHost} from './relay_host.js';
 
 interface Options {
@@ -10,6 +12,8 @@
   readonly regionOf: Readonly<Record<string, string>>;
 }
 
+/** Without a request id, so that any response shows that the host lives. */
+const PROBE_PATH = '/';
 /** How long a host that takes no relayed calls is left out, in ms. */
 const REFUSED_MS = 300;
 /** Refusals in a row by hosts of a place after which hosts of other places are preferred. */
@@ -29,7 +33,15 @@
   private readonly hosts = new Map<string, RelayHost>();
   private readonly refusalsByPlace = new Map<string, PlaceRefusals>();
 
-  constructor(private readonly options: Options) {}
+  private readonly probe: RunnerProbe;
+
+  constructor(private readonly options: Options) {
+    this.probe = new RunnerProbe({
+      clock: options.clock,
+      dialer: new TcpDialer(),
+      healthPathOf: () => PROBE_PATH,
+    });
+  }
 
   /**
    * Chooses a host that takes calls now: one of this host's place, or of another place if there is none, or if those
@@ -39,8 +51,8 @@
    */
   choose(regions: readonly string[] | undefined): RelayHost | undefined {
     const available = this.list(regions).filter(
-      ({unavailableMs, endpoint}) =>
-        unavailableMs === 0 && endpoint.pool.hasCapacity,
+      ({unavailableMs, isUnresponsive, endpoint}) =>
+        unavailableMs === 0 && !isUnresponsive && endpoint.pool.hasCapacity,
     );
     const {place} = this.options.hostDirectory.self;
     const near = available.filter(host => host.place === place);
@@ -107,7 +119,9 @@
       for (const entry of hostDirectory.listReaderCandidates(place)) {
         const {name, relayAddress} = entry;
         if (name === self.name || relayAddress === undefined) continue;
-        found.push(this.get(entry, relayAddress));
+        const host = this.get(entry, relayAddress);
+        host.review();
+        found.push(host);
       }
     }
     return found;
@@ -122,7 +136,8 @@
     if (known?.address === address && !known.endpoint.isReplaced) return known;
     known?.endpoint.retire();
     const {clock} = this.options;
-    const host = new RelayHost({clock, entry, address});
+    const {probe} = this;
+    const host = new RelayHost({clock, entry, address, probe});
     this.hosts.set(entry.name, host);
     return host;
   }
--- a/packages/gateway/src/relay/relayed_calls.test.ts
+++ b/packages/gateway/src/relay/relayed_calls.test.ts
@@ -5,6 +5,7 @@
 import type {AddressInfo} from 'node:net';
 import {describe, test} from 'node:test';
 import type {TestContext} from 'node:test';
+import {CallKind} from '@bayspool/decisions/calls';
 import {hostKey} from '../peers/host_key.js';
 import {Topic} from '../records/topic.js';
 import {LinkFault} from '../testing/link_fault.js';
@@ -21,8 +22,12 @@
 const CALLS_PER_FAILURE = 50;
 /** Hosts of a place that all refuse relayed calls. */
 const REFUSING_HOSTS = 12;
+/** Time between two calls, so that each is the only one at the other host, in ms. */
+const SLOW_PAUSE_MS = 1_000;
 const OK = 200;
 const REFUSED = 429;
+/** The hosts of a fixture but the last. */
+const ALL_BUT_LAST = [0, 1, 2];
 
 async function startServing(
   context: TestContext,
@@ -92,4 +97,32 @@
     const answers = await fixture.callFor({forMs: JUDGED_MS, hosts: [0]});
     assertServed(answers);
   });
+
+  for (const kind of [CallKind.SAFE, CallKind.UNSAFE])
+    void test(`another host takes connections and is silent: others take the calls, ${kind}`, async context => {
+      const fixture = await startServing(context, {route: {kind}});
+      await registerHost(context, fixture, 'silent', () => undefined);
+      cut(fixture, [0], LinkFault.RESET);
+      await fixture.callFor({forMs: CONTACT_MS, hosts: [0]});
+      const answers = await fixture.callFor({forMs: JUDGED_MS, hosts: [0]});
+      assertServed(answers);
+    });
+
+  void test('a runner behind the only other host is silent: that host still gets the calls', async context => {
+    const fixture = await startServing(context);
+    const {script} = fixture;
+    cut(fixture, ALL_BUT_LAST, LinkFault.RESET);
+    await fixture.callFor({forMs: CONTACT_MS});
+    const tried = new Set<string>();
+    fixture.script = (call, response) => {
+      if (tried.has(call.request)) script(call, response);
+      tried.add(call.request);
+    };
+    const answers = await fixture.callFor({
+      forMs: JUDGED_MS,
+      pauseMs: SLOW_PAUSE_MS,
+      hosts: [0],
+    });
+    assertServed(answers);
+  });
 });
