A host that shuts down takes relayed calls as long as those of its own callers

Cause: the door closed with the signal, the other one with the end of the notice that callers get. Both close at the same time now; the test passes.

--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -251,7 +251,7 @@
   ): CallServer {
     const admission = new RelayAdmission({
       reachability: this.state.reachability,
-      isShuttingDown: () => this.gracefulShutdown.hasStarted,
+      isClosing: () => this.gracefulShutdown.isClosing,
       openCalls: () => this.relayServer?.openCalls ?? 0,
     });
     return this.createCallServer(forwarder, port, admission);
--- a/packages/gateway/src/lifecycle/graceful_shutdown.ts
+++ b/packages/gateway/src/lifecycle/graceful_shutdown.ts
@@ -22,6 +22,7 @@
 /** Shuts a host down: it reports not ready immediately, then closes idle connections, then finishes running calls. */
 export class GracefulShutdown {
   private isStarted = false;
+  private isClosingConnections = false;
 
   constructor(private readonly options: Options) {}
 
@@ -30,6 +31,11 @@
     return this.isStarted;
   }
 
+  /** Whether new connections are no longer accepted: callers have had time to turn to other hosts. */
+  get isClosing(): boolean {
+    return this.isClosingConnections;
+  }
+
   /** Resolves when no call is open any more, or shortly before the grace period ends. */
   async run(reason: string): Promise<void> {
     const {clock, log, callServers} = this.options;
@@ -65,6 +71,7 @@
   }
 
   private closeIdle(): void {
+    this.isClosingConnections = true;
     for (const server of this.options.callServers) server.closeIdle();
   }
 }
--- a/packages/gateway/src/relay/relay_admission.ts
+++ b/packages/gateway/src/relay/relay_admission.ts
@@ -2,7 +2,8 @@
 
 interface Options {
   readonly reachability: RunnerReachability;
-  readonly isShuttingDown: () => boolean;
+  /** Whether this host accepts no new connections, as it shuts down. */
+  readonly isClosing: () => boolean;
   /** Number of relayed calls that are open. */
   readonly openCalls: () => number;
 }
@@ -16,8 +17,8 @@
 
   /** Returns why no relayed call is taken now; undefined if it is. */
   findRefusal(): string | undefined {
-    const {reachability, isShuttingDown, openCalls} = this.options;
-    if (isShuttingDown()) return 'host is shutting down';
+    const {reachability, isClosing, openCalls} = this.options;
+    if (isClosing()) return 'host is shutting down';
     if (reachability.isCutOff) return 'host reaches no runner';
     if (openCalls() > MAX_OPEN_CALLS) return 'too many relayed calls';
     return undefined;
--- a/packages/gateway/src/relay/relayed_calls.test.ts
+++ b/packages/gateway/src/relay/relayed_calls.test.ts
@@ -22,6 +22,8 @@
 const CALLS_PER_FAILURE = 50;
 /** Hosts of a place that all refuse relayed calls. */
 const REFUSING_HOSTS = 12;
+/** Time in which a host that shuts down still takes calls, in ms: its grace period is 3 s. */
+const NOTICE_MS = 1_200;
 /** Time between two calls, so that each is the only one at the other host, in ms. */
 const SLOW_PAUSE_MS = 1_000;
 const OK = 200;
@@ -125,4 +127,17 @@
     });
     assertServed(answers);
   });
+
+  void test('the only other host shuts down: it takes calls as long as those of its own callers', async context => {
+    const fixture = await startServing(context);
+    cut(fixture, ALL_BUT_LAST, LinkFault.RESET);
+    await fixture.callFor({forMs: CONTACT_MS});
+    const stopped = fixture.gateways.hosts[3].gateway.shutDown('test');
+    const answers = await fixture.callFor({
+      forMs: NOTICE_MS,
+      hosts: ALL_BUT_LAST,
+    });
+    await stopped;
+    assertServed(answers);
+  });
 });
