A host takes relayed calls only if it has heard of a runner lately

A host that had just started in a cut knew nothing of it and took calls of others in the cut; those that may run once were lost there (502). Cause: what is not known to be cut off was taken for connected.

--- a/packages/gateway/src/calls/call_server.ts
+++ b/packages/gateway/src/calls/call_server.ts
@@ -178,7 +178,7 @@
       shouldCloseConnection: this.options.isClosing,
       notRunHeader: relayAdmission && headerNames.notRun,
     });
-    const refusal = relayAdmission?.findRefusal();
+    const refusal = relayAdmission && (await relayAdmission.findRefusal());
     if (refusal !== undefined)
       return this.reject(request, caller, {
         status: RELAY_REFUSED,
--- a/packages/gateway/src/relay/relay_admission.ts
+++ b/packages/gateway/src/relay/relay_admission.ts
@@ -16,9 +16,10 @@
   constructor(private readonly options: Options) {}
 
   /** Returns why no relayed call is taken now; undefined if it is. */
-  findRefusal(): string | undefined {
+  async findRefusal(): Promise<string | undefined> {
     const {reachability, isClosing, openCalls} = this.options;
     if (isClosing()) return 'host is shutting down';
+    await reachability.confirm();
     if (reachability.isCutOff) return 'host reaches no runner';
     if (openCalls() > MAX_OPEN_CALLS) return 'too many relayed calls';
     return undefined;
--- a/packages/gateway/src/relay/relayed_calls.test.ts
+++ b/packages/gateway/src/relay/relayed_calls.test.ts
@@ -140,4 +140,22 @@
     await stopped;
     assertServed(answers);
   });
+
+  void test('a host that starts in a cut takes no calls that it can only lose', async context => {
+    const fixture = await startServing(context, {
+      route: {kind: CallKind.UNSAFE},
+    });
+    const {gateways} = fixture;
+    cut(fixture, [0, 2], LinkFault.CLOSED);
+    await fixture.callFor({forMs: CONTACT_MS});
+    const {settings, gateway} = gateways.hosts[2];
+    gateway.stopImmediately();
+    const restarted = await gateways.startHost(settings);
+    restarted.dialer.setFault(LinkFault.CLOSED);
+    await fixture.callFor({forMs: JUDGED_MS, hosts: [0]});
+    const lost = gateways
+      .events('relay_ended')
+      .filter(({outcome}) => outcome === 'runner-error');
+    assert.deepEqual(lost, []);
+  });
 });
--- a/packages/gateway/src/runners/runner_reachability.ts
+++ b/packages/gateway/src/runners/runner_reachability.ts
@@ -37,6 +37,8 @@
 const PROBE_INTERVAL_MS = 250;
 /** Probes in a row that have to succeed until the host counts as connected again. */
 const PROBES_TO_RETURN = 2;
+/** Time for which something heard of a runner shows that this host can serve others' calls, in ms. */
+const CONFIRMED_MS = 1_000;
 /** Time that a runner's end may wait for other traffic to show that the links work, in ms, before a probe is sent. */
 const EVIDENCE_DELAY_MS = 20;
 
@@ -48,6 +50,8 @@
   private cutOffAt = 0;
   private pending: PendingEvidence[] = [];
   private isStopped = false;
+  /** Settles with the probes that are under way, or were sent last. */
+  private verification: Promise<void> = Promise.resolve();
 
   constructor(private readonly options: Options) {
     this.heardAt = options.clock.now();
@@ -60,6 +64,13 @@
     return this.state === State.CUT_OFF;
   }
 
+  /** Probes runners if none was heard of lately; resolves when it is known whether one is reached. */
+  async confirm(): Promise<void> {
+    if (this.hasHeard && this.sinceHeardMs < CONFIRMED_MS) return;
+    if (this.state === State.REACHABLE) void this.verify();
+    await this.verification;
+  }
+
   /** Time since the last bytes from any runner, in ms; undefined if there were none since the start. */
   get silentMs(): number | undefined {
     return this.hasHeard ? this.sinceHeardMs : undefined;
@@ -126,6 +137,11 @@
   private async verify(): Promise<void> {
     if (this.state !== State.REACHABLE) return;
     this.state = State.SUSPECTED;
+    this.verification = this.probeSample();
+    await this.verification;
+  }
+
+  private async probeSample(): Promise<void> {
     const startedAt = this.options.clock.now();
     const sample = this.sampleLeastSuspicious();
     const responded = await Promise.all(
