A stream in the middle waits for the other host that may take it

A caller that had part of a stream got a closed connection where the only host left started again and was away for 0.2 s: a call that no host took was rejected at once, also one that had begun. Now such a call waits as one does whose runners are closed, and may ask the same hosts again.

--- a/packages/gateway/src/calls/call_forwarder.ts
+++ b/packages/gateway/src/calls/call_forwarder.ts
@@ -26,6 +26,7 @@
 import type {AttemptOutcome} from './attempt_outcome.js';
 import type {CallCandidates} from './call_candidates.js';
 import {AttemptRouter} from './attempt_router.js';
+import type {CallRejection} from './call_rejection.js';
 import type {CallerResponse} from './caller_response.js';
 import {CallProgress} from './call_progress.js';
 import {ChoiceRecorder} from './choice_recorder.js';
@@ -171,8 +172,14 @@
         continue;
       }
       const unreachable = this.relay.findRejection(progress);
-      if (unreachable)
-        return this.finisher.reject(progress, caller, unreachable);
+      if (unreachable) {
+        if (await this.waitForHost(progress, unreachable, caller, signal))
+          continue;
+        if (!signal.aborted)
+          return this.finisher.reject(progress, caller, unreachable);
+        const reason = String(signal.reason);
+        return this.finisher.finishUnanswered(progress, caller, reason);
+      }
       this.countCall(progress);
       const choice = this.router.choose(progress);
       if (progress.withheldCount > 0) this.withheldReporter.report(progress);
@@ -221,6 +228,29 @@
     this.options.retryBudgetOf(progress.call.service).recordCall();
   }
 
+  /**
+   * Lets a started response wait until another host may take the call.
+   *
+   * @returns whether it has waited, and the call goes on
+   */
+  private async waitForHost(
+    progress: CallProgress,
+    rejection: CallRejection,
+    {hasStarted}: CallerResponse,
+    signal: AbortSignal,
+  ): Promise<boolean> {
+    if (!hasStarted) return false;
+    const hasWaited = await this.startedResponseWait.waitForRunner(
+      progress,
+      rejection,
+      false,
+      signal,
+    );
+    // The hosts that refused may be asked again.
+    progress.relayCount = 0;
+    return hasWaited && !signal.aborted;
+  }
+
   /**
    * Lets a started response wait for a closed runner if all open ones have failed it, or none is open.
    *
--- a/packages/gateway/src/calls/call_progress.ts
+++ b/packages/gateway/src/calls/call_progress.ts
@@ -42,7 +42,7 @@
   sentCount = 0;
   /** Number of runners to which no connection could be opened. */
   unreachableCount = 0;
-  /** Number of hosts to which the call was relayed. */
+  /** Number of hosts to which the call was relayed since it last waited. */
   relayCount = 0;
   /** Whether this host or the relaying one has counted the call in its retry budget. */
   isCounted: boolean;
--- a/packages/gateway/src/relay/relayed_calls.test.ts
+++ b/packages/gateway/src/relay/relayed_calls.test.ts
@@ -5,6 +5,7 @@
 import type {AddressInfo} from 'node:net';
 import {describe, test} from 'node:test';
 import type {TestContext} from 'node:test';
+import {setTimeout as sleep} from 'node:timers/promises';
 import {CallKind} from '@bayspool/decisions/calls';
 import {hostKey} from '../peers/host_key.js';
 import {Topic} from '../records/topic.js';
@@ -28,6 +29,10 @@
 const SLOW_PAUSE_MS = 1_000;
 const OK = 200;
 const REFUSED = 429;
+/** Time for which a host that starts again is gone, in ms. */
+const RESTART_MS = 200;
+const EVENTS = 20;
+const EVENT_PAUSE_MS = 60;
 /** The hosts of a fixture but the last. */
 const ALL_BUT_LAST = [0, 1, 2];
 
@@ -158,4 +163,38 @@
       .filter(({outcome}) => outcome === 'runner-error');
     assert.deepEqual(lost, []);
   });
+
+  void test('a stream waits for the only other host to start again', async context => {
+    const fixture = await startServing(context, {
+      route: {kind: CallKind.RESUMABLE},
+      script: ({request, runner, headers}, response) => {
+        const head = {[names.requestId]: request, [names.signature]: runner};
+        response.writeHead(OK, head);
+        let next = Number(headers[names.lastEventId] ?? 0) + 1;
+        const timer = setInterval(() => {
+          response.write(`id: ${next}\ndata: ${next}\n\n`);
+          next += 1;
+          if (next <= EVENTS) return;
+          clearInterval(timer);
+          response.end();
+        }, EVENT_PAUSE_MS);
+        response.once('close', () => clearInterval(timer));
+      },
+    });
+    const {gateways} = fixture;
+    cut(fixture, ALL_BUT_LAST, LinkFault.RESET);
+    await fixture.callFor({forMs: CONTACT_MS});
+    const stream = fixture.callOnce(0);
+    await sleep(EVENT_PAUSE_MS * 5);
+    const {settings, gateway} = gateways.hosts[3];
+    gateway.stopImmediately();
+    await sleep(RESTART_MS);
+    await gateways.startHost(settings);
+    const {body} = await stream;
+    const expected = Array.from(
+      {length: EVENTS},
+      (_, i) => `id: ${i + 1}\ndata: ${i + 1}\n\n`,
+    );
+    assert.equal(body, expected.join(''));
+  });
 });
