A cut says nothing against a version on trial

What callers saw: while hosts reached no runner over links that had fallen silent, attempts at the version on trial were counted as failed or slow for all hosts, so that a good version could be taken back by a cut.

Cause: only streams that broke in the middle were held back until another runner was heard of. Attempts that got no byte at all were recorded at once, and an attempt that still waited counted its whole wait against the version, also the time in which this host heard of nobody.

Change: what ended for want of bytes is recorded once another runner is heard of; a wait counts up to the last time at which this host heard of any runner; health takes nothing while the host is cut off.

--- a/packages/gateway/src/calls/attempt_recorder.ts
+++ b/packages/gateway/src/calls/attempt_recorder.ts
@@ -120,6 +120,8 @@
     wasSilent: boolean,
   ): void {
     if (kind === OutcomeKind.UNSENT || isWithheld) return;
+    // No runner is to blame while this host reaches none.
+    if (this.options.reachability.isCutOff) return;
     if (kind === OutcomeKind.CALL_ENDED) {
       // A runner that sent nothing until the time limit is treated as down.
       if (wasSilent)
@@ -137,11 +139,12 @@
   private recordEvidence(
     progress: CallProgress,
     runner: Runner,
-    {kind, isTruncated}: AttemptOutcome,
+    outcome: AttemptOutcome,
     timing: AttemptTiming,
   ): void {
     const rollout = this.findActiveRollout(progress.call.service);
     if (!rollout) return;
+    const {kind} = outcome;
     const {evidence, order} = rollout;
     const isFresh = runner.entry.version === order.version;
     const cell = evidenceCellOf(progress);
@@ -153,26 +156,28 @@
     const isComparable = isLatencyComparable(progress, rollout);
     const firstMs = isComparable ? latencyMs : undefined;
     const eventMs = isComparable ? timing.eventIntervalMs : undefined;
-    if (
-      isComparable &&
-      kind === OutcomeKind.CALL_ENDED &&
-      latencyMs === undefined
-    )
-      evidence.recordUnanswered(cell, isFresh, {
-        firstMs: durationMs,
-        expectedMs,
-      });
+    const times = {firstMs, expectedMs, eventMs};
+    if (kind === OutcomeKind.CALL_ENDED) {
+      const waited = {firstMs: durationMs, expectedMs};
+      const isUnanswered = isComparable && latencyMs === undefined;
+      if (isUnanswered)
+        this.recordOnceReachable(runner, () =>
+          evidence.recordUnanswered(cell, isFresh, waited),
+        );
+    }
     if (!isVersionEvidence(kind)) return;
     const record = () =>
-      evidence.recordEnded(cell, isFresh, isFailure(kind), {
-        firstMs,
-        expectedMs,
-        eventMs,
-      });
-    if (isTruncated) this.options.reachability.whenConfirmed(runner, record);
+      evidence.recordEnded(cell, isFresh, isFailure(kind), times);
+    if (mayBeOwnFault(outcome, timing))
+      this.recordOnceReachable(runner, record);
     else record();
   }
 
+  /** Records what may be the fault of this host's links once another runner is heard of. */
+  private recordOnceReachable(runner: Runner, record: () => void): void {
+    this.options.reachability.whenConfirmed(runner, record);
+  }
+
   private findActiveRollout(service: string): Rollout | undefined {
     const rollout = this.options.rollouts.get(service);
     return rollout?.phase === RolloutPhase.ACTIVE ? rollout : undefined;
@@ -217,6 +222,15 @@
   return isUnsent && !isWithheld && reason !== 'saturated';
 }
 
+/** Whether an attempt failed for want of bytes from its runner: the fault may be on this host's links. */
+function mayBeOwnFault(
+  {kind, status, isTruncated = false}: AttemptOutcome,
+  {wasSilent}: AttemptTiming,
+): boolean {
+  const hasNoBytes = isTruncated || wasSilent || status === undefined;
+  return kind === OutcomeKind.BROKEN && hasNoBytes;
+}
+
 /** Versions are compared per route and model. */
 function evidenceCellOf({call, model}: CallProgress): string {
   return `${call.route.name}/${model ?? ''}`;
--- a/packages/gateway/src/calls/call_forwarder.ts
+++ b/packages/gateway/src/calls/call_forwarder.ts
@@ -282,7 +282,7 @@
     caller: CallerResponse,
     signal: AbortSignal,
   ): Promise<AttemptOutcome> {
-    const {clock} = this.options;
+    const {clock, reachability} = this.options;
     const {call} = progress;
     const startedAt = clock.now();
     const expectedLatencyMs = estimateLatencyMs(choice);
@@ -295,7 +295,7 @@
       choice,
       () =>
         attempt.firstOutputAt === undefined
-          ? clock.now() - startedAt
+          ? Math.max(0, reachability.heardAt - startedAt)
           : undefined,
     );
     const outcome = await attempt.run();
--- a/packages/gateway/src/runners/runner_reachability.ts
+++ b/packages/gateway/src/runners/runner_reachability.ts
@@ -45,7 +45,7 @@
 /** Tells whether this host reaches any runner at all, from what it hears of them and from probes. */
 export class RunnerReachability {
   private state: State = State.REACHABLE;
-  private heardAt: number;
+  private lastHeardAt: number;
   private hasHeard = false;
   private cutOffAt = 0;
   private pending: PendingEvidence[] = [];
@@ -54,7 +54,7 @@
   private verification: Promise<void> = Promise.resolve();
 
   constructor(private readonly options: Options) {
-    this.heardAt = options.clock.now();
+    this.lastHeardAt = options.clock.now();
   }
 
   /** Whether no runner is reached; checks the latest evidence first. */
@@ -64,6 +64,11 @@
     return this.state === State.CUT_OFF;
   }
 
+  /** When this host last heard of any runner, or else started; waits since then say nothing of a single runner. */
+  get heardAt(): number {
+    return this.lastHeardAt;
+  }
+
   /** Probes runners if none was heard of lately; resolves when it is known whether one is reached. */
   async confirm(): Promise<void> {
     if (this.hasHeard && this.sinceHeardMs < CONFIRMED_MS) return;
@@ -84,7 +89,7 @@
 
   /** Records that bytes arrived from a runner. */
   recordHeard(runnerId: string): void {
-    this.heardAt = this.options.clock.now();
+    this.lastHeardAt = this.options.clock.now();
     this.hasHeard = true;
     if (this.pending.length === 0) return;
     const confirmed = this.pending.filter(item => item.runnerId !== runnerId);
@@ -112,7 +117,7 @@
   }
 
   private get sinceHeardMs(): number {
-    return this.options.clock.now() - this.heardAt;
+    return this.options.clock.now() - this.lastHeardAt;
   }
 
   private isSuspicious(): boolean {
@@ -121,7 +126,7 @@
     const countsSilent = this.sinceHeardMs >= MIN_SILENT_MS;
     const unreachable = runners.filter(
       runner =>
-        runner.unreachableAt > this.heardAt ||
+        runner.unreachableAt > this.lastHeardAt ||
         (countsSilent && this.isOverdue(runner)),
     );
     const least = Math.min(MIN_UNREACHABLE, runners.length);
@@ -148,7 +153,7 @@
       sample.map(runner => this.probe(runner)),
     );
     if (this.isStopped) return;
-    const isReached = responded.includes(true) || this.heardAt >= startedAt;
+    const isReached = responded.includes(true) || this.lastHeardAt >= startedAt;
     if (isReached || sample.length === 0) this.confirmReachable();
     else this.enterCutOff();
   }
--- a/packages/gateway/src/runners/unreachable_runners.test.ts
+++ b/packages/gateway/src/runners/unreachable_runners.test.ts
@@ -4,6 +4,7 @@
 import type {TestContext} from 'node:test';
 import {setTimeout as sleep} from 'node:timers/promises';
 import {CallKind} from '@bayspool/decisions/calls';
+import {Topic} from '../records/topic.js';
 import {LinkFault} from '../testing/link_fault.js';
 import {MultiHostFixture} from '../testing/multi_host_fixture.js';
 import {plainHeaderNames as names} from '../testing/plain_header_names.js';
@@ -21,6 +22,8 @@
 const REJECTED_WITHIN_MS = 100;
 /** Time after the end of a cut from which hosts use their own links again, in ms. */
 const RETURN_MS = 1_000;
+/** Time between two calls where many are needed, in ms. */
+const SHORT_PAUSE_MS = 5;
 const HOSTS = 4;
 const OK = 200;
 const UNAVAILABLE = 503;
@@ -253,3 +256,20 @@
     assert.equal(fixture.gateways.hosts.length, HOSTS);
   });
 });
+
+for (const fault of [LinkFault.CLOSED, LinkFault.SILENT])
+  void test(`a cut says nothing against a version on trial, links ${fault}`, async context => {
+    const fixture = await startServing(context, {lastVersion: 'v2'});
+    const {store} = fixture.gateways;
+    const order = {service: 'svc', version: 'v2', durationMs: 60_000};
+    store.put(Topic.OPERATOR, 'rollout/svc', order);
+    await fixture.callFor({forMs: CONTACT_MS, pauseMs: SHORT_PAUSE_MS});
+    setFault(fixture, [0, 1, 2], fault);
+    await fixture.callFor({forMs: CONTACT_MS, pauseMs: SHORT_PAUSE_MS});
+    const counts = fixture.gateways.events('rollout_counted');
+    assert.ok(counts.some(({newEnded}) => Number(newEnded) > 0));
+    const against = counts.filter(
+      ({newFailed, newSlow}) => Number(newFailed) + Number(newSlow) > 0,
+    );
+    assert.deepEqual(against, []);
+  });
