The soak's hosts connect from an address each; it no longer stands still in a cut

Cause, in the soak: to learn whose a connection is, it read /proc/net/tcp and the open files of all hosts, without yielding, for each connection. With 11,000 connections in TIME_WAIT, left by tests that ran beside it, one lookup took 36 ms (measured; reading alone 20 ms). Callers, proxies and runners of the soak stood still meanwhile: the worst lag was 149 and 177 ms, and the hosts accepted requests 0.7 s after these were sent.

The lookup is gone.

--- a/packages/standins/src/faults/fault_proxy.ts
+++ b/packages/standins/src/faults/fault_proxy.ts
@@ -1,4 +1,10 @@
-import {createServer, Socket, type AddressInfo, type Server} from 'node:net';
+import {
+  connect,
+  createServer,
+  type AddressInfo,
+  type Server,
+  type Socket,
+} from 'node:net';
 import {FaultMode} from './fault_mode.js';
 
 interface Options {
@@ -6,18 +12,16 @@
   readonly target: string;
   /** Where to listen, as `127.0.1.1:9100`; port 0 takes a free one. */
   readonly listen?: string;
-  /** Names the source of a connection; by its IP number if absent. */
-  readonly identify?: (near: Socket) => string;
 }
 
 interface Pair {
   readonly near: Socket;
   readonly far: Socket;
-  /** Where the connection came from, as `identify` names it; looked up when a fault needs it. */
-  source?: string;
+  /** The IP number that the connection came from. */
+  readonly source: string;
 }
 
-/** Which connections a fault is for, by their source. */
+/** Which connections a fault is for, by the IP number that they come from. */
 type SourceFilter = (source: string) => boolean;
 
 const LISTEN_ANY = '127.0.0.1:0';
@@ -62,7 +66,7 @@
   /** Ends the open connections that the present fault is for. */
   cutOpen(): void {
     for (const pair of this.pairs) {
-      if (!this.isConcerned(pair)) continue;
+      if (!this.concerns(pair.source)) continue;
       pair.near.destroy();
       pair.far.destroy();
       this.pairs.delete(pair);
@@ -76,16 +80,16 @@
   }
 
   private accept(near: Socket): void {
+    const source = near.remoteAddress ?? '';
     near.on('error', () => near.destroy());
-    const [host, port] = split(this.options.target);
-    const far = new Socket();
-    const pair: Pair = {near, far};
-    const mode = this.modeFor(pair);
+    const mode = this.modeFor(source);
     if (mode === FaultMode.CUT || mode === FaultMode.REFUSE) {
       near.destroy();
       return;
     }
-    far.connect(port, host);
+    const [host, port] = split(this.options.target);
+    const far = connect(port, host);
+    const pair = {near, far, source};
     this.pairs.add(pair);
     far.on('error', () => near.destroy());
     near.on('close', () => {
@@ -94,10 +98,10 @@
     });
     far.on('close', () => near.destroy());
     near.on('data', data =>
-      this.forward(data, far, pair, FaultMode.DROP_REQUESTS),
+      this.forward(data, far, source, FaultMode.DROP_REQUESTS),
     );
     far.on('data', data =>
-      this.forward(data, near, pair, FaultMode.DROP_REPLIES),
+      this.forward(data, near, source, FaultMode.DROP_REPLIES),
     );
     near.resume();
   }
@@ -105,10 +109,10 @@
   private forward(
     data: Buffer,
     to: Socket,
-    pair: Pair,
+    source: string,
     dropped: FaultMode,
   ): void {
-    const mode = this.modeFor(pair);
+    const mode = this.modeFor(source);
     this.bytes += data.length;
     if (mode === FaultMode.HOLD || mode === dropped) return;
     if (this.delayMs === 0) {
@@ -118,22 +122,11 @@
     setTimeout(() => !to.destroyed && to.write(data), this.delayMs);
   }
 
-  private modeFor(pair: Pair): FaultMode {
-    if (this.mode === FaultMode.PASS) return this.mode;
-    return this.isConcerned(pair) ? this.mode : FaultMode.PASS;
-  }
-
-  private isConcerned(pair: Pair): boolean {
-    const {identify = getRemoteAddress} = this.options;
-    pair.source ??= identify(pair.near);
-    return this.concerns(pair.source);
+  private modeFor(source: string): FaultMode {
+    return this.concerns(source) ? this.mode : FaultMode.PASS;
   }
 }
 
-function getRemoteAddress({remoteAddress}: Socket): string {
-  return remoteAddress ?? '';
-}
-
 function split(endpoint: string): [string, number] {
   const separator = endpoint.lastIndexOf(':');
   return [endpoint.slice(0, separator), Number(endpoint.slice(separator + 1))];
