A failed attempt does not make its host look for a cut

What callers would have seen: after the crash of a service's only runner, a host took itself for cut off at once, and rejected calls until its probes were answered.

Cause: asked `isCutOff` where attempts are recorded, and asking checks the latest evidence. It did so before a retry had its chance.

Change: the question is gone there. It is not needed: failures of runners are forgotten when a cut is found and again when it ends.

--- a/packages/gateway/src/calls/attempt_recorder.ts
+++ b/packages/gateway/src/calls/attempt_recorder.ts
@@ -120,8 +120,6 @@
     wasSilent: boolean,
   ): void {
     if (kind === OutcomeKind.UNSENT || isWithheld) return;
-    // No runner is to blame while this host reaches none.
-    if (this.options.reachability.isCutOff) return;
     if (kind === OutcomeKind.CALL_ENDED) {
       // A runner that sent nothing until the time limit is treated as down.
       if (wasSilent)
