A host without a share asks a runner whether it is still brittle

What callers saw, by reading: a host whose rank gives it no share of a brittle runner's room sends nothing there while the runner is busy. If the runner says no more that it is brittle, the hosts with a share learn it and fill the runner, and the others keep to the old statement for as long as it stays busy.

Change: once the statement is 5 s old (1 s for each host, if that is more), a host with no request at the runner may send one. All hosts together send one such request a second at most.

--- a/packages/gateway/src/runners/brittle_bound.ts
+++ b/packages/gateway/src/runners/brittle_bound.ts
@@ -25,6 +25,10 @@
 const REJECTION_WINDOW_MS = 1_000;
 /** Time after which a request in flight may have ended, in ms. */
 const RECHECK_MS = 100;
+/** Age of a statement from which a host without a share may send one request, to learn whether it still holds, in ms. */
+const MIN_REFRESH_AGE_MS = 5_000;
+/** The same for each host, so that all hosts together send one such request in this time, in ms. */
+const REFRESH_AGE_PER_HOST_MS = 1_000;
 /** Part of the room that may be taken whoever has a share, so that hosts without one are not shut out at low load. */
 const UNSHARED_PART = 0.5;
 
@@ -47,14 +51,16 @@
 
   computeShare(runner: Runner): HostShare | undefined {
     const {brittleness, inFlight} = runner;
-    const {perSecond, room, sinceRejectedMs} = brittleness;
+    const {perSecond, room, sinceRejectedMs, ageMs} = brittleness;
     if (perSecond === undefined) return undefined;
     const rank = this.ranks.get(runner);
     const pauseMs = this.computePauseMs(rank.hosts, perSecond);
     if (sinceRejectedMs < pauseMs) return close(pauseMs - sinceRejectedMs);
     const share = computeHostShare({...rank, calls: room, minUsefulCalls: 1});
     const isLoadLow = inFlight + runner.peerLoad.running < room * UNSHARED_PART;
-    return inFlight < share || isLoadLow ? undefined : close(RECHECK_MS);
+    const isRefresh = inFlight === 0 && ageMs >= computeRefreshAgeMs(rank);
+    const isOpen = inFlight < share || isLoadLow || isRefresh;
+    return isOpen ? undefined : close(RECHECK_MS);
   }
 
   describeStatement({brittleness}: Runner): BoundStatement {
@@ -75,6 +81,10 @@
   }
 }
 
+function computeRefreshAgeMs({hosts}: HostRank): number {
+  return Math.max(MIN_REFRESH_AGE_MS, hosts * REFRESH_AGE_PER_HOST_MS);
+}
+
 function close(reopensInMs: number): HostShare {
   return {calls: 0, windowMs: 1, minIntervalMs: 0, reopensInMs};
 }
