A relayed call is counted once, by the host whose caller sent it

What operators saw: during a cut, requests and times of relayed calls were counted at both hosts, refusals at the door for hosts as well; `bayspool losses` made two records of such a call, of which one could be a loss that no caller saw. A cut-off host counted calls that it relayed among those that ask for a runner, which lowered the share of urgent calls there. The label `peer` of taken calls came from a header, so its values were unbounded.

Change: a relayed call counts in `requests_total` and the times at the first host only; its end and its refusal carry `relayedBy`, and the losses leave them out; a call is counted where it is first sent to a runner; the label is gone (the log line names the host).

--- a/packages/client/src/losses/losses.test.ts
+++ b/packages/client/src/losses/losses.test.ts
@@ -1,6 +1,7 @@
 import assert from 'node:assert/strict';
 import {test} from 'node:test';
 import type {LogLine} from '../explain/log_line.js';
+import {CallOutcome} from './call_outcome.js';
 import {describeLosses} from './describe_losses.js';
 import {plotLosses} from './plot_losses.js';
 import {readCalls} from './read_calls.js';
@@ -78,3 +79,21 @@
   assert.match(describeLosses(summary), /late: a second model/);
   assert.match(plotLosses(summary), /^<svg/);
 });
+
+void test('a relayed call is counted once, by the host whose caller sent it', () => {
+  const relayed = {host: 'host-2', relayedBy: 'host-1'};
+  const accepted = {route: 'r', targetMs: 1_000};
+  const answeredAt = {firstMs: 50, status: 200};
+  const refused = {...relayed, host: 'host-3', status: 429};
+  const calls = readCalls([
+    line('request_accepted', 'moved', accepted),
+    line('request_refused', 'moved', refused),
+    line('request_accepted', 'moved', {...accepted, ...relayed}),
+    line('request_answered', 'moved', answeredAt),
+    line('request_answered', 'moved', {...answeredAt, host: 'host-2'}),
+  ]);
+  assert.deepEqual(
+    calls.map(({request, end}) => [request, end]),
+    [['moved', CallOutcome.IN_TIME]],
+  );
+});
--- a/packages/client/src/losses/read_calls.ts
+++ b/packages/client/src/losses/read_calls.ts
@@ -2,6 +2,7 @@
 import {CallOutcome} from './call_outcome.js';
 import type {CallRecord} from './call_record.js';
 import {findMainDelay} from './find_main_delay.js';
+import {RelayedRequests} from './relayed_requests.js';
 
 /** The events that end a request, and the outcome that each means. */
 const OUTCOMES: Readonly<Record<string, CallOutcome>> = {
@@ -21,6 +22,7 @@
 /** Makes a record of each finished request; invalid requests are left out, as they are not losses. */
 export function readCalls(lines: Iterable<LogLine>): CallRecord[] {
   const places = new Map<string, string>();
+  const relayed = new RelayedRequests();
   const linesByRequest = new Map<string, LogLine[]>();
   const calls: CallRecord[] = [];
   for (const line of lines) {
@@ -29,8 +31,11 @@
     if (line.request === undefined) continue;
     const requestLines = linesByRequest.get(line.request) ?? [];
     requestLines.push(line);
+    relayed.read(line);
     linesByRequest.set(line.request, requestLines);
     if (!(line.event in OUTCOMES)) continue;
+    // The host that relayed the call writes how it ended for the caller.
+    if (relayed.has(line)) continue;
     linesByRequest.delete(line.request);
     if (!CLIENT_ERROR_STATUSES.has(line.status))
       calls.push(
--- a/packages/gateway/src/calls/call_finisher.ts
+++ b/packages/gateway/src/calls/call_finisher.ts
@@ -8,6 +8,7 @@
 import type {CallProgress} from './call_progress.js';
 import type {CallRejection} from './call_rejection.js';
 import type {CallerResponse} from './caller_response.js';
+import type {IncomingCall} from './incoming_call.js';
 import type {LocalResponse} from './local_response.js';
 import {chooseRetryAfterMs} from './choose_retry_after_ms.js';
 
@@ -37,15 +38,15 @@
     const {call} = progress;
     if (outcome.response && !caller.isClosed)
       caller.sendBuffered(outcome.response);
-    const {name: route, kind} = call.route;
+    const {name: route} = call.route;
     const firstByteAt = caller.firstByteAt ?? clock.now();
     const forMs = clock.now() - call.acceptedAt;
-    metrics.requests.inc({route, kind, outcome: 'answered', reason: ''});
-    metrics.firstByteSeconds.observe(
-      {route},
-      (firstByteAt - call.acceptedAt) / 1000,
-    );
-    metrics.requestSeconds.observe({route}, forMs / 1000);
+    this.countEnded(call, 'answered');
+    if (!call.relayOrigin) {
+      const firstByteMs = firstByteAt - call.acceptedAt;
+      metrics.firstByteSeconds.observe({route}, firstByteMs / 1000);
+      metrics.requestSeconds.observe({route}, forMs / 1000);
+    }
     log.write('request_answered', {
       request: call.id,
       status: outcome.status ?? 0,
@@ -96,21 +97,19 @@
     reason: string,
     minRetryMs?: number,
   ): void {
-    const {clock, log, metrics} = this.options;
+    const {clock, log} = this.options;
     const {call} = progress;
     const forMs = Math.round(clock.now() - call.acceptedAt);
     const attempts = progress.attemptCount;
     const request = call.id;
-    const {name: route, kind} = call.route;
-    const label = toReasonLabel(reason);
     if (reason === AbortReason.CALLER_DISCONNECTED) {
-      metrics.requests.inc({route, kind, outcome: 'left', reason: label});
+      this.countEnded(call, 'left', reason);
       log.write('caller_left', {request, attempts, reason, forMs});
       return;
     }
     if (caller.hasStarted) {
       caller.abort();
-      metrics.requests.inc({route, kind, outcome: 'cut', reason: label});
+      this.countEnded(call, 'cut', reason);
       const lastEvent = caller.lastEventId;
       log.write('request_cut', {request, reason, attempts, lastEvent, forMs});
       return;
@@ -129,11 +128,9 @@
     {call, attemptCount, mayHaveRun}: CallProgress,
     {status, reason, retryAfterMs}: LocalResponse,
   ): void {
-    const {clock, log, metrics, reachability} = this.options;
-    const {name: route, kind} = call.route;
-    const silentMs = reachability.silentMs;
-    const label = toReasonLabel(reason);
-    metrics.requests.inc({route, kind, outcome: 'failed', reason: label});
+    const {clock, log, reachability} = this.options;
+    const {silentMs} = reachability;
+    this.countEnded(call, 'failed', reason);
     log.write('request_failed', {
       request: call.id,
       status,
@@ -146,6 +143,17 @@
     });
   }
 
+  /** Counts a request that ended; a relayed call is counted by the host whose caller sent it. */
+  private countEnded(
+    {route: {name: route, kind}, relayOrigin}: IncomingCall,
+    outcome: string,
+    reason = '',
+  ): void {
+    if (relayOrigin) return;
+    const label = toReasonLabel(reason);
+    this.options.metrics.requests.inc({route, kind, outcome, reason: label});
+  }
+
   private createLocalResponse(
     progress: CallProgress,
     reason: string,
--- a/packages/gateway/src/calls/call_forwarder.ts
+++ b/packages/gateway/src/calls/call_forwarder.ts
@@ -142,15 +142,14 @@
     caller: CallerResponse,
     signal: AbortSignal,
   ): Promise<void> {
-    const {cascade, quarantine, priorityAdmissionOf} = this.options;
-    const {route, service} = call;
+    const {cascade, quarantine} = this.options;
+    const {route} = call;
     const model =
       route.models.length > 0 ? cascade.chooseFirstModel(route) : call.model;
     const progress = new CallProgress({call, model});
     const quarantinedMs = quarantine.remainingMs(call.fingerprint);
     if (quarantinedMs > 0)
       return this.finisher.rejectQuarantined(progress, caller, quarantinedMs);
-    priorityAdmissionOf(service).recordRequested(call.priority);
     try {
       await this.attemptUntilEnded(progress, caller, signal);
     } finally {
@@ -221,11 +220,17 @@
     }
   }
 
-  /** Counts a call towards the retry budget when it is first to be sent to a runner. */
+  /** Counts a call when this host is first to send it to a runner; another host may have counted it in the retry budget. */
   private countCall(progress: CallProgress): void {
+    const {retryBudgetOf, priorityAdmissionOf} = this.options;
+    const {service, priority} = progress.call;
+    if (!progress.isRequested) {
+      progress.isRequested = true;
+      priorityAdmissionOf(service).recordRequested(priority);
+    }
     if (progress.isCounted) return;
     progress.isCounted = true;
-    this.options.retryBudgetOf(progress.call.service).recordCall();
+    retryBudgetOf(service).recordCall();
   }
 
   /**
--- a/packages/gateway/src/calls/call_progress.ts
+++ b/packages/gateway/src/calls/call_progress.ts
@@ -44,6 +44,8 @@
   unreachableCount = 0;
   /** Number of hosts to which the call was relayed since it last waited. */
   relayCount = 0;
+  /** Whether this host has counted the call among those that ask for a runner. */
+  isRequested = false;
   /** Whether this host or the relaying one has counted the call in its retry budget. */
   isCounted: boolean;
   /** Version of each runner that was unreachable since the response started. */
--- a/packages/gateway/src/calls/request_recorder.ts
+++ b/packages/gateway/src/calls/request_recorder.ts
@@ -3,6 +3,8 @@
 import type {ActiveConfiguration} from '../discovery/active_configuration.js';
 import type {EventLog} from '../observability/event_log.js';
 import type {GatewayMetrics} from '../observability/gateway_metrics.js';
+import {readRelayOrigin} from '../relay/read_relay_origin.js';
+import type {RelayAdmission} from '../relay/relay_admission.js';
 import type {HeaderNames} from './header_names.js';
 import type {IncomingCall} from './incoming_call.js';
 import type {LocalResponse} from './local_response.js';
@@ -13,6 +15,8 @@
   readonly metrics: GatewayMetrics;
   readonly headerNames: HeaderNames;
   readonly configuration: ActiveConfiguration;
+  /** Admission of relayed calls; absent if callers themselves send the requests. */
+  readonly relayAdmission?: RelayAdmission;
 }
 
 /** Metric labels of requests without a route. */
@@ -30,8 +34,7 @@
   recordAccepted(call: IncomingCall): void {
     const {log, metrics, configuration} = this.options;
     const {relayOrigin, route} = call;
-    if (relayOrigin)
-      metrics.takenCalls.inc({route: route.name, peer: relayOrigin.host});
+    if (relayOrigin) metrics.takenCalls.inc({route: route.name});
     log.write('request_accepted', {
       request: call.id,
       relayedBy: call.relayOrigin?.host,
@@ -53,10 +56,11 @@
     request: IncomingMessage,
     {status, reason, retryAfterMs}: LocalResponse,
   ): void {
-    const {log, configuration, metrics} = this.options;
-    metrics.requests.inc({...NO_ROUTE, outcome: 'refused', reason});
+    const {log, configuration} = this.options;
+    this.countWithoutRoute('refused', reason);
     log.write('request_refused', {
       request: this.readRequestId(request),
+      relayedBy: this.findRelayingHost(request),
       status,
       reason,
       retryAfterMs,
@@ -67,8 +71,8 @@
 
   /** Records bytes that were rejected because they don't parse as a request. */
   recordMalformed(status: number, cause: string): void {
-    const {log, metrics} = this.options;
-    metrics.requests.inc({...NO_ROUTE, outcome: 'refused', reason: MALFORMED});
+    const {log} = this.options;
+    this.countWithoutRoute('refused', MALFORMED);
     log.write('request_refused', {
       request: '',
       status,
@@ -78,20 +82,29 @@
 
   /** Records that the caller disconnected before its request was complete; nothing was sent to a runner. */
   recordIncompleteBody(request: IncomingMessage, acceptedAt: number): void {
-    const {clock, log, metrics} = this.options;
-    metrics.requests.inc({
-      ...NO_ROUTE,
-      outcome: 'left',
-      reason: BODY_INCOMPLETE,
-    });
+    const {clock, log} = this.options;
+    this.countWithoutRoute('left', BODY_INCOMPLETE);
     log.write('caller_left', {
       request: this.readRequestId(request),
+      relayedBy: this.findRelayingHost(request),
       attempts: 0,
       reason: BODY_INCOMPLETE,
       forMs: Math.round(clock.now() - acceptedAt),
     });
   }
 
+  /** Counts a request that was not handed on; a relayed one is counted by the host whose caller sent it. */
+  private countWithoutRoute(outcome: string, reason: string): void {
+    const {metrics, relayAdmission} = this.options;
+    if (relayAdmission) return;
+    metrics.requests.inc({...NO_ROUTE, outcome, reason});
+  }
+
+  private findRelayingHost(request: IncomingMessage): string | undefined {
+    if (!this.options.relayAdmission) return undefined;
+    return readRelayOrigin(request).host;
+  }
+
   private readRequestId({headers}: IncomingMessage): string {
     return String(headers[this.options.headerNames.requestId] ?? '');
   }
--- a/packages/gateway/src/observability/event_fields.ts
+++ b/packages/gateway/src/observability/event_fields.ts
@@ -34,6 +34,8 @@
   };
   request_refused: {
     request: string;
+    /** The host that relayed the call; absent if its caller sent it to this host. */
+    relayedBy?: string;
     status: number;
     reason: string;
     configuration?: number;
@@ -228,6 +230,8 @@
   };
   caller_left: {
     request: string;
+    /** The host that relayed the call, if its body broke off on the way from there. */
+    relayedBy?: string;
     attempts: number;
     reason: string;
     forMs: number;
--- a/packages/gateway/src/observability/gateway_metrics.ts
+++ b/packages/gateway/src/observability/gateway_metrics.ts
@@ -26,7 +26,7 @@
   readonly takenCalls = this.counter(
     'taken_calls_total',
     'Calls that this host took from other hosts that reach no runner',
-    ['route', 'peer'],
+    ['route'],
   );
   readonly retries = this.counter(
     'repeats_total',
--- a/packages/gateway/src/relay/relayed_calls.test.ts
+++ b/packages/gateway/src/relay/relayed_calls.test.ts
@@ -27,6 +27,8 @@
 const NOTICE_MS = 1_200;
 /** Time between two calls, so that each is the only one at the other host, in ms. */
 const SLOW_PAUSE_MS = 1_000;
+/** Time after its response in which a call is counted, in ms. */
+const COUNTED_MS = 300;
 const OK = 200;
 const REFUSED = 429;
 /** Time for which a host that starts again is gone, in ms. */
@@ -91,6 +93,23 @@
   );
 }
 
+async function readMetrics({
+  metricsPort,
+}: {
+  metricsPort: number;
+}): Promise<string> {
+  const response = await fetch(`http://127.0.0.1:${metricsPort}/metrics`);
+  return response.text();
+}
+
+/** The sum of all values of a metric, over its labels and the pages. */
+function sumOf(pages: readonly string[], name: string): number {
+  const lines = pages.flatMap(page => page.split('\n'));
+  return lines
+    .filter(line => line.startsWith(`${name}{`))
+    .reduce((sum, line) => sum + Number(line.split(' ').pop()), 0);
+}
+
 /** The tests mostly wait, so several run at a time. */
 void describe('relayed calls', {concurrency: 4}, () => {
   void test('all other hosts of a place refuse: the next place takes the calls', async context => {
@@ -115,6 +134,23 @@
       assertServed(answers);
     });
 
+  void test('a relayed call is counted once, by the host whose caller sent it', async context => {
+    const fixture = await startServing(context);
+    cut(fixture, ALL_BUT_LAST, LinkFault.RESET);
+    await fixture.callFor({forMs: CONTACT_MS});
+    const {answers} = fixture;
+    const sent = answers.length;
+    const answered = answers.filter(({status}) => status === OK).length;
+    // A host counts a call when its response is through, which its caller may see first.
+    await sleep(COUNTED_MS);
+    const pages = await Promise.all(
+      fixture.gateways.hosts.map(({settings}) => readMetrics(settings)),
+    );
+    assert.equal(sumOf(pages, 'bayspool_requests_total'), sent);
+    assert.equal(sumOf(pages, 'bayspool_request_seconds_count'), answered);
+    assert.ok(sumOf(pages, 'bayspool_taken_calls_total') > 0);
+  });
+
   void test('a runner behind the only other host is silent: that host still gets the calls', async context => {
     const fixture = await startServing(context);
     const {script} = fixture;
