Probes go to runners that may be sent requests, as long as one of these responds

What runners saw, by reading: a host that doubts its links, or looks for their return, sent its health checks to any runner, also to one in a place that is to be emptied, that leaves, asked for rest, named a limit or is brittle.

Change: what is open at the gate is probed first; the others only if none of these responds, as they may have ended while the links work. While the host looks for the return of its links the two take turns.

The new test failed to compile before (no such question); without the order, runners c and d are probed.

--- a/packages/gateway/src/host/host_state.ts
+++ b/packages/gateway/src/host/host_state.ts
@@ -272,6 +272,7 @@
       log,
       random,
       runners: () => this.directory.all(),
+      isWithheld: runner => this.runnerGate.isWithheld(runner),
       probe: runner => probe.probe(runner),
     });
   }
--- a/packages/gateway/src/runners/runner_gate.ts
+++ b/packages/gateway/src/runners/runner_gate.ts
@@ -38,6 +38,12 @@
     return undefined;
   }
 
+  /** Whether no request may be sent to the runner now. */
+  isWithheld(runner: Runner): boolean {
+    const isCordoned = this.options.cordons.has(runner.entry.place);
+    return isCordoned || !this.isOpen(runner);
+  }
+
   /** Returns the runners to which no request may be sent now. */
   listWithheld(runners: readonly Runner[]): WithheldRunner[] {
     return runners.flatMap(runner => this.findWithheld(runner) ?? []);
--- /dev/null
+++ b/packages/gateway/src/runners/runner_reachability.test.ts
@@ -0,0 +1,55 @@
+// Guards against probes to runners to which no request may be sent, while another one shows that the links work.
+import assert from 'node:assert/strict';
+import {test} from 'node:test';
+import {SeededRandom, VirtualClock} from '@bayspool/kernel';
+import type {EventLog} from '../observability/event_log.js';
+import type {Runner} from './runner.js';
+import {RunnerReachability} from './runner_reachability.js';
+
+const RUNNERS = ['a', 'b', 'c', 'd'];
+/** Time without anything from a runner, in ms: enough for a suspicion. */
+const SILENT_MS = 1_000;
+
+/** What a host does whose connections to all runners fail. */
+async function suspect(withheld: string, responding: string) {
+  const clock = new VirtualClock();
+  const runners = RUNNERS.map(id => {
+    const health = {reset: () => undefined};
+    const entry = {isDraining: false};
+    return {id, entry, health, unreachableAt: SILENT_MS} as unknown as Runner;
+  });
+  const probed: string[] = [];
+  const reachability = new RunnerReachability({
+    clock,
+    random: new SeededRandom(1),
+    log: {write: () => undefined} as unknown as EventLog,
+    runners: () => runners,
+    isWithheld: ({id}) => withheld.includes(id),
+    probe: async ({id}) => {
+      probed.push(id);
+      return responding.includes(id);
+    },
+  });
+  clock.advance(SILENT_MS);
+  assert.equal(reachability.isCutOff, false);
+  await clock.advanceSettled(1);
+  const {isCutOff} = reachability;
+  reachability.stop();
+  return {isCutOff, probed: probed.sort()};
+}
+
+void test('a runner that is withheld is not probed while an open one responds', async () => {
+  const {isCutOff, probed} = await suspect('cd', 'ab');
+  assert.equal(isCutOff, false);
+  assert.deepEqual(probed, ['a', 'b']);
+});
+
+void test('the only open runner has ended: those that are withheld show that the links work', async () => {
+  const {isCutOff, probed} = await suspect('bcd', 'bcd');
+  assert.equal(isCutOff, false);
+  assert.equal(probed.length, 3);
+});
+
+void test('no runner responds: the host is cut off', async () => {
+  assert.equal((await suspect('cd', '')).isCutOff, true);
+});
--- a/packages/gateway/src/runners/runner_reachability.ts
+++ b/packages/gateway/src/runners/runner_reachability.ts
@@ -9,6 +9,8 @@
   readonly log: EventLog;
   /** All runners known now. */
   readonly runners: () => readonly Runner[];
+  /** Whether no request may be sent to a runner now; a probe is one to the runner. */
+  readonly isWithheld: (runner: Runner) => boolean;
   /** Resolves to whether a runner responds on a new connection. */
   readonly probe: (runner: Runner) => Promise<boolean>;
 }
@@ -149,15 +151,32 @@
   private async probeSample(): Promise<void> {
     const startedAt = this.options.clock.now();
     const sample = this.sampleLeastSuspicious();
-    const responded = await Promise.all(
-      sample.map(runner => this.probe(runner)),
-    );
+    const isReached =
+      sample.length === 0 ||
+      (await this.isAnyReached(sample.filter(this.isOpen), startedAt)) ||
+      (await this.isAnyReached(sample.filter(this.isWithheld), startedAt));
     if (this.isStopped) return;
-    const isReached = responded.includes(true) || this.lastHeardAt >= startedAt;
-    if (isReached || sample.length === 0) this.confirmReachable();
+    if (isReached) this.confirmReachable();
     else this.enterCutOff();
   }
 
+  /** Probes runners; anything that is heard of any runner meanwhile counts as well. */
+  private async isAnyReached(
+    runners: readonly Runner[],
+    since: number,
+  ): Promise<boolean> {
+    const responded = await Promise.all(
+      runners.map(runner => this.probe(runner)),
+    );
+    return responded.includes(true) || this.lastHeardAt >= since;
+  }
+
+  private readonly isWithheld = (runner: Runner): boolean =>
+    this.options.isWithheld(runner);
+
+  private readonly isOpen = (runner: Runner): boolean =>
+    !this.isWithheld(runner);
+
   /** What is still pending concerns the only runner that is heard of, or there is none to ask. */
   private confirmReachable(): void {
     this.state = State.REACHABLE;
@@ -179,10 +198,13 @@
   private async waitForReturn(): Promise<void> {
     const {clock, log} = this.options;
     let successes = 0;
+    let isLastOpen = false;
     while (successes < PROBES_TO_RETURN) {
       if (successes === 0) await sleep(clock, PROBE_INTERVAL_MS);
       if (this.isStopped) return;
-      const [runner] = this.sampleRunners(1);
+      // By turns, as those that are open may all have ended.
+      isLastOpen = !isLastOpen;
+      const runner = this.drawRunner(isLastOpen);
       const hasResponded = runner !== undefined && (await this.probe(runner));
       successes = hasResponded ? successes + 1 : 0;
     }
@@ -202,21 +224,33 @@
     return hasResponded;
   }
 
-  /** Draws the runners to probe: those whose connections failed longest ago, or never, are the likeliest to respond. */
+  /**
+   * Draws the runners to probe: those to which requests may be sent first. Of these, the ones whose connections failed
+   * longest ago, or never, are the likeliest to respond.
+   */
   private sampleLeastSuspicious(): Runner[] {
-    const all = this.sampleRunners(Infinity);
-    return all
-      .sort((a, b) => compareTimes(a.unreachableAt, b.unreachableAt))
-      .slice(0, MIN_UNREACHABLE);
+    const all = this.shuffleRunners().sort((a, b) =>
+      compareTimes(a.unreachableAt, b.unreachableAt),
+    );
+    const ordered = [
+      ...all.filter(this.isOpen),
+      ...all.filter(this.isWithheld),
+    ];
+    return ordered.slice(0, MIN_UNREACHABLE);
+  }
+
+  private drawRunner(prefersOpen: boolean): Runner | undefined {
+    const all = this.shuffleRunners();
+    return (prefersOpen ? all.find(this.isOpen) : undefined) ?? all[0];
   }
 
-  private sampleRunners(count: number): Runner[] {
+  private shuffleRunners(): Runner[] {
     const {random, runners} = this.options;
     const rest = runners().filter(({entry}) => !entry.isDraining);
-    const sample: Runner[] = [];
-    while (sample.length < count && rest.length > 0)
-      sample.push(...rest.splice(random.below(rest.length), 1));
-    return sample;
+    const shuffled: Runner[] = [];
+    while (rest.length > 0)
+      shuffled.push(...rest.splice(random.below(rest.length), 1));
+    return shuffled;
   }
 }
 
