A relayed call goes on to the next host if one has no configuration that it may use

What callers saw: callers of a host in a cut got 503 for each call that came to a host which may not trust its configuration (its way to the store lost, or just started), though other hosts would have taken it.

Cause: at the door for hosts a rejection for the state of the host itself looked like one of the call, which ends it, since what one host can't place another hardly can. That holds for limits and rests, not for the state of one host.

Change: at that door a rejection that holds for now is told as "takes no relayed calls now"; the next host is asked.

--- a/packages/gateway/src/calls/call_server.ts
+++ b/packages/gateway/src/calls/call_server.ts
@@ -185,7 +185,8 @@
         reason: refusal,
       });
     const validated = this.validator.validate(request);
-    if (!('route' in validated)) return this.reject(request, caller, validated);
+    if (!('route' in validated))
+      return this.reject(request, caller, this.toRejection(validated));
     const body = await this.readBody(request, validated, controller);
     if (body === 'broken' || caller.isClosed)
       return this.recorder.recordIncompleteBody(request, acceptedAt);
@@ -260,6 +261,14 @@
     });
   }
 
+  /** A relayed call that is rejected for the state of this host may be taken by the next one. */
+  private toRejection(rejection: LocalResponse): LocalResponse {
+    const {relayAdmission} = this.options;
+    const isForNow = rejection.retryAfterMs !== undefined;
+    if (!relayAdmission || !isForNow) return rejection;
+    return {status: RELAY_REFUSED, reason: rejection.reason};
+  }
+
   private reject(
     request: IncomingMessage,
     caller: CallerResponse,
--- a/packages/gateway/src/relay/relayed_calls.test.ts
+++ b/packages/gateway/src/relay/relayed_calls.test.ts
@@ -10,6 +10,7 @@
 import {hostKey} from '../peers/host_key.js';
 import {Topic} from '../records/topic.js';
 import {LinkFault} from '../testing/link_fault.js';
+import {MemoryRecordStore} from '../testing/memory_record_store.js';
 import {MultiHostFixture} from '../testing/multi_host_fixture.js';
 import {plainHeaderNames as names} from '../testing/plain_header_names.js';
 
@@ -60,7 +61,7 @@
 /** Registers a host of the first place that answers relayed calls as given. */
 async function registerHost(
   context: TestContext,
-  {gateways}: MultiHostFixture,
+  fixture: MultiHostFixture,
   name: string,
   listener: RequestListener,
 ): Promise<void> {
@@ -73,7 +74,14 @@
     server.closeAllConnections();
   });
   const {port} = server.address() as AddressInfo;
-  const address = `127.0.0.1:${port}`;
+  registerAt(fixture, name, `127.0.0.1:${port}`);
+}
+
+function registerAt(
+  {gateways}: MultiHostFixture,
+  name: string,
+  address: string,
+): void {
   const entry = {name, place: 'a', address, relayAddress: address, capacity: 0};
   gateways.store.put(Topic.HOSTS, hostKey.forName(name), entry);
 }
@@ -124,6 +132,25 @@
     assertServed(answers);
   });
 
+  void test('another host has no configuration that it may use: others take the calls', async context => {
+    const fixture = await startServing(context);
+    const {gateways} = fixture;
+    const late = await gateways.startHost(
+      {host: 'late'},
+      new MemoryRecordStore(),
+    );
+    const address = `127.0.0.1:${late.settings.relayPort}`;
+    registerAt(fixture, 'late', address);
+    cut(fixture, [0], LinkFault.RESET);
+    await fixture.callFor({forMs: CONTACT_MS, hosts: [0]});
+    const answers = await fixture.callFor({forMs: JUDGED_MS, hosts: [0]});
+    const refusals = gateways
+      .events('request_refused')
+      .filter(({host}) => host === 'late');
+    assert.ok(refusals.length > 0);
+    assertServed(answers);
+  });
+
   for (const kind of [CallKind.SAFE, CallKind.UNSAFE])
     void test(`another host takes connections and is silent: others take the calls, ${kind}`, async context => {
       const fixture = await startServing(context, {route: {kind}});
