--- a/packages/gateway/src/runners/brittle_runners.test.ts
+++ b/packages/gateway/src/runners/brittle_runners.test.ts
@@ -13,10 +13,13 @@
   /** Runners that are brittle. */
   readonly brittle?: readonly string[];
   readonly room?: number;
+  /** Rejections in a second above which a runner fails. */
+  readonly perSecond?: number;
 }
 
-/** Rejections in a second above which a runner fails. */
 const REJECTIONS_PER_SECOND = 3;
+/** The least that a runner can state, with which it fails soonest. */
+const LEAST_PER_SECOND = 1;
 const ROOM = 2;
 const LARGE_ROOM = 6;
 const WORK_MS = 120;
@@ -36,12 +39,14 @@
 class BrittleRunners {
   failures = 0;
   room: number;
+  private readonly perSecond: number;
   private readonly running = new Map<string, number>();
   private readonly rejectedAt = new Map<string, number[]>();
   private readonly goneUntil = new Map<string, number>();
 
   constructor(private readonly options: Options) {
     this.room = options.room ?? ROOM;
+    this.perSecond = options.perSecond ?? REJECTIONS_PER_SECOND;
   }
 
   respond(call: Call, response: Response): void {
@@ -54,7 +59,7 @@
     const head = {
       [names.requestId]: call.request,
       [names.signature]: runner,
-      ...(isBrittle && {[names.brittle]: String(REJECTIONS_PER_SECOND)}),
+      ...(isBrittle && {[names.brittle]: String(this.perSecond)}),
     };
     if (isBrittle && running >= this.room) {
       response.writeHead(503, {...head, [names.notRun]: '1'}).end();
@@ -74,7 +79,7 @@
     );
     recent.push(now);
     this.rejectedAt.set(runner, recent);
-    if (recent.length <= REJECTIONS_PER_SECOND) return;
+    if (recent.length <= this.perSecond) return;
     this.failures += 1;
     this.goneUntil.set(runner, now + GONE_MS);
     this.rejectedAt.set(runner, []);
@@ -152,3 +157,23 @@
     assertFewFailures(scene);
   });
 });
+
+void test('runners that bear one rejection a second are busy', async context => {
+  const scene = await start(context, {perSecond: LEAST_PER_SECOND});
+  await scene.fixture.callFor({forMs: JUDGED_MS, pauseMs: PAUSE_MS.BUSY});
+  assertFewFailures(scene);
+});
+
+void test('the room of runners that bear one rejection a second becomes smaller', async context => {
+  const perSecond = LEAST_PER_SECOND;
+  const scene = await start(context, {room: LARGE_ROOM, perSecond});
+  const {fixture, runners} = scene;
+  const calls = fixture.callFor({
+    forMs: CONTACT_MS + JUDGED_MS,
+    pauseMs: PAUSE_MS.BUSY,
+  });
+  await sleep(CONTACT_MS);
+  runners.room = ROOM;
+  await calls;
+  assertFewFailures(scene);
+});
