Searches for ports in one process never get the same port either

Seen in reading again, not in a run of the suites: its one block of 149 ports is soon gone round. unreachable_runners holds up to 120 at a time, so two hosts that start together could get one port, of which one can't listen.

Cause: a port is free for a search until a host listens, and the block began anew behind 149 ports.

Change: blocks are smaller (75), a process takes one more when its ports are used up, and begins anew only if no block is left. Searches in a process go one after the other.

--- a/packages/gateway/src/testing/find_ports.test.ts
+++ b/packages/gateway/src/testing/find_ports.test.ts
@@ -3,6 +3,7 @@
 import {execFile} from 'node:child_process';
 import {test} from 'node:test';
 import {promisify} from 'node:util';
+import {findPorts} from './find_ports.js';
 
 const PROCESSES = 4;
 /** As many as hosts of some tests use together. */
@@ -26,3 +27,9 @@
   );
   assert.equal(new Set(ports).size, PROCESSES * PORTS);
 });
+
+void test('searches in one process never get the same port', async () => {
+  const searches = Array.from({length: 40}, () => findPorts(5));
+  const ports = (await Promise.all(searches)).flat();
+  assert.equal(new Set(ports).size, ports.length);
+});
--- a/packages/gateway/src/testing/find_ports.ts
+++ b/packages/gateway/src/testing/find_ports.ts
@@ -7,45 +7,59 @@
  * a port between the check that it is free and the start of a host.
  */
 const FIRST_PORT = 30_000;
-/** Number of blocks: more than the test files that run at a time. */
-const BLOCK_COUNT = 18;
+/** Number of blocks: several for each of the test files that run at a time. */
+const BLOCK_COUNT = 36;
 /** Number of ports of a block; the first one is held by the process that uses the block. */
-const BLOCK_SIZE = 150;
+const BLOCK_SIZE = 75;
+const PORTS_PER_BLOCK = BLOCK_SIZE - 1;
 
-/** The ports of the process's block that come next, in turn; undefined until a block is held. */
-let block: Promise<Block> | undefined;
+/** First ports of the blocks that this process uses. */
+const blocks: number[] = [];
+let nextIndex = 0;
+/** Settles when the ports that were asked for last are found. */
+let lastSearch: Promise<unknown> = Promise.resolve();
 
-/** A range of ports that no other process of the tests uses. */
-interface Block {
-  readonly firstPort: number;
-  nextIndex: number;
+/** Finds loopback ports that are free now. A process takes block after block, and reuses ports once none is left. */
+export function findPorts(count: number): Promise<number[]> {
+  const search = lastSearch.then(() => takePorts(count));
+  lastSearch = search.catch(() => undefined);
+  return search;
 }
 
-/** Finds loopback ports that are free now. A process reuses a port only after it went through its whole block. */
-export async function findPorts(count: number): Promise<number[]> {
-  block ??= holdBlock();
-  const held = await block;
+async function takePorts(count: number): Promise<number[]> {
   const ports: number[] = [];
   while (ports.length < count) {
-    const index = held.nextIndex++ % (BLOCK_SIZE - 1);
-    const port = held.firstPort + 1 + index;
+    const port = await takeNext();
     if (await isFree(port)) ports.push(port);
   }
   return ports;
 }
 
-/** Takes a block until the process ends. Blocks are shared if there are more processes than blocks. */
-async function holdBlock(): Promise<Block> {
+async function takeNext(): Promise<number> {
+  if (nextIndex >= blocks.length * PORTS_PER_BLOCK) await takeBlock();
+  const firstPort = blocks[Math.floor(nextIndex / PORTS_PER_BLOCK)];
+  const port = firstPort + 1 + (nextIndex % PORTS_PER_BLOCK);
+  nextIndex += 1;
+  return port;
+}
+
+/** Holds one more block until the process ends; begins anew with the first one if all blocks are held. */
+async function takeBlock(): Promise<void> {
   for (let i = 0; i < BLOCK_COUNT; i++) {
-    const number = (process.pid + i) % BLOCK_COUNT;
-    const firstPort = FIRST_PORT + number * BLOCK_SIZE;
+    const firstPort = toFirstPort(process.pid + i);
     const server = await listen(firstPort);
     if (!server) continue;
     server.unref();
-    return {firstPort, nextIndex: 0};
+    blocks.push(firstPort);
+    return;
   }
-  const number = process.pid % BLOCK_COUNT;
-  return {firstPort: FIRST_PORT + number * BLOCK_SIZE, nextIndex: 0};
+  nextIndex = 0;
+  // More processes than blocks: they share one.
+  if (blocks.length === 0) blocks.push(toFirstPort(process.pid));
+}
+
+function toFirstPort(block: number): number {
+  return FIRST_PORT + (block % BLOCK_COUNT) * BLOCK_SIZE;
 }
 
 async function isFree(port: number): Promise<boolean> {
