--- a/packages/gateway/src/runners/brittle_bound.ts
+++ b/packages/gateway/src/runners/brittle_bound.ts
@@ -27,7 +27,7 @@
 const RECHECK_MS = 100;
 /** Age of a statement from which a host without a share may send one request, to learn whether it still holds, in ms. */
 const MIN_REFRESH_AGE_MS = 5_000;
-/** The same for each host, so that all hosts together send one such request in this time, in ms. */
+/** That age grows with the hosts, so that all of them together send one such request in this time, in ms. */
 const REFRESH_AGE_PER_HOST_MS = 1_000;
 /** Part of the room that may be taken whoever has a share, so that hosts without one are not shut out at low load. */
 const UNSHARED_PART = 0.5;
--- a/packages/gateway/src/runners/brittle_runners.test.ts
+++ b/packages/gateway/src/runners/brittle_runners.test.ts
@@ -101,6 +101,16 @@
   return {fixture, runners};
 }
 
+async function callWhileRoomShrinks({fixture, runners}: Scene): Promise<void> {
+  const calls = fixture.callFor({
+    forMs: CONTACT_MS + JUDGED_MS,
+    pauseMs: PAUSE_MS.BUSY,
+  });
+  await sleep(CONTACT_MS);
+  runners.room = ROOM;
+  await calls;
+}
+
 function assertFewFailures({runners}: Scene): void {
   assert.ok(
     runners.failures <= ALLOWED_FAILURES,
@@ -146,14 +156,7 @@
 
   void test('the room becomes smaller after the runners have stated that they are brittle', async context => {
     const scene = await start(context, {room: LARGE_ROOM});
-    const {fixture, runners} = scene;
-    const calls = fixture.callFor({
-      forMs: CONTACT_MS + JUDGED_MS,
-      pauseMs: PAUSE_MS.BUSY,
-    });
-    await sleep(CONTACT_MS);
-    runners.room = ROOM;
-    await calls;
+    await callWhileRoomShrinks(scene);
     assertFewFailures(scene);
   });
 });
@@ -167,13 +170,6 @@
 void test('the room of runners that bear one rejection a second becomes smaller', async context => {
   const perSecond = LEAST_PER_SECOND;
   const scene = await start(context, {room: LARGE_ROOM, perSecond});
-  const {fixture, runners} = scene;
-  const calls = fixture.callFor({
-    forMs: CONTACT_MS + JUDGED_MS,
-    pauseMs: PAUSE_MS.BUSY,
-  });
-  await sleep(CONTACT_MS);
-  runners.room = ROOM;
-  await calls;
+  await callWhileRoomShrinks(scene);
   assertFewFailures(scene);
 });
