Decisions to repeat tell what the host knows of the number of hosts

Cause: retry_decided told by how many hosts the allowance was divided, but not where that number came from: a registry that was never loaded, one that was loaded early, and the true number looked alike.

Change: one place knows how many hosts are registered, as of when, and of how many this host has heard; retry_decided, call_relayed (whether the call was counted) and two gauges tell it. No decision goes by it yet.

--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -295,7 +295,7 @@
       quarantine,
       partQuarantine,
     } = this.state;
-    const {rollouts, hostDirectory, sessions} = this.state;
+    const {rollouts, hostDirectory, fleetSize, sessions} = this.state;
     const subset = new RunnerSubset({
       clock,
       host: settings.host,
@@ -336,6 +336,7 @@
       }),
       cascade: new ModelCascade(),
       retryBudgetOf: service => serviceLimits.retryBudgetOf(service),
+      fleetSize,
       priorityAdmissionOf: service =>
         serviceLimits.priorityAdmissionOf(service),
       loadsAgeMs: () => runnerLoads.ageMs,
--- a/packages/gateway/src/host/host_state.ts
+++ b/packages/gateway/src/host/host_state.ts
@@ -10,6 +10,7 @@
 import type {GatewaySettings} from '../gateway_settings.js';
 import type {GatewayMetrics} from '../observability/gateway_metrics.js';
 import {logAvailabilityChange} from '../observability/log_availability_change.js';
+import {FleetSize} from '../peers/fleet_size.js';
 import {HostDirectory} from '../peers/host_directory.js';
 import {QuarantineSynchronizer} from '../quarantine/quarantine_synchronizer.js';
 import {RefusedEntryReporter} from '../records/refused_entry_reporter.js';
@@ -66,6 +67,8 @@
   readonly prefixes: PrefixCacheIndex;
   /** The known hosts. */
   readonly hostDirectory: HostDirectory;
+  /** What this host knows of how many hosts there are. */
+  readonly fleetSize: FleetSize;
   /** The active configuration. */
   readonly configuration: ActiveConfiguration;
   /** This host's limits for each service. */
@@ -141,6 +144,11 @@
         capacity: settings.capacity,
       },
     });
+    this.fleetSize = new FleetSize({
+      clock: ageClock,
+      mirror: mirrors[Topic.HOSTS],
+      hostDirectory: this.hostDirectory,
+    });
     this.configuration = new ActiveConfiguration({
       clock: ageClock,
       log,
--- a/packages/gateway/src/observability/event_fields.ts
+++ b/packages/gateway/src/observability/event_fields.ts
@@ -176,6 +176,8 @@
     sent: number;
     /** How often the other host may send the call to runners. */
     attempts: number;
+    /** Whether a host has counted the call in its retry budget before. */
+    isCounted: boolean;
     /** Calls of this host that the other one has already. */
     open: number;
     leftMs: number;
@@ -203,6 +205,12 @@
     repeatsInWindow: number;
     /** Number of hosts that share the budget, as this host knows it. */
     hosts: number;
+    /** Number of hosts in the registry; absent while this process has not loaded it. */
+    registered?: number;
+    /** Number of hosts heard of since the start, including this one. */
+    heardOf: number;
+    /** Time since the registry was known to be complete; absent while it is not loaded. */
+    registryAgeMs?: number;
     leftMs: number;
   };
   request_answered: {
--- a/packages/gateway/src/observability/register_gauges.ts
+++ b/packages/gateway/src/observability/register_gauges.ts
@@ -7,6 +7,7 @@
 import type {GatewayMetrics} from './gateway_metrics.js';
 import type {EventLoopLag} from './event_loop_lag.js';
 import type {PeerSynchronizer} from '../peers/peer_synchronizer.js';
+import type {FleetSize} from '../peers/fleet_size.js';
 import type {HostDirectory} from '../peers/host_directory.js';
 import type {RolloutRegistry} from '../rollouts/rollout_registry.js';
 import {countRunners} from './count_runners.js';
@@ -27,6 +28,7 @@
   readonly callServer: CallServer;
   readonly peerSynchronizer: PeerSynchronizer;
   readonly hostDirectory: HostDirectory;
+  readonly fleetSize: FleetSize;
   readonly serviceLimits: ServiceLimits;
   readonly rollouts: RolloutRegistry;
   readonly quarantine: Quarantine;
@@ -68,8 +70,8 @@
 }
 
 function registerDiscoveryGauges(options: Options): void {
-  const {metrics, configuration, cordons, hostDirectory, peerSynchronizer} =
-    options;
+  const {metrics, configuration, cordons, fleetSize} = options;
+  const {hostDirectory, peerSynchronizer} = options;
   metrics.registerGauge(
     'configuration_version',
     'Configuration in force',
@@ -90,6 +92,16 @@
     'Hosts known to live',
     () => hostDirectory.listLive().length,
   );
+  metrics.registerGauge(
+    'hosts_registered',
+    'Hosts in the registry; 0 while this host has not loaded it',
+    () => fleetSize.registered ?? 0,
+  );
+  metrics.registerGauge(
+    'hosts_heard_of',
+    'Hosts heard of since the start, including this one',
+    () => fleetSize.heardOf,
+  );
   metrics.registerGauge(
     'reads_store',
     'Whether this host reads the store',
--- a/packages/gateway/src/relay/call_relay.ts
+++ b/packages/gateway/src/relay/call_relay.ts
@@ -202,7 +202,7 @@
   }
 
   private logStart(
-    {call, unreachableCount, sentCount}: CallProgress,
+    {call, unreachableCount, sentCount, isCounted}: CallProgress,
     {name, endpoint}: RelayHost,
     attempts: number,
   ): void {
@@ -218,6 +218,7 @@
       unreachable: unreachableCount,
       sent: sentCount,
       attempts,
+      isCounted,
       open: endpoint.totalRunning,
       leftMs: Math.round(call.deadlineAt - this.options.clock.now()),
     });
