--- a/packages/decisions/src/calls/shared_retry_budget.test.ts
+++ b/packages/decisions/src/calls/shared_retry_budget.test.ts
@@ -38,17 +38,20 @@
     }
   },
   'all hosts restart and know no other host at first': (simulation, random) => {
-    for (let host = 0; host < HOSTS; host++) simulation.restartHost(host, 1);
+    for (let host = 0; host < HOSTS; host++)
+      simulation.restartHost(host, {heardOf: 1});
     simulation.run(random.next() * 9_000);
     for (let host = 0; host < HOSTS; host++)
-      simulation.setBelievedHosts(host, HOSTS);
+      simulation.learnHosts(host, {heardOf: HOSTS});
     simulation.run(12_000);
   },
   'network partition between places': (simulation, random) => {
     const places = [3, 3, 3, 2, 2, 2, 2];
-    places.forEach((size, host) => simulation.setBelievedHosts(host, size));
+    places.forEach((size, host) =>
+      simulation.learnHosts(host, {heardOf: size}),
+    );
     simulation.run(random.next() * 20_000);
-    places.forEach((_, host) => simulation.setBelievedHosts(host, HOSTS));
+    places.forEach((_, host) => simulation.learnHosts(host, {heardOf: HOSTS}));
     simulation.run(random.next() * 5_000);
   },
   'callers move to other hosts and back': (simulation, random) => {
--- a/packages/decisions/src/calls/testing/retry_simulation.ts
+++ b/packages/decisions/src/calls/testing/retry_simulation.ts
@@ -14,6 +14,8 @@
   readonly maxConnectMs: number;
   /** Bound on the retries of all hosts together. */
   readonly bound: RetryBound;
+  /** What the hosts know at the start; all of the others by default. */
+  readonly known?: KnownHosts;
 }
 
 interface RetryBound {
@@ -22,6 +24,16 @@
   readonly windowMs: number;
 }
 
+/** What a host knows of the number of hosts. */
+interface KnownHosts {
+  /** Hosts that it has heard of, including itself. */
+  readonly heardOf: number;
+  /** Whether it has loaded the registry of hosts; true by default. */
+  readonly hasRegistry?: boolean;
+  /** Whether the registry was complete when it was last read; true by default. */
+  readonly isComplete?: boolean;
+}
+
 interface Arrival {
   readonly id: string;
   readonly at: number;
@@ -30,8 +42,7 @@
 /** A host between two restarts. */
 interface HostRun {
   readonly budget: SharedRetryBudget;
-  /** Largest number of hosts that it ever believed to share the allowance. */
-  maxBelievedHosts: number;
+  known: KnownHosts;
   /** Events at the host are delayed until this time, in ms. */
   pausedUntil: number;
 }
@@ -54,7 +65,8 @@
 
   constructor(private readonly options: Options) {
     const {hosts} = options;
-    this.hosts = Array.from({length: hosts}, () => this.createHost(hosts));
+    const known = options.known ?? {heardOf: hosts};
+    this.hosts = Array.from({length: hosts}, () => this.createHost(known));
   }
 
   /**
@@ -74,16 +86,20 @@
   /**
    * Restarts a host; requests in progress are lost.
    *
-   * @param believedHosts number of hosts that it believes to share the allowance afterwards
+   * @param known what it knows afterwards; all of the others by default
    */
-  restartHost(index: number, believedHosts = this.options.hosts): void {
-    this.hosts[index] = this.createHost(believedHosts);
+  restartHost(
+    index: number,
+    known: KnownHosts = {heardOf: this.options.hosts},
+  ): void {
+    this.hosts[index] = this.createHost(known);
   }
 
-  /** Sets the number of hosts that a host believes to share the allowance. */
-  setBelievedHosts(index: number, hosts: number): void {
+  /** Lets a host learn of others; it forgets none that it has heard of. */
+  learnHosts(index: number, known: KnownHosts): void {
     const host = this.hosts[index];
-    host.maxBelievedHosts = Math.max(host.maxBelievedHosts, hosts);
+    const heardOf = Math.max(host.known.heardOf, known.heardOf);
+    host.known = {...known, heardOf};
   }
 
   /** Pauses a host. */
@@ -97,7 +113,14 @@
     return findRetryExcess({...options.bound, arrivals, sentAt});
   }
 
-  private createHost(believedHosts: number): HostRun {
+  /** Number of retries that reached a runner, and of requests. */
+  get totals(): {readonly retries: number; readonly requests: number} {
+    const reached = new Set(this.arrivals.map(({id}) => id));
+    const retries = this.arrivals.length - reached.size;
+    return {retries, requests: this.sentAt.length};
+  }
+
+  private createHost(known: KnownHosts): HostRun {
     const {ratio, extra, windowMs} = this.options.bound;
     const budget: SharedRetryBudget = new SharedRetryBudget({
       clock: this.clock,
@@ -105,13 +128,9 @@
       extra: () => extra,
       windowMs,
       startedAt: this.clock.now(),
-      hosts: () => host.maxBelievedHosts,
+      hosts: () => host.known.heardOf,
     });
-    const host: HostRun = {
-      budget,
-      maxBelievedHosts: believedHosts,
-      pausedUntil: 0,
-    };
+    const host: HostRun = {budget, known, pausedUntil: 0};
     return host;
   }
 
