Hosts that do not know how many they are send cold runners nothing

What runners see: 36 requests in a second at a cold runner for which 24.5 are allowed, from three hosts that could not load the registry of hosts; with more hosts, as many times more.

The share of a cold runner was divided by the hosts of its place that a host had heard of; shares of named limits and of brittle runners already waited for the registry.

Change: the hosts that share a cold runner come from MembershipView, which has none until the registry is loaded.

--- a/packages/gateway/src/host/host_state.ts
+++ b/packages/gateway/src/host/host_state.ts
@@ -174,8 +174,8 @@
     const coldStartBound = new ColdStartBound({
       clock,
       host: settings.host,
-      hostsOf: place => this.hostDirectory.listRegisteredIn(place),
-      allHosts: () => this.hostDirectory.listRegistered(),
+      hostsOf: place => this.membership.listSharersIn(place),
+      allHosts: () => this.membership.listSharers(),
       limitsOf: service => this.serviceLimits.coldStartLimitOf(service),
     });
     const declaredLimitBound = new DeclaredLimitBound({
--- a/packages/gateway/src/runners/cold_start_bound.test.ts
+++ b/packages/gateway/src/runners/cold_start_bound.test.ts
@@ -96,6 +96,22 @@
   });
 });
 
+void test('hosts that do not know how many they are leave cold runners to others', async () => {
+  fixture.store.downTopics.add(Topic.HOSTS);
+  await fixture.addRunner(cold);
+  await fixture.addRunner(warm);
+  for (let host = 0; host < HOSTS; host++) await fixture.startHost();
+  for (let host = 0; host < HOSTS; host++) await fixture.waitReady(host);
+  publishCold(COLD_MS);
+  await fixture.waitFor(() => isKnownCold());
+  const {answers, arrived, windows} = await sendBurst();
+  assert.ok(answers.every(({status}) => status === 200));
+  assert.ok(
+    arrived <= COLD_CALLS_PER_SECOND * windows,
+    `${arrived} in ${windows} windows`,
+  );
+});
+
 /** Whether the metrics of every host count the runner as cold. */
 async function isKnownCold(): Promise<boolean> {
   const metrics = await Promise.all(
--- a/packages/gateway/src/testing/memory_record_store.ts
+++ b/packages/gateway/src/testing/memory_record_store.ts
@@ -17,6 +17,8 @@
 export class MemoryRecordStore implements RecordStore {
   /** Makes every call fail while set. */
   isDown = false;
+  /** Topics whose calls fail: a part of the store is down. */
+  readonly downTopics = new Set<Topic>();
   /** While set, writes succeed but their responses are lost. */
   losesResponses = false;
   /** Delay of each write, in ms. */
@@ -54,7 +56,7 @@
     this.firstReadAt ??= performance.now();
     if (this.snapshotDelayMs > 0)
       await new Promise(resolve => setTimeout(resolve, this.snapshotDelayMs));
-    this.checkAvailable();
+    this.checkAvailable(topic);
     const {records, firstOffset} = this.topic(topic);
     const newest = new Map(records.map(record => [record.key, record]));
     const live = [...newest.values()].filter(({value}) => value !== undefined);
@@ -74,7 +76,7 @@
     this.firstReadAt ??= performance.now();
     const deadline = performance.now() + waitMs;
     for (;;) {
-      this.checkAvailable();
+      this.checkAvailable(topic);
       const {records, firstOffset} = this.topic(topic);
       const next = firstOffset + records.length;
       const newRecords = records.slice(from - firstOffset);
@@ -98,7 +100,7 @@
     this.calls.append += 1;
     if (this.appendDelayMs > 0)
       await new Promise(resolve => setTimeout(resolve, this.appendDelayMs));
-    this.checkAvailable();
+    this.checkAvailable(topic);
     const stored = this.topic(topic);
     const offset = stored.firstOffset + stored.records.length;
     if (expectedEnd !== undefined && expectedEnd !== offset)
@@ -115,8 +117,8 @@
     // There are no connections to close.
   }
 
-  private checkAvailable(): void {
-    if (this.isDown)
+  private checkAvailable(topic: Topic): void {
+    if (this.isDown || this.downTopics.has(topic))
       throw new StoreFailure(StoreFailureKind.UNREACHABLE, 'the store is down');
   }
 
