Hosts that do not know how many they are take nothing of the fixed part of a roll-out's bound

What would be seen: while all calls are shifted to a new version, each host may exceed the share by its part of a fixed number of calls; hosts that know no others each took all of it (30 calls, 65 hosts). By reading; no run has shown it.

Change: the number comes from MembershipView: unknown without the registry, and hosts that fell silent still share. Named limits and brittle runners read their hosts from there as well, as they did before in effect.

--- a/packages/gateway/src/host/host_state.ts
+++ b/packages/gateway/src/host/host_state.ts
@@ -181,15 +181,13 @@
     const declaredLimitBound = new DeclaredLimitBound({
       clock,
       host: settings.host,
-      hosts: () =>
-        this.hostDirectory.isLoaded ? this.hostDirectory.listRegistered() : [],
+      hosts: () => this.membership.listSharers(),
       tolerance: () => getLimitTolerance(currentSettings()),
     });
     const brittleBound = new BrittleBound({
       clock,
       host: settings.host,
-      hosts: () =>
-        this.hostDirectory.isLoaded ? this.hostDirectory.listRegistered() : [],
+      hosts: () => this.membership.listSharers(),
     });
     const sentCalls = new SentCalls({clock, retentionMs: SENT_CALL_TTL_MS});
     this.runnerGate = new RunnerGate({
@@ -240,7 +238,7 @@
       isConnected: () =>
         ageClock.now() - operatorMirror.freshAsOf < CONNECTED_MAX_AGE_MS,
       startRecords: this.rolloutStarts,
-      hostCount: () => this.hostDirectory.liveCount,
+      sharerCount: () => this.membership.hosts,
       retriesLeft: service =>
         this.serviceLimits.retryBudgetOf(service).remaining,
       exposureBounds: () => {
--- a/packages/gateway/src/rollouts/rollout.ts
+++ b/packages/gateway/src/rollouts/rollout.ts
@@ -40,8 +40,8 @@
   readonly statesFrom: number;
   /** How many of the service's calls the new version may get until the deadline of the rollout. */
   readonly exposureBounds?: ExposureBounds;
-  /** Returns the number of live hosts, including this one. */
-  readonly hostCount?: () => number;
+  /** Returns the number of hosts that share the bounds; undefined if this host does not know. */
+  readonly sharerCount?: () => number | undefined;
 }
 
 /** Used where the platform sets no bounds: enough calls to tell a bad version from a good one. */
@@ -105,7 +105,7 @@
         this.createProgress(
           this.ownRates.update(this.evidence.sent, this.elapsedMs),
         ),
-      hostCount: options.hostCount ?? (() => 1),
+      sharerCount: options.sharerCount ?? (() => 1),
     });
   }
 
--- a/packages/gateway/src/rollouts/rollout_exposure.ts
+++ b/packages/gateway/src/rollouts/rollout_exposure.ts
@@ -17,8 +17,8 @@
   readonly progress: () => RolloutProgress;
   /** Returns the current progress, with the counts of this host only. */
   readonly ownProgress: () => RolloutProgress;
-  /** Returns the number of live hosts, including this one. */
-  readonly hostCount: () => number;
+  /** Returns the number of hosts that share the bounds, including this one; undefined if this host does not know. */
+  readonly sharerCount: () => number | undefined;
 }
 
 /** The share that sends all calls to the new version. */
@@ -91,8 +91,9 @@
 
   /** Enforces this host's part of the bounds against its own counts; the parts of all hosts add up to the bounds. */
   private isUnderOwnLimit(): boolean {
-    const {bounds, ownProgress, hostCount} = this.options;
-    const calls = bounds.calls / Math.max(1, hostCount());
+    const {bounds, ownProgress, sharerCount} = this.options;
+    const sharers = sharerCount();
+    const calls = sharers === undefined ? 0 : bounds.calls / sharers;
     return canShiftOneMoreCall({...bounds, calls}, ownProgress());
   }
 
--- a/packages/gateway/src/rollouts/rollout_registry.ts
+++ b/packages/gateway/src/rollouts/rollout_registry.ts
@@ -32,8 +32,8 @@
   readonly startRecords: RolloutStartRecords;
   /** Returns how many of a service's calls a new version may get until the deadline of its rollout. */
   readonly exposureBounds?: () => ExposureBounds;
-  /** Returns the number of live hosts, including this one. */
-  readonly hostCount?: () => number;
+  /** Returns the number of hosts that share the bounds; undefined if this host does not know. */
+  readonly sharerCount?: () => number | undefined;
   /** Returns how many retries of a service's calls this host may still send. */
   readonly retriesLeft: (service: string) => number;
 }
--- a/packages/gateway/src/testing/simulated_host.ts
+++ b/packages/gateway/src/testing/simulated_host.ts
@@ -84,7 +84,7 @@
       startRecords: starts,
       sessions: this.sessions,
       isConnected: () => this.isConnected,
-      hostCount: () => options.liveHosts().length,
+      sharerCount: () => options.liveHosts().length,
       retriesLeft: () => this.retriesLeft,
     });
     this.controller = new RolloutController({
