Hosts that lost contact with each other do not open more connections to a runner

What would be seen: runners reset connections beyond their number. Hosts cut off from each other for 15 s each took the others' shares as well, so that all sides together opened more than a runner takes. By reading; no run has shown it.

Change: it is divided by all hosts heard of since the start, from MembershipView.

--- a/packages/gateway/src/host/host_state.ts
+++ b/packages/gateway/src/host/host_state.ts
@@ -165,7 +165,6 @@
     this.serviceLimits = new ServiceLimits({
       clock,
       configuration: this.configuration,
-      hostDirectory: this.hostDirectory,
       membership: this.membership,
       currentSettings,
       retryWindowMs: settings.retryWindowMs,
--- a/packages/gateway/src/host/service_limits.ts
+++ b/packages/gateway/src/host/service_limits.ts
@@ -4,13 +4,11 @@
 import type {ActiveConfiguration} from '../discovery/active_configuration.js';
 import type {GatewaySettings} from '../gateway_settings.js';
 import type {MetricSample} from '../observability/metric_sample.js';
-import type {HostDirectory} from '../peers/host_directory.js';
 import type {MembershipView} from '../peers/membership_view.js';
 
 interface Options {
   readonly clock: Clock;
   readonly configuration: ActiveConfiguration;
-  readonly hostDirectory: HostDirectory;
   readonly membership: MembershipView;
   /** The currentSettings in force. */
   readonly currentSettings: () => GatewaySettings;
@@ -45,8 +43,9 @@
     const all =
       this.options.configuration.current?.services.get(service)?.maxConnections;
     if (all === undefined) return MIN_CONNECTIONS;
-    const share =
-      (all * CONNECTION_FRACTION) / this.options.hostDirectory.liveCount;
+    // The hosts heard of serve here even without the registry: what a runner resets costs an attempt, while too small a
+    // share rejects calls.
+    const share = (all * CONNECTION_FRACTION) / this.options.membership.heardOf;
     return Math.max(MIN_CONNECTIONS, Math.floor(share));
   }
 
