A relayed call that broke behind one host is not counted again by the next

What would be seen: a request earns the repeats of two: a host that reaches no runner relays it uncounted, the host that takes it counts it and its answer breaks off, and the host that takes it next counts it once more.

Cause: whether a call is counted was known only to the host that counted it.

Change: a call that may have run behind another host is taken for counted. If it was not, it earns nothing, which errs on the side of the bound.

Result: call_progress.test.ts failed before and passes.

--- a/packages/gateway/src/calls/call_progress.test.ts
+++ b/packages/gateway/src/calls/call_progress.test.ts
@@ -20,3 +20,14 @@
   progress.recordOutcome(runner, {kind, reason: 'ECONNREFUSED'});
   assert.ok(progress.triedRunners.has('one'));
 });
+
+void test('a call that broke behind another host is not counted again in the retry budget of the next one', () => {
+  const progress = createProgress();
+  assert.equal(progress.isCounted, false);
+  const refused = {kind: OutcomeKind.NOT_RUN, reason: 'no runner'};
+  progress.recordRelayed(refused, 2);
+  assert.equal(progress.isCounted, false);
+  const broken = {kind: OutcomeKind.BROKEN, reason: 'closed'};
+  progress.recordRelayed(broken, 2);
+  assert.equal(progress.isCounted, true);
+});
--- a/packages/gateway/src/calls/call_progress.ts
+++ b/packages/gateway/src/calls/call_progress.ts
@@ -89,6 +89,8 @@
     this.relayCount += 1;
     if (!mayHaveRun(outcome)) return;
     this.mayHaveRun = true;
+    // The other host may have counted it; a call counted twice earns twice as many retries.
+    this.isCounted = true;
     this.sentCount += attempts;
     this.lastErrorResponse = outcome.response;
   }
