A host takes itself for cut off only when up to 16 runners do not respond, not three

Cause: the sample of probes was three, however many runners there are.

Change: when none of the three responds, the other runners to which requests may be sent are probed together, 16 in all at most; those that are withheld are spared.

--- a/packages/gateway/src/runners/runner_reachability.test.ts
+++ b/packages/gateway/src/runners/runner_reachability.test.ts
@@ -6,14 +6,14 @@
 import type {Runner} from './runner.js';
 import {RunnerReachability} from './runner_reachability.js';
 
-const RUNNERS = ['a', 'b', 'c', 'd'];
+const RUNNERS = 'abcd';
 /** Time without anything from a runner, in ms: enough for a suspicion. */
 const SILENT_MS = 1_000;
 
 /** What a host does whose connections to all runners fail. */
-async function suspect(withheld: string, responding: string) {
+async function suspect(withheld: string, responding: string, ids = RUNNERS) {
   const clock = new VirtualClock();
-  const runners = RUNNERS.map(id => {
+  const runners = [...ids].map(id => {
     const health = {reset: () => undefined};
     const entry = {isDraining: false};
     return {id, entry, health, unreachableAt: SILENT_MS} as unknown as Runner;
@@ -53,3 +53,15 @@
 void test('no runner responds: the host is cut off', async () => {
   assert.equal((await suspect('cd', '')).isCutOff, true);
 });
+
+void test('one runner of many is in reach: the host is not cut off', async () => {
+  const ids = 'abcdefghijklmn';
+  for (const responding of ids)
+    assert.equal((await suspect('', responding, ids)).isCutOff, false);
+});
+
+void test('of many runners that do not respond, those that are withheld are spared', async () => {
+  const {isCutOff, probed} = await suspect('hijklmn', '', 'abcdefghijklmn');
+  assert.equal(isCutOff, true);
+  assert.deepEqual(probed, [...'abcdefg']);
+});
--- a/packages/gateway/src/runners/runner_reachability.ts
+++ b/packages/gateway/src/runners/runner_reachability.ts
@@ -31,6 +31,8 @@
 
 /** Number of runners, or all if there are fewer, that have to be out of reach for a suspicion. */
 const MIN_UNREACHABLE = 3;
+/** Number of runners that are probed at most before the host counts as cut off: one of them in reach is enough to serve calls. */
+const MAX_PROBED = 16;
 /** Time without anything from any runner until failed connections cause a suspicion, in ms. */
 const MIN_FAILING_MS = 100;
 /** Time without anything from any runner until overdue responses cause a suspicion, in ms. */
@@ -140,21 +142,24 @@
     return silentForMs >= MIN_SILENT_MS && runner.isQuiet;
   }
 
-  /** Probes a few runners; the host is cut off if none responds and nothing else is heard meanwhile. */
+  /** Probes runners; the host is cut off if none responds and nothing else is heard meanwhile. */
   private async verify(): Promise<void> {
     if (this.state !== State.REACHABLE) return;
     this.state = State.SUSPECTED;
-    this.verification = this.probeSample();
+    this.verification = this.probeRunners();
     await this.verification;
   }
 
-  private async probeSample(): Promise<void> {
+  private async probeRunners(): Promise<void> {
     const startedAt = this.options.clock.now();
-    const sample = this.sampleLeastSuspicious();
+    const runners = this.listLeastSuspicious();
+    const sample = runners.slice(0, MIN_UNREACHABLE);
+    const others = runners.slice(MIN_UNREACHABLE, MAX_PROBED);
     const isReached =
       sample.length === 0 ||
       (await this.isAnyReached(sample.filter(this.isOpen), startedAt)) ||
-      (await this.isAnyReached(sample.filter(this.isWithheld), startedAt));
+      (await this.isAnyReached(sample.filter(this.isWithheld), startedAt)) ||
+      (await this.isAnyReached(others.filter(this.isOpen), startedAt));
     if (this.isStopped) return;
     if (isReached) this.confirmReachable();
     else this.enterCutOff();
@@ -225,18 +230,14 @@
   }
 
   /**
-   * Draws the runners to probe: those to which requests may be sent first. Of these, the ones whose connections failed
-   * longest ago, or never, are the likeliest to respond.
+   * Lists runners in the order of probes: those to which requests may be sent first. Of these, the ones whose connections
+   * failed longest ago, or never, are the likeliest to respond.
    */
-  private sampleLeastSuspicious(): Runner[] {
+  private listLeastSuspicious(): Runner[] {
     const all = this.shuffleRunners().sort((a, b) =>
       compareTimes(a.unreachableAt, b.unreachableAt),
     );
-    const ordered = [
-      ...all.filter(this.isOpen),
-      ...all.filter(this.isWithheld),
-    ];
-    return ordered.slice(0, MIN_UNREACHABLE);
+    return [...all.filter(this.isOpen), ...all.filter(this.isWithheld)];
   }
 
   private drawRunner(prefersOpen: boolean): Runner | undefined {
