The registry of hosts is known to be complete soon after the first start

What would be seen: for some 20 s after a fleet's first start hosts take no more of the fixed allowance of repeats than one that has just started, so that fewer answers are asked for again in the first seconds of traffic.

Cause: the registry counts as complete once it is read 3 s after a host entered it, and a read without news takes ten seconds, twice.

Change: a host that reads the store asks for the registry with a long poll of one second until it is complete; some four calls a reader at its first start.

Result: state_synchronizer.test.ts (four hosts, known within 6 s) failed before and passes.

--- a/packages/gateway/src/host/state_synchronizer.ts
+++ b/packages/gateway/src/host/state_synchronizer.ts
@@ -15,6 +15,8 @@
 
 /** Long-poll timeout for the operator's topic, in ms: its mirror is this old at most in normal operation. */
 const OPERATOR_LONG_POLL_MS = 1_000;
+/** Long-poll timeout for the registry of hosts until it is known to be complete, in ms. */
+const REGISTRY_LONG_POLL_MS = 1_000;
 /** Long-poll timeout for topics whose age does not matter, in ms; a new record ends the wait immediately. */
 const DEFAULT_LONG_POLL_MS = 10_000;
 
@@ -186,6 +188,8 @@
 
   /** A host with a stale mirror does not long-poll: an immediate response confirms that there is nothing new. */
   private getLongPollMs(topic: Topic): number {
+    if (topic === Topic.HOSTS && !this.state.membership.isComplete)
+      return REGISTRY_LONG_POLL_MS;
     if (topic !== Topic.OPERATOR) return DEFAULT_LONG_POLL_MS;
     return this.peerSynchronizer.isStale ? 0 : OPERATOR_LONG_POLL_MS;
   }
