--- a/review/lib/stand_ins.mjs
+++ b/review/lib/stand_ins.mjs
@@ -2,7 +2,7 @@
 import {spawn} from 'node:child_process';
 import {mkdtempSync, readFileSync, rmSync, writeFileSync} from 'node:fs';
 import {createServer as createHttpServer} from 'node:http';
-import {createServer} from 'node:net';
+import {connect, createServer} from 'node:net';
 import {tmpdir} from 'node:os';
 import {dirname, join} from 'node:path';
 import {fileURLToPath} from 'node:url';
@@ -327,6 +327,54 @@
   }
 }
 
+/**
+ * Sends the head of a request on a channel of its own, and reads until the channel ends. Resolves with the head and body
+ * of the answer, and whether it is complete: by its length, by its last chunk, or else by the end of the channel, unless
+ * that is a reset.
+ */
+export function exchange(host, head) {
+  return new Promise(done => {
+    const socket = connect({
+      host: host.ip,
+      port: host.http,
+      allowHalfOpen: true,
+    });
+    let text = '';
+    let isReset = false;
+    socket.on('data', chunk => (text += chunk.toString('latin1')));
+    socket.on('error', () => (isReset = true));
+    // Node may report a reset that comes with bytes as an ordinary end. A write tells them apart.
+    socket.on('end', () => socket.write('\r\n', () => socket.destroy()));
+    socket.on('close', () => done(readAnswer(text, isReset)));
+    socket.write(`${head}\r\nConnection: close\r\n\r\n`);
+  });
+}
+
+function readAnswer(text, isReset) {
+  const end = text.indexOf('\r\n\r\n');
+  if (end < 0) return {isReset, body: '', isComplete: false};
+  const head = text.slice(0, end);
+  const body = text.slice(end + 4);
+  const read = name => new RegExp(`^${name}: (.*)$`, 'im').exec(head)?.[1];
+  const length = read('content-length');
+  const isChunked = read('transfer-encoding') !== undefined;
+  const answer = {
+    status: Number(head.slice(9, 12)),
+    stamp: read('server-stamp'),
+    isReset,
+    body,
+  };
+  if (length !== undefined)
+    return {...answer, framing: 'length', isComplete: body.length >= length};
+  if (isChunked)
+    return {
+      ...answer,
+      framing: 'chunks',
+      isComplete: body.endsWith('0\r\n\r\n'),
+    };
+  return {...answer, framing: 'end of the channel', isComplete: !isReset};
+}
+
 /** A manifest with one public route and its service. */
 export function manifest({type, timeoutMs, goalMs, attempts, ...route}) {
   return {
