Responses without a length: complete only behind an ordinary end

Calls that may be repeated were not sent to another runner.

Cause: Node reports a reset that it reads together with bytes as an end of the connection, without an error.

Change: ConnectionEnd writes no bytes when the peer has ended the connection, before the HTTP client closes its half. Used for answers of runners, of the store and of peers, and for plain services behind the daemon's door. An answer to HEAD without a length no longer counts as close-delimited.

--- a/packages/daemon/src/runners/http_service_runner.ts
+++ b/packages/daemon/src/runners/http_service_runner.ts
@@ -1,11 +1,12 @@
 import type {IncomingMessage} from 'node:http';
-import type {Readable} from 'node:stream';
+import {PassThrough, pipeline, type Readable} from 'node:stream';
 import {
   RunnerFailure,
   type ServiceRunner,
   type ServiceResponse,
   type ServiceRequest,
 } from '@bayspool/decisions';
+import {ConnectionEnd, isSelfDelimited} from '@bayspool/kernel';
 import got, {type Method} from 'got';
 import {isConnectFailure} from './is_connect_failure.js';
 
@@ -60,13 +61,28 @@
         resolve({
           status: response.statusCode ?? 0,
           headers: response.headers as ServiceResponse<Readable>['headers'],
-          body: stream,
+          body: isSelfDelimited(response, request.method)
+            ? stream
+            : this.requireOrderlyEnd(stream, response),
         });
       });
       stream.on('error', error => reject(this.toFailure(error)));
     });
   }
 
+  /** Returns a body that fails if the connection, whose end is that of the body, was reset. */
+  private requireOrderlyEnd(
+    body: Readable,
+    response: IncomingMessage,
+  ): Readable {
+    const end = new ConnectionEnd(response.socket);
+    const checked = new PassThrough({
+      flush: done =>
+        done(end.wasOrderly ? null : this.toFailure(new Error('reset'))),
+    });
+    return pipeline(body, checked, () => undefined);
+  }
+
   private toFailure(error: Error): RunnerFailure {
     return new RunnerFailure({
       message: `runner ${this.id} failed: ${error.message}`,
--- a/packages/gateway/src/calls/attempt.ts
+++ b/packages/gateway/src/calls/attempt.ts
@@ -311,7 +311,7 @@
     response: IncomingMessage,
     connection: PooledConnection,
   ): Promise<AttemptOutcome> | AttemptOutcome {
-    const {headerNames, acceptsConfidence, caller, claimDelivery} =
+    const {headerNames, acceptsConfidence, call, caller, claimDelivery} =
       this.options;
     const text = response.headers[headerNames.confidence];
     const confidence = text === undefined ? undefined : Number(text);
@@ -325,6 +325,7 @@
     }
     return new EventRelay({
       response,
+      method: call.method,
       reading: this.startReading(response),
       held: caller.holdResponse(),
       connection,
@@ -363,6 +364,7 @@
       held: this.options.caller.holdResponse(),
       claimDelivery: this.options.claimDelivery,
       response,
+      method: this.options.call.method,
       connection,
       failureKind: () => this.failureKind(),
       abortReason: () => this.abortReason ?? connection.invalidReason,
--- a/packages/gateway/src/calls/buffered_response_reader.test.ts
+++ b/packages/gateway/src/calls/buffered_response_reader.test.ts
@@ -27,6 +27,7 @@
   const connection = {noteBody: () => undefined, discard: () => undefined};
   const reader = new BufferedResponseReader({
     response: response as unknown as IncomingMessage,
+    method: 'GET',
     connection: connection as unknown as PooledConnection,
     reading: {} as ResponseReading,
     held: new HeldBytes({
--- a/packages/gateway/src/calls/buffered_response_reader.ts
+++ b/packages/gateway/src/calls/buffered_response_reader.ts
@@ -1,18 +1,20 @@
 import type {IncomingMessage} from 'node:http';
 import {ByteCollector} from '@bayspool/decisions/calls';
+import {isSelfDelimited} from '@bayspool/kernel';
 import type {PooledConnection} from '../runners/pooled_connection.js';
 import {filterResponseHeaders} from './filter_response_headers.js';
 import {OutcomeKind} from './outcome_kind.js';
 import type {AttemptOutcome} from './attempt_outcome.js';
 import type {HeldAmount} from './held_amount.js';
 import type {ResponseReading} from './response_reading.js';
-import {isSelfDelimited} from './is_self_delimited.js';
 import {isResponseComplete} from './is_response_complete.js';
 import {PendingOutcome} from './pending_outcome.js';
 import type {BufferedResponse} from './buffered_response.js';
 
 interface Options {
   readonly response: IncomingMessage;
+  /** Method of the request. */
+  readonly method: string;
   readonly connection: PooledConnection;
   readonly reading: ResponseReading;
   /** What this host holds of the response; given back if the response is not used. */
@@ -80,10 +82,9 @@
 
   private finish(): void {
     if (this.outcome.isSettled) return;
-    const {response, connection, isContinuation, claimDelivery, onComplete} =
-      this.options;
-    if (!isResponseComplete(response, connection))
-      return this.outcome.failTruncated('answer broke off');
+    const {isContinuation, claimDelivery, onComplete} = this.options;
+    if (!isResponseComplete(this.options))
+      return this.outcome.failTruncated('answer was reset');
     const {status} = this;
     const isError = status >= SERVER_ERROR || isContinuation;
     if (!isError && !claimDelivery()) return;
@@ -99,9 +100,9 @@
   }
 
   private toBufferedResponse(): BufferedResponse {
-    const {response} = this.options;
+    const {response, method} = this.options;
     const body = this.body.take();
-    const isCloseDelimited = !isSelfDelimited(response);
+    const isCloseDelimited = !isSelfDelimited(response, method);
     return {
       status: this.status,
       statusText: response.statusMessage ?? '',
--- a/packages/gateway/src/calls/event_relay.ts
+++ b/packages/gateway/src/calls/event_relay.ts
@@ -1,13 +1,13 @@
 import type {IncomingMessage} from 'node:http';
 import {EventSplitter} from '@bayspool/decisions/calls';
 import type {StreamEvent} from '@bayspool/decisions/calls';
+import {isSelfDelimited} from '@bayspool/kernel';
 import type {PooledConnection} from '../runners/pooled_connection.js';
 import {filterResponseHeaders} from './filter_response_headers.js';
 import {OutcomeKind} from './outcome_kind.js';
 import type {AttemptOutcome} from './attempt_outcome.js';
 import type {CallerResponse} from './caller_response.js';
 import type {HeldAmount} from './held_amount.js';
-import {isSelfDelimited} from './is_self_delimited.js';
 import {isResponseComplete} from './is_response_complete.js';
 import {PendingOutcome} from './pending_outcome.js';
 import type {ResponseHead} from './response_head.js';
@@ -15,6 +15,8 @@
 
 interface Options {
   readonly response: IncomingMessage;
+  /** Method of the request. */
+  readonly method: string;
   readonly reading: ResponseReading;
   readonly connection: PooledConnection;
   readonly caller: CallerResponse;
@@ -43,10 +45,10 @@
   private readonly outcome: PendingOutcome;
 
   constructor(private readonly options: Options) {
-    const {response} = options;
+    const {response, method} = options;
     this.head = {
       status: response.statusCode ?? 0,
-      isCloseDelimited: !isSelfDelimited(response),
+      isCloseDelimited: !isSelfDelimited(response, method),
       statusText: response.statusMessage ?? '',
       headers: filterResponseHeaders(response),
     };
@@ -101,13 +103,11 @@
 
   private finish(): void {
     if (this.outcome.isSettled) return;
-    const {response, connection, caller, confidence, claimDelivery} =
-      this.options;
+    const {caller, confidence, claimDelivery} = this.options;
     const {status, isCloseDelimited} = this.head;
-    if (
-      !isResponseComplete(response, connection) ||
-      this.splitter.pendingBytes > 0
-    )
+    if (!isResponseComplete(this.options))
+      return this.outcome.failTruncated('stream was reset');
+    if (this.splitter.pendingBytes > 0)
       return this.outcome.failTruncated('stream broke off');
     if (isCloseDelimited && !caller.acceptsCloseDelimited)
       return this.outcome.fail('end of the stream is not certain');
--- /dev/null
+++ b/packages/gateway/src/http/fetch_response.test.ts
@@ -0,0 +1,55 @@
+import assert from 'node:assert/strict';
+import {Agent} from 'node:http';
+import {createServer} from 'node:net';
+import type {AddressInfo, Socket} from 'node:net';
+import {test} from 'node:test';
+import type {TestContext} from 'node:test';
+import {SystemClock} from '@bayspool/kernel';
+import {fetchResponse} from './fetch_response.js';
+import type {HttpResponse} from './http_response.js';
+
+const CALLS = 20;
+/** A head that names no length, and a part of a body. */
+const BYTES = 'HTTP/1.1 200 OK\r\n\r\nup to here';
+
+/** Fetches a response from a server that ends its connections as given. */
+async function fetchFrom(
+  context: TestContext,
+  end: (socket: Socket) => void,
+): Promise<() => Promise<HttpResponse>> {
+  const server = createServer(socket => {
+    socket.on('error', () => undefined);
+    socket.once('data', () => end(socket));
+  });
+  const agent = new Agent({keepAlive: true});
+  context.after(() => {
+    agent.destroy();
+    server.close();
+  });
+  await new Promise<void>(resolve => {
+    server.listen(0, '127.0.0.1', resolve);
+  });
+  const {port} = server.address() as AddressInfo;
+  return () =>
+    fetchResponse({
+      clock: new SystemClock(),
+      agent,
+      address: `127.0.0.1:${port}`,
+      method: 'GET',
+      path: '/',
+      timeoutMs: 1_000,
+    });
+}
+
+void test('a part of a response of the store or a peer that is reset is not taken for the response', async context => {
+  const fetchOnce = await fetchFrom(context, socket =>
+    socket.write(BYTES, () => socket.resetAndDestroy()),
+  );
+  for (let i = 0; i < CALLS; i++) await assert.rejects(fetchOnce());
+});
+
+void test('a response without a length that ends in the ordinary way is complete', async context => {
+  const fetchOnce = await fetchFrom(context, socket => socket.end(BYTES));
+  for (let i = 0; i < CALLS; i++)
+    assert.equal((await fetchOnce()).body.toString(), 'up to here');
+});
--- a/packages/gateway/src/http/fetch_response.ts
+++ b/packages/gateway/src/http/fetch_response.ts
@@ -1,5 +1,6 @@
 import {request as startRequest} from 'node:http';
 import type {Agent, OutgoingHttpHeaders} from 'node:http';
+import {ConnectionEnd, isSelfDelimited} from '@bayspool/kernel';
 import type {Clock} from '@bayspool/kernel';
 import type {HttpResponse} from './http_response.js';
 
@@ -33,13 +34,18 @@
       timer.cancel();
       reject(error);
     };
-    outgoing.once('error', fail);
+    outgoing.on('error', fail);
     outgoing.once('response', response => {
       const chunks: Buffer[] = [];
       response.on('data', (chunk: Buffer) => chunks.push(chunk));
+      const end = isSelfDelimited(response, method)
+        ? undefined
+        : new ConnectionEnd(response.socket);
       response.once('error', fail);
       response.once('end', () => {
         timer.cancel();
+        if (end?.wasOrderly === false)
+          return reject(new Error('the answer was reset'));
         resolve({
           status: response.statusCode ?? 0,
           body: Buffer.concat(chunks),
--- a/packages/gateway/src/runners/pooled_connection.ts
+++ b/packages/gateway/src/runners/pooled_connection.ts
@@ -1,3 +1,4 @@
+import {ConnectionEnd} from '@bayspool/kernel';
 import type {Clock} from '@bayspool/kernel';
 import type {Socket} from 'node:net';
 import {FramingGuard} from './framing_guard.js';
@@ -25,12 +26,14 @@
   private invalid: string | undefined;
   private wasDiscarded = false;
   private hadExcess = false;
+  private readonly end: ConnectionEnd;
   private readonly framingGuard: FramingGuard;
   private readonly discardOnExcess = () => this.discardExcess();
 
   constructor(private readonly options: Options) {
     const {socket, onClose} = options;
     this.socket = socket;
+    this.end = new ConnectionEnd(socket);
     this.framingGuard = new FramingGuard({
       socket,
       onExceeded: () => this.discardInvalid('too many bytes besides the body'),
@@ -57,6 +60,11 @@
     return this.failed;
   }
 
+  /** Whether the runner closed the connection in the ordinary way. */
+  get wasClosedByRunner(): boolean {
+    return this.end.wasOrderly;
+  }
+
   /** Why the bytes on the connection are no valid response; undefined if nothing is wrong with them. */
   get invalidReason(): string | undefined {
     return this.invalid;
--- a/packages/kernel/src/index.ts
+++ b/packages/kernel/src/index.ts
@@ -6,6 +6,8 @@
 export {VirtualClock} from './clock/virtual_clock.js';
 export {sleep} from './clock/sleep.js';
 export {timeoutSignal} from './clock/timeout_signal.js';
+export {ConnectionEnd} from './net/connection_end.js';
+export {isSelfDelimited} from './net/is_self_delimited.js';
 export type {RandomSource} from './random/random_source.js';
 export {SeededRandom} from './random/seeded_random.js';
 export {jitter} from './random/jitter.js';
