--- a/packages/gateway/src/calls/buffered_response_reader.ts
+++ b/packages/gateway/src/calls/buffered_response_reader.ts
@@ -1,6 +1,5 @@
 import type {IncomingMessage} from 'node:http';
 import {ByteCollector} from '@bayspool/decisions/calls';
-import {isSelfDelimited} from '@bayspool/kernel';
 import type {PooledConnection} from '../runners/pooled_connection.js';
 import {filterResponseHeaders} from './filter_response_headers.js';
 import {OutcomeKind} from './outcome_kind.js';
@@ -100,18 +99,13 @@
   }
 
   private toBufferedResponse(): BufferedResponse {
-    const {response, method} = this.options;
+    const {response} = this.options;
     const body = this.body.take();
-    const isCloseDelimited = !isSelfDelimited(response, method);
     return {
       status: this.status,
       statusText: response.statusMessage ?? '',
-      headers: filterResponseHeaders(
-        response,
-        isCloseDelimited ? undefined : body.length,
-      ),
+      headers: filterResponseHeaders(response, body.length),
       body,
-      isCloseDelimited,
     };
   }
 }
--- a/packages/gateway/src/calls/response_head.ts
+++ b/packages/gateway/src/calls/response_head.ts
@@ -4,6 +4,4 @@
   readonly statusText: string;
   /** Alternating names and values. */
   readonly headers: readonly string[];
-  /** Whether the end of the response is given only by the close of the connection. */
-  readonly isCloseDelimited: boolean;
 }
--- a/packages/gateway/src/testing/caller_result.ts
+++ b/packages/gateway/src/testing/caller_result.ts
@@ -7,7 +7,5 @@
   readonly body: string;
   /** Whether the response is complete according to its framing. */
   readonly isComplete: boolean;
-  /** Whether a content length or chunked encoding delimits the body, rather than the end of the connection. */
-  readonly isSelfDelimited: boolean;
   readonly durationMs: number;
 }
--- a/packages/gateway/src/testing/exchange_raw.ts
+++ b/packages/gateway/src/testing/exchange_raw.ts
@@ -12,13 +12,19 @@
   readonly port: number;
   /** The request as sent, with an empty body. */
   readonly request: string;
+  /** The response is read once this resolves; at once if absent. */
+  readonly readAfter?: Promise<unknown>;
 }
 
 const HEAD_END = '\r\n\r\n';
 const LAST_CHUNK = '0\r\n\r\n';
 
 /** Sends a request on a connection of its own, and reads the response to its end. */
-export function exchangeRaw({port, request}: Options): Promise<RawExchange> {
+export function exchangeRaw({
+  port,
+  request,
+  readAfter,
+}: Options): Promise<RawExchange> {
   return new Promise(resolve => {
     const host = '127.0.0.1';
     const socket = connect({host, port});
@@ -33,6 +39,10 @@
     socket.on('close', () =>
       resolve({text, isComplete: isComplete(text, end)}),
     );
+    if (readAfter) {
+      socket.pause();
+      void readAfter.then(() => socket.resume());
+    }
     socket.write(request.replace(HEAD_END, `\r\nconnection: close${HEAD_END}`));
   });
 }
--- a/packages/gateway/src/testing/fatal_part_load.ts
+++ b/packages/gateway/src/testing/fatal_part_load.ts
@@ -42,7 +42,6 @@
   headers: {},
   body: '',
   isComplete: false,
-  isSelfDelimited: false,
   durationMs: 0,
 };
 
