No connection carries the same request twice

Cause: the connection of a rejection went back to the pool, which hands out the connection that was used last, and a later attempt of the same request was sent on it. A request id does not tell the attempts of one request apart, so the repetition passed for the answer to that attempt.

Change: a connection remembers the ids of requests whose answer on it did not answer their call, until the time limit of the call, and the pool gives such a request another connection. Ids and not calls, as a request may come again by another host. Rejections and failures alike: a surplus success behind a failure passed for the answer to the next attempt (MIXED).

--- a/packages/gateway/src/calls/attempt.ts
+++ b/packages/gateway/src/calls/attempt.ts
@@ -245,12 +245,13 @@
   /** Acquires a connection to the runner; undefined if the attempt ends before there is one. */
   private connect(): Promise<PooledConnection | undefined> {
     const {signal} = this.abortController;
-    const {pool} = this.options.choice.runner;
+    const {call, choice} = this.options;
+    const {pool} = choice.runner;
     return new Promise((resolve, reject) => {
       const giveUp = () => resolve(undefined);
       if (signal.aborted) return giveUp();
       signal.addEventListener('abort', giveUp, {once: true});
-      pool.acquire().then(connection => {
+      pool.acquire(call.id).then(connection => {
         signal.removeEventListener('abort', giveUp);
         if (signal.aborted) connection.release();
         else resolve(connection);
@@ -276,10 +277,13 @@
       connection.discard();
       return {kind: OutcomeKind.BROKEN, reason: 'answer to another request'};
     }
-    if (
+    const isSuccess = status >= OK && status < REDIRECT;
+    const isNotRun =
       status === MISDIRECTED ||
-      response.headers[headerNames.notRun] !== undefined
-    ) {
+      response.headers[headerNames.notRun] !== undefined;
+    if (isNotRun || !isSuccess)
+      connection.noteUnanswered(call.id, call.deadlineAt);
+    if (isNotRun) {
       if (status === MISDIRECTED) choice.runner.noteReplaced();
       else choice.runner.brittleness.noteRejected();
       drainResponse({clock: this.options.clock, response, connection});
@@ -289,7 +293,6 @@
         status,
       };
     }
-    const isSuccess = status >= OK && status < REDIRECT;
     if (isSuccess && !this.isSignedAndUnencoded(response)) {
       connection.discard();
       return {kind: OutcomeKind.BROKEN, reason: 'unsigned or encoded', status};
--- a/packages/gateway/src/runners/connection_pool.ts
+++ b/packages/gateway/src/runners/connection_pool.ts
@@ -1,3 +1,4 @@
+import {once} from 'node:events';
 import type {Socket} from 'node:net';
 import type {Clock} from '@bayspool/kernel';
 import type {ConnectTimeout} from './connect_timeout.js';
@@ -40,17 +41,19 @@
     );
   }
 
-  /** Returns an idle connection or opens one; throws {@link ConnectFailure}. */
-  async acquire(): Promise<PooledConnection> {
-    for (;;) {
-      const idle = this.idle.pop();
-      if (!idle) break;
+  /** Returns an idle connection that may carry a request, or opens one; throws {@link ConnectFailure}. */
+  async acquire(requestId: string): Promise<PooledConnection> {
+    for (let i = this.idle.length - 1; i >= 0; i--) {
+      const idle = this.idle[i];
+      if (!idle.canCarry(requestId)) continue;
+      this.idle.splice(i, 1);
       if (idle.isUsable) {
         idle.markInUse();
         return idle;
       }
       idle.discard();
     }
+    await this.makeRoom();
     return this.openConnection();
   }
 
@@ -66,6 +69,15 @@
       if (!connection.isUsable) connection.discard();
   }
 
+  /** Closes an idle connection if no further one may be open: none of them may carry the request. */
+  private async makeRoom(): Promise<void> {
+    const [oldest] = this.idle;
+    if (!oldest || this.openCount < this.options.maxConnections()) return;
+    const isClosed = once(oldest.socket, 'close');
+    oldest.discard();
+    await isClosed;
+  }
+
   private async openConnection(): Promise<PooledConnection> {
     const {clock, address, maxConnections, connectTimeout} = this.options;
     const {onOpened, onExcessBytes} = this.options;
--- a/packages/gateway/src/runners/pooled_connection.ts
+++ b/packages/gateway/src/runners/pooled_connection.ts
@@ -2,6 +2,7 @@
 import type {Clock} from '@bayspool/kernel';
 import type {Socket} from 'node:net';
 import {FramingGuard} from './framing_guard.js';
+import {UnansweredRequests} from './unanswered_requests.js';
 
 interface Options {
   readonly clock: Clock;
@@ -27,6 +28,7 @@
   private wasDiscarded = false;
   private hadExcess = false;
   private readonly end: ConnectionEnd;
+  private readonly unanswered: UnansweredRequests;
   private readonly framingGuard: FramingGuard;
   private readonly discardOnExcess = () => this.discardExcess();
 
@@ -34,6 +36,7 @@
     const {socket, onClose} = options;
     this.socket = socket;
     this.end = new ConnectionEnd(socket);
+    this.unanswered = new UnansweredRequests(options);
     this.framingGuard = new FramingGuard({
       socket,
       onExceeded: () => this.discardInvalid('too many bytes besides the body'),
@@ -51,6 +54,7 @@
     return (
       !this.socket.destroyed &&
       this.socket.writable &&
+      !this.unanswered.isFull &&
       this.options.clock.now() < this.expiresAt
     );
   }
@@ -70,6 +74,16 @@
     return this.invalid;
   }
 
+  /** Whether a request may be sent on the connection: not if its response could be taken for that to an earlier attempt. */
+  canCarry(requestId: string): boolean {
+    return !this.unanswered.has(requestId);
+  }
+
+  /** Notes that the response to a request does not answer its call, which may be sent again until its deadline. */
+  noteUnanswered(requestId: string, deadlineAt: number): void {
+    this.unanswered.add(requestId, deadlineAt);
+  }
+
   /** Marks the connection as in use by a request. */
   markInUse(): void {
     this.socket.off('data', this.discardOnExcess);
