Daemon: close the connection behind an engine's refusal

An engine that repeats a refusal late makes the next request on that connection look refused although it runs, so that it is sent to another engine as well. It is the cause of the repeated rejections at the gateway: refusals of engines name no request at all.

Change: an interceptor of undici fails a refused request as its headers arrive and closes the connection. Other failures, which make no promise, keep their connection. The cost is a new connection per refusal.

--- a/packages/daemon/src/runners/http_runner.ts
+++ b/packages/daemon/src/runners/http_runner.ts
@@ -1,3 +1,4 @@
+import type {IncomingHttpHeaders} from 'node:http';
 import type {Readable} from 'node:stream';
 import {
   RunnerFailure,
@@ -10,8 +11,9 @@
 } from '@bayspool/decisions';
 import {createParser} from 'eventsource-parser';
 import got, {HTTPError, type Got} from 'got';
-import {Agent as StreamAgent, request as undiciRequest} from 'undici';
+import {Agent, request as undiciRequest, type Dispatcher} from 'undici';
 import {z} from 'zod';
+import {closeRefusedConnections} from './close_refused_connections.js';
 import {isConnectFailure} from './is_connect_failure.js';
 import {parseEngineChunk} from './parse_engine_chunk.js';
 
@@ -53,7 +55,7 @@
   readonly place: string;
   private readonly http: Got;
   /** Connections for streamed responses. `got` took twice the CPU time per token: see docs/HOUSE-STYLE.md. */
-  private readonly streamAgent: StreamAgent;
+  private readonly streamAgent: Dispatcher;
   private readonly completionsUrl: string;
 
   constructor(private readonly options: Options) {
@@ -66,13 +68,21 @@
       timeout: {connect: options.connectTimeoutMs},
     });
     this.completionsUrl = `http://${options.endpoint}/v1/chat/completions`;
-    this.streamAgent = new StreamAgent({
+    const agent = new Agent({
       connections: MAX_SOCKETS,
       pipelining: 1,
       connect: {timeout: options.connectTimeoutMs},
       headersTimeout: options.stallTimeoutMs,
       bodyTimeout: options.stallTimeoutMs,
     });
+    const readRefusal = (
+      status: number,
+      {[REFUSAL_HEADER]: refused}: IncomingHttpHeaders,
+    ) =>
+      refused === undefined
+        ? undefined
+        : createStatusFailure(this.id, status, refused);
+    this.streamAgent = agent.compose(closeRefusedConnections({readRefusal}));
   }
 
   async *generate(
@@ -122,19 +132,16 @@
     signal: AbortSignal,
   ): Promise<Readable> {
     try {
-      const {statusCode, headers, body} = await undiciRequest(
-        this.completionsUrl,
-        {
-          method: 'POST',
-          headers: {...request.headers, 'content-type': 'application/json'},
-          body: JSON.stringify(createBody(request)),
-          dispatcher: this.streamAgent,
-          signal,
-        },
-      );
+      const {statusCode, body} = await undiciRequest(this.completionsUrl, {
+        method: 'POST',
+        headers: {...request.headers, 'content-type': 'application/json'},
+        body: JSON.stringify(createBody(request)),
+        dispatcher: this.streamAgent,
+        signal,
+      });
       if (statusCode === OK) return body;
       body.on('error', () => undefined).resume();
-      throw createStatusFailure(this.id, statusCode, headers[REFUSAL_HEADER]);
+      throw createStatusFailure(this.id, statusCode, undefined);
     } catch (error) {
       throw toFailure(error, this.id);
     }
