--- a/packages/gateway/src/calls/reset_responses.test.ts
+++ b/packages/gateway/src/calls/reset_responses.test.ts
@@ -1,6 +1,7 @@
 // Guards against taking a response without a length for complete although its connection was reset.
 import assert from 'node:assert/strict';
 import {afterEach, beforeEach, test} from 'node:test';
+import {setTimeout as sleep} from 'node:timers/promises';
 import {CallKind} from '@bayspool/decisions/calls';
 import {exchangeRaw} from '../testing/exchange_raw.js';
 import {GatewayFixture} from '../testing/gateway_fixture.js';
@@ -12,6 +13,11 @@
 /** Calls of a test: whether a reset is reported depends on when it is read. */
 const CALLS = 20;
 const ALL_EVENTS = 'id: 1\ndata: a\n\nid: 2\ndata: b\n\n';
+/** More events of this size than the buffers to a caller that does not read hold, less than those of both connections. */
+const LARGE_EVENT = `data: ${'x'.repeat(100_000)}\n\n`;
+const EVENTS = 60;
+/** Time for which a caller does not read after the reset, in ms. */
+const PAUSE_MS = 300;
 const FIRST_EVENT = 'id: 1\ndata: a\n\n';
 
 let fixture: GatewayFixture;
@@ -103,6 +109,26 @@
   assert.ok(resetting.received.length > 0);
 });
 
+void test('a stream that is reset while its caller does not read does not end as complete', async () => {
+  await serve(CallKind.STREAM, [resetting]);
+  const isReset = new Promise<void>(resolve => {
+    resetting.script = ({id, socket}) => {
+      socket.write(writeHead(id) + FIRST_EVENT);
+      const events = Buffer.from(LARGE_EVENT.repeat(EVENTS));
+      socket.write(events, () => {
+        socket.resetAndDestroy();
+        resolve();
+      });
+    };
+  });
+  const {text, isComplete} = await exchangeRaw({
+    ...fixture.describeCall(),
+    readAfter: isReset.then(() => sleep(PAUSE_MS)),
+  });
+  assert.match(text, /id: 1/);
+  assert.ok(!isComplete);
+});
+
 void test('a response without a length that ends in the ordinary way is passed on', async () => {
   await serve(CallKind.UNSAFE, [sound]);
   sound.script = endBehind('up to here');
