Log when a request was sent, and how old the knowledge of its caller was

Cause: the lines of a request do not tell whether its host handed it on as it read it, or late after a wait without a look at its caller. Change: ConnectionReads notes when the event loop has read all connections; attempt_ended tells sentMs and callerAgeMs.

--- a/packages/gateway/src/calls/attempt.test.ts
+++ b/packages/gateway/src/calls/attempt.test.ts
@@ -1,7 +1,7 @@
 import assert from 'node:assert/strict';
 import {test} from 'node:test';
 import {CallKind} from '@bayspool/decisions/calls';
-import {SystemClock} from '@bayspool/kernel';
+import {ConnectionReads, SystemClock} from '@bayspool/kernel';
 import type {ConnectionPool} from '../runners/connection_pool.js';
 import {Runner} from '../runners/runner.js';
 import {plainHeaderNames as names} from '../testing/plain_header_names.js';
@@ -77,6 +77,7 @@
   };
   return new Attempt({
     clock,
+    connectionReads: new ConnectionReads({clock}),
     headerNames: names,
     headerBuilder: new RunnerHeaderBuilder(names),
     call: makeCall(),
--- a/packages/gateway/src/calls/attempt.ts
+++ b/packages/gateway/src/calls/attempt.ts
@@ -1,6 +1,6 @@
 import type {IncomingMessage} from 'node:http';
 import {isStreamed} from '@bayspool/decisions/calls';
-import type {Clock} from '@bayspool/kernel';
+import type {Clock, ConnectionReads} from '@bayspool/kernel';
 import {ConnectFailure} from '../runners/connect_failure.js';
 import type {PooledConnection} from '../runners/pooled_connection.js';
 import type {RunnerChoice} from '../runners/runner_choice.js';
@@ -25,6 +25,8 @@
 
 interface Options {
   readonly clock: Clock;
+  /** How old this host's knowledge of its callers' connections is. */
+  readonly connectionReads: ConnectionReads;
   readonly headerNames: HeaderNames;
   /** Builds the request headers for a runner. */
   readonly headerBuilder: RequestHeaders;
@@ -74,6 +76,8 @@
   /** Number of this request among all that this host has sent to the runner. */
   private sendNumber = 0;
   private admitted = false;
+  private sentAt: number | undefined;
+  private callerAgeAtSendMs: number | undefined;
   /** Ends the check whether the runner's first output is overdue. */
   private stopTracking: (() => void) | undefined;
 
@@ -116,6 +120,16 @@
     return this.admitted;
   }
 
+  /** Time from the start of the attempt until its request was sent, in ms; undefined if it was not. */
+  get sentAfterMs(): number | undefined {
+    return this.sentAt === undefined ? undefined : this.sentAt - this.startedAt;
+  }
+
+  /** Age of this host's knowledge of its callers' connections when the request was sent, in ms: an upper bound. */
+  get callerAgeMs(): number | undefined {
+    return this.callerAgeAtSendMs;
+  }
+
   /** Time since the attempt last received anything, or else since it started, in ms. */
   get silentMs(): number {
     return this.options.clock.now() - this.silenceDetector.lastProgressAt;
@@ -210,6 +224,8 @@
     });
     const {method, path, body} = call;
     const sentAt = clock.now();
+    this.sentAt = sentAt;
+    this.callerAgeAtSendMs = this.options.connectionReads.ageMs;
     const response = await sendRequest({
       connection,
       request: {method, path, headers, body},
--- a/packages/gateway/src/calls/attempt_runner.ts
+++ b/packages/gateway/src/calls/attempt_runner.ts
@@ -3,7 +3,7 @@
   RetryReservation,
 } from '@bayspool/decisions/calls';
 import type {OverloadControl} from '@bayspool/decisions/admission';
-import type {Clock} from '@bayspool/kernel';
+import type {Clock, ConnectionReads} from '@bayspool/kernel';
 import type {EventLog} from '../observability/event_log.js';
 import type {Runner} from '../runners/runner.js';
 import type {RunnerChoice} from '../runners/runner_choice.js';
@@ -26,6 +26,8 @@
   readonly clock: Clock;
   readonly log: EventLog;
   readonly headerNames: HeaderNames;
+  /** How old this host's knowledge of its callers' connections is. */
+  readonly connectionReads: ConnectionReads;
   readonly headerBuilder: RequestHeaders;
   readonly attemptRecorder: AttemptRecorder;
   readonly choiceRecorder: ChoiceRecorder;
@@ -162,7 +164,7 @@
   private logEnd(
     {call}: CallProgress,
     {runner}: RunnerChoice,
-    {lastEventId, hasHead, statement}: Attempt,
+    {lastEventId, hasHead, statement, sentAfterMs, callerAgeMs}: Attempt,
     {number, outcome, latencyMs, durationMs}: EndedAttempt,
   ): void {
     this.options.log.write('attempt_ended', {
@@ -173,11 +175,13 @@
       reason: outcome.reason,
       status: outcome.status,
       begun: hasHead,
+      sentMs: toRounded(sentAfterMs),
+      callerAgeMs: toRounded(callerAgeMs),
       confidence: outcome.confidence,
       namedLimit: statement?.limit.perSecond,
       isLeaving: statement?.leaving.isLeaving || undefined,
       restMs: statement?.rest.forMs,
-      firstMs: latencyMs === undefined ? undefined : Math.round(latencyMs),
+      firstMs: toRounded(latencyMs),
       lastEvent: lastEventId,
       forMs: Math.round(durationMs),
     });
@@ -187,12 +191,13 @@
     {progress, ...request}: AttemptRequest,
     reservation: RetryReservation | undefined,
   ): Attempt {
-    const {clock, headerNames, headerBuilder} = this.options;
+    const {clock, connectionReads, headerNames, headerBuilder} = this.options;
     const {call, model} = progress;
     const {runner} = request.choice;
     return new Attempt({
       ...request,
       clock,
+      connectionReads,
       headerNames,
       headerBuilder,
       call,
@@ -224,6 +229,10 @@
   }
 }
 
+function toRounded(ms: number | undefined): number | undefined {
+  return ms === undefined ? undefined : Math.round(ms);
+}
+
 /** Whether an engine has little other work queued, or a plain runner has a free slot. */
 function isWithoutOtherWork({workMs, waitMs}: RunnerChoice): boolean {
   if (workMs === 0) return waitMs === 0;
--- a/packages/gateway/src/calls/call_forwarder.ts
+++ b/packages/gateway/src/calls/call_forwarder.ts
@@ -9,7 +9,7 @@
 } from '@bayspool/decisions/calls';
 import type {OverloadControl} from '@bayspool/decisions/admission';
 import type {WorkEstimator} from '@bayspool/decisions/capacity';
-import type {Clock, RandomSource} from '@bayspool/kernel';
+import type {Clock, ConnectionReads, RandomSource} from '@bayspool/kernel';
 import type {RunnerDirectory} from '../discovery/runner_directory.js';
 import type {MembershipView} from '../peers/membership_view.js';
 import type {EventLog} from '../observability/event_log.js';
@@ -55,6 +55,8 @@
   readonly log: EventLog;
   readonly metrics: GatewayMetrics;
   readonly headerNames: HeaderNames;
+  /** How old this host's knowledge of its callers' connections is. */
+  readonly connectionReads: ConnectionReads;
   readonly directory: RunnerDirectory;
   readonly candidates: CallCandidates;
   readonly rollouts: RolloutRegistry;
--- a/packages/gateway/src/calls/call_server.ts
+++ b/packages/gateway/src/calls/call_server.ts
@@ -3,7 +3,12 @@
 import type {Socket} from 'node:net';
 import {MAX_HEADER_BYTES} from '@bayspool/decisions/calls';
 import type {CallConfiguration} from '@bayspool/decisions/calls';
-import type {Clock, RandomSource, Timer} from '@bayspool/kernel';
+import type {
+  Clock,
+  ConnectionReads,
+  RandomSource,
+  Timer,
+} from '@bayspool/kernel';
 import type {ActiveConfiguration} from '../discovery/active_configuration.js';
 import type {EventLog} from '../observability/event_log.js';
 import type {GatewayMetrics} from '../observability/gateway_metrics.js';
@@ -36,6 +41,8 @@
   readonly configuration: ActiveConfiguration;
   readonly forwarder: CallForwarder;
   readonly heldBytes: HeldBytes;
+  /** How old this host's knowledge of its connections is. */
+  readonly connectionReads: ConnectionReads;
   readonly ip: string;
   readonly port: number;
   /** Maximum age of the configuration at which API keys are still accepted, in ms. */
@@ -147,6 +154,7 @@
     // caller can safely resend it.
     if (this.closingConnections.has(request.socket))
       return void request.socket.destroy();
+    this.options.connectionReads.watch();
     response.once('finish', () => this.closeIfShuttingDown(request.socket));
     const controller = new AbortController();
     this.openResponses.set(response, controller);
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -1,6 +1,7 @@
 import {isDeepStrictEqual} from 'node:util';
 import {ModelCascade} from '@bayspool/decisions/calls';
 import {WorkEstimator} from '@bayspool/decisions/capacity';
+import {ConnectionReads} from '@bayspool/kernel';
 import type {Timer} from '@bayspool/kernel';
 import {CallCandidates} from './calls/call_candidates.js';
 import {CallServer} from './calls/call_server.js';
@@ -43,6 +44,7 @@
   private readonly stateSynchronizer: StateSynchronizer;
   private readonly eventLoopLag: EventLoopLag;
   private readonly heldBytes: HeldBytes;
+  private readonly connectionReads: ConnectionReads;
   private readonly stallDetector: StallDetector;
   private readonly rolloutController: RolloutController;
   private readonly callServer: CallServer;
@@ -72,6 +74,7 @@
       log,
       maxBytes: () => this.settings.maxHeldBytes,
     });
+    this.connectionReads = new ConnectionReads({clock: options.ageClock});
     this.stallDetector = new StallDetector({
       log,
       clock: options.ageClock,
@@ -283,6 +286,7 @@
       configuration,
       forwarder,
       heldBytes: this.heldBytes,
+      connectionReads: this.connectionReads,
       relayAdmission,
       port,
       ip: settings.ip,
@@ -331,6 +335,7 @@
       partQuarantine,
       rates,
       metrics: this.metrics,
+      connectionReads: this.connectionReads,
       headerNames,
       directory,
       gate: runnerGate,
--- a/packages/gateway/src/observability/event_fields.ts
+++ b/packages/gateway/src/observability/event_fields.ts
@@ -150,6 +150,10 @@
     status?: number;
     /** Whether the runner had begun its response. */
     begun: boolean;
+    /** Time until the request was sent; absent if it was not. */
+    sentMs?: number;
+    /** Age, at that time, of what this host knew of the connections of its callers: an upper bound. */
+    callerAgeMs?: number;
     confidence?: number;
     /** Declared limit in the runner's response, in requests a second. */
     namedLimit?: number;
--- a/packages/gateway/src/relay/call_relay.ts
+++ b/packages/gateway/src/relay/call_relay.ts
@@ -1,6 +1,6 @@
 import {RetryPurpose} from '@bayspool/decisions/calls';
 import type {RetryReservation} from '@bayspool/decisions/calls';
-import type {Clock} from '@bayspool/kernel';
+import type {Clock, ConnectionReads} from '@bayspool/kernel';
 import {Attempt} from '../calls/attempt.js';
 import type {AttemptOutcome} from '../calls/attempt_outcome.js';
 import type {CallFinisher} from '../calls/call_finisher.js';
@@ -24,6 +24,8 @@
   readonly log: EventLog;
   readonly metrics: GatewayMetrics;
   readonly headerNames: HeaderNames;
+  /** How old this host's knowledge of its callers' connections is. */
+  readonly connectionReads: ConnectionReads;
   /** Name of this host. */
   readonly host: string;
   readonly reachability: RunnerReachability;
@@ -190,12 +192,14 @@
     caller: CallerResponse,
     signal: AbortSignal,
   ): Attempt {
-    const {clock, headerNames, host, retryPolicy} = this.options;
+    const {clock, connectionReads, headerNames, host, retryPolicy} =
+      this.options;
     const {call, isCounted} = progress;
     const origin = {host, attempts, isCounted};
     const choice = {workMs: 0, waitMs: 0, unreadTokens: 0, ejected: 0};
     const attempt: Attempt = new Attempt({
       clock,
+      connectionReads,
       headerNames,
       call,
       caller,
--- a/packages/kernel/src/index.ts
+++ b/packages/kernel/src/index.ts
@@ -7,6 +7,7 @@
 export {sleep} from './clock/sleep.js';
 export {timeoutSignal} from './clock/timeout_signal.js';
 export {ConnectionEnd} from './net/connection_end.js';
+export {ConnectionReads} from './net/connection_reads.js';
 export {isSelfDelimited} from './net/is_self_delimited.js';
 export type {RandomSource} from './random/random_source.js';
 export {SeededRandom} from './random/seeded_random.js';
