End the runs of all requests on a connection when their caller leaves

What callers saw: of three requests sent one behind the other on a connection, the runs of the second and third went on after their caller had closed or reset it, and stayed open at the host. Cause: Node closes only the response that has the socket. One that waits for an earlier response is never told that its connection has ended, and the close of the response was all that a host listened to. Change: CallerDepartures watches the connection: all requests on it end as soon as its end is read, and responses in the queue are closed with it.

--- a/packages/gateway/src/calls/call_server.ts
+++ b/packages/gateway/src/calls/call_server.ts
@@ -3,6 +3,7 @@
 import type {Socket} from 'node:net';
 import {MAX_HEADER_BYTES} from '@bayspool/decisions/calls';
 import type {CallConfiguration} from '@bayspool/decisions/calls';
+import {CallerDepartures} from '@bayspool/kernel';
 import type {
   Clock,
   ConnectionReads,
@@ -69,6 +70,7 @@
   private readonly validator: RequestValidator;
   private readonly recorder: RequestRecorder;
   private readonly rejecter: RequestRejecter;
+  private readonly departures = new CallerDepartures();
   private readonly openResponses = new Map<ServerResponse, AbortController>();
   /** Connections that are being closed and accept no further request. */
   private readonly closingConnections = new WeakSet<Socket>();
@@ -158,11 +160,10 @@
     response.once('finish', () => this.closeIfShuttingDown(request.socket));
     const controller = new AbortController();
     this.openResponses.set(response, controller);
-    response.once('close', () => {
-      this.openResponses.delete(response);
-      if (!response.writableFinished)
-        controller.abort(AbortReason.CALLER_DISCONNECTED);
-    });
+    response.once('close', () => this.openResponses.delete(response));
+    this.departures.watch(request, response, () =>
+      controller.abort(AbortReason.CALLER_DISCONNECTED),
+    );
     response.on('error', () => undefined);
     this.handle(request, response, controller).catch(error => {
       this.options.log.write('unexpected', {
--- a/packages/gateway/src/calls/read_body.ts
+++ b/packages/gateway/src/calls/read_body.ts
@@ -1,5 +1,6 @@
 import type {IncomingMessage} from 'node:http';
 import {ByteCollector} from '@bayspool/decisions/calls';
+import {AbortReason} from './abort_reason.js';
 import type {HeldAmount} from './held_amount.js';
 
 /** Why a body could not be read. */
@@ -39,6 +40,10 @@
     });
     request.once('close', () => resolve('broken'));
     request.once('error', () => resolve('broken'));
-    signal.addEventListener('abort', () => resolve('late'), {once: true});
+    const abort = () => {
+      const hasLeft = signal.reason === AbortReason.CALLER_DISCONNECTED;
+      resolve(hasLeft ? 'broken' : 'late');
+    };
+    signal.addEventListener('abort', abort, {once: true});
   });
 }
--- a/packages/kernel/src/index.ts
+++ b/packages/kernel/src/index.ts
@@ -6,6 +6,7 @@
 export {VirtualClock} from './clock/virtual_clock.js';
 export {sleep} from './clock/sleep.js';
 export {timeoutSignal} from './clock/timeout_signal.js';
+export {CallerDepartures} from './net/caller_departures.js';
 export {ConnectionEnd} from './net/connection_end.js';
 export {ConnectionReads} from './net/connection_reads.js';
 export {isSelfDelimited} from './net/is_self_delimited.js';
