Hand a request on only if its caller is still there once its connection was read

What callers saw: requests whose callers had left over half a second before reached runners, where their host had stood still or had too little of the processor to read them in time. Cause: the event loop reads the end of a connection in the turn behind its last bytes at the earliest. A request was handed on in the turn in which it was read, so that a caller that had long left looked present. Evidence: the incident's host had used its whole share of the processor for two seconds; its caller left when an unread request is given up, and the runner saw request and close together. Change: a request waits until all connections were read behind it; where a host has much to do, for as many turns as it takes until that was 50 ms ago at most, in the order of arrival. A caller that has left is logged as 'left before the request was accepted'. A body that ends because the caller left counts as broken off, not as late.

--- a/packages/gateway/src/calls/call_server.ts
+++ b/packages/gateway/src/calls/call_server.ts
@@ -156,7 +156,6 @@
     // caller can safely resend it.
     if (this.closingConnections.has(request.socket))
       return void request.socket.destroy();
-    this.options.connectionReads.watch();
     response.once('finish', () => this.closeIfShuttingDown(request.socket));
     const controller = new AbortController();
     this.openResponses.set(response, controller);
@@ -193,7 +192,7 @@
     controller: AbortController,
     held: CallHolding,
   ): Promise<void> {
-    const {clock, headerNames, relayAdmission} = this.options;
+    const {clock, headerNames, relayAdmission, connectionReads} = this.options;
     const acceptedAt = clock.now();
     const caller = new CallerResponse({
       clock,
@@ -210,6 +209,9 @@
         caller.abort();
       },
     });
+    await connectionReads.refresh();
+    if (hasLeft(caller, controller.signal))
+      return this.recorder.recordLeft(request, acceptedAt);
     const refusal = relayAdmission && (await relayAdmission.findRefusal());
     if (refusal !== undefined)
       return this.rejecter.rejectRelayed(request, caller, refusal);
@@ -219,9 +221,14 @@
     const {priority} = validated.route;
     const full = held.takeBody(request, this.maxBodyBytes, priority);
     if (full) return this.rejecter.rejectFull(request, caller);
+    const wasComplete = request.complete;
     const body = await this.readBody(request, validated, controller, held);
-    if (body === 'broken' || caller.isClosed)
+    // The end of the connection is read behind the body.
+    if (!wasComplete) await connectionReads.refresh();
+    if (body === 'broken')
       return this.recorder.recordIncompleteBody(request, acceptedAt);
+    if (hasLeft(caller, controller.signal))
+      return this.recorder.recordLeft(request, acceptedAt);
     if (body === 'late')
       return this.rejecter.rejectIncompleteBody(request, response, caller);
     if (body === 'too-large')
@@ -278,3 +285,7 @@
     );
   }
 }
+
+function hasLeft({isClosed}: CallerResponse, {reason}: AbortSignal): boolean {
+  return isClosed || reason === AbortReason.CALLER_DISCONNECTED;
+}
--- a/packages/gateway/src/calls/request_recorder.ts
+++ b/packages/gateway/src/calls/request_recorder.ts
@@ -26,6 +26,9 @@
 /** Reason for a caller that disconnected before its request body was complete. */
 const BODY_INCOMPLETE = 'body broke off';
 
+/** Reason for a caller that disconnected before its request was handed to the forwarder. */
+const LEFT_EARLY = 'left before the request was accepted';
+
 /** Writes log entries and metrics of incoming requests: accepted, rejected or incomplete. */
 export class RequestRecorder {
   constructor(private readonly options: Options) {}
@@ -82,13 +85,26 @@
 
   /** Records that the caller disconnected before its request was complete; nothing was sent to a runner. */
   recordIncompleteBody(request: IncomingMessage, acceptedAt: number): void {
+    this.recordDeparture(request, acceptedAt, BODY_INCOMPLETE);
+  }
+
+  /** Records that the caller had left when its complete request was read; nothing was sent to a runner. */
+  recordLeft(request: IncomingMessage, acceptedAt: number): void {
+    this.recordDeparture(request, acceptedAt, LEFT_EARLY);
+  }
+
+  private recordDeparture(
+    request: IncomingMessage,
+    acceptedAt: number,
+    reason: string,
+  ): void {
     const {clock, log} = this.options;
-    this.countWithoutRoute('left', BODY_INCOMPLETE);
+    this.countWithoutRoute('left', reason);
     log.write('caller_left', {
       request: this.readRequestId(request),
       relayedBy: this.findRelayingHost(request),
       attempts: 0,
-      reason: BODY_INCOMPLETE,
+      reason,
       forMs: Math.round(clock.now() - acceptedAt),
     });
   }
--- a/packages/kernel/src/net/connection_reads.ts
+++ b/packages/kernel/src/net/connection_reads.ts
@@ -5,9 +5,12 @@
   readonly clock: Clock;
 }
 
+/** Age up to which knowledge of a peer is used, in ms: a fraction of the time within which work for it has to end. */
+const MAX_AGE_MS = 50;
+
 /**
  * Tells how old a process's knowledge of its connections is. The event loop reads what the kernel has received once a
- * turn; until it does, a peer that has left looks present, for as long as the turn takes.
+ * turn, the end of a connection only in the turn behind its last bytes; until then a peer that has left looks present.
  */
 export class ConnectionReads {
   private readAt = -Infinity;
@@ -20,6 +23,21 @@
     return this.options.clock.now() - this.readAt;
   }
 
+  /**
+   * Waits until all that the kernel had received before this call is read, and was a moment ago. Where a turn has much
+   * to do, those that wait go on in the order of their calls, for a part of each turn.
+   */
+  async refresh(): Promise<void> {
+    await this.finishTurn();
+    do await this.finishTurn();
+    while (this.ageMs > MAX_AGE_MS);
+  }
+
+  /** Like {@link refresh}, unless all connections were read a moment ago. */
+  async ensureRecent(): Promise<void> {
+    if (this.ageMs > MAX_AGE_MS) await this.refresh();
+  }
+
   /** Notes when the connections are read that can be read in this turn of the event loop. */
   watch(): void {
     if (this.isWatching) return;
@@ -30,4 +48,10 @@
       this.readAt = this.options.clock.now();
     });
   }
+
+  /** Waits until this turn of the event loop has read what it can. */
+  private finishTurn(): Promise<void> {
+    this.watch();
+    return new Promise(resolve => setImmediate(resolve));
+  }
 }
