Send nothing for a caller of which nothing was known for a while

What callers saw: after a standstill of their host, requests of callers that had left meanwhile were sent once more. Cause: the rejection of a runner, the end of a wait or a new connection is handled before the end of the caller's connection that came earlier; the attempt then goes by knowledge that is as old as the standstill. Change: an attempt renews what is known of the callers' connections before it takes a connection, and again if that took long.

--- a/packages/gateway/src/calls/attempt.test.ts
+++ b/packages/gateway/src/calls/attempt.test.ts
@@ -14,6 +14,8 @@
 import {RunnerHeaderBuilder} from './runner_header_builder.js';
 
 const clock = new SystemClock();
+/** Longer than knowledge of callers' connections counts as recent, in ms. */
+const STANDSTILL_MS = 200;
 
 /** Pool of a runner to which no connection can be opened. */
 const unconnectablePool = {
@@ -62,10 +64,17 @@
   return new Runner({clock, entry, pool: unconnectablePool});
 }
 
+function makeConnectedRunner(): Runner {
+  const acquire = async () => ({release: () => undefined});
+  const pool = {acquire} as unknown as ConnectionPool;
+  return new Runner({clock, entry: makeRunner().entry, pool});
+}
+
 function makeAttempt(
   runner: Runner,
   signal: AbortSignal,
   admit: () => string | undefined = () => undefined,
+  connectionReads = new ConnectionReads({clock}),
 ): Attempt {
   const choice = {
     runner,
@@ -77,7 +86,7 @@
   };
   return new Attempt({
     clock,
-    connectionReads: new ConnectionReads({clock}),
+    connectionReads,
     headerNames: names,
     headerBuilder: new RunnerHeaderBuilder(names),
     call: makeCall(),
@@ -132,3 +141,54 @@
   assert.ok(outcome.isWithheld);
   assert.equal(released, 1);
 });
+
+/** Blocks the event loop, as if the host had stood still. */
+function standStill(forMs: number): void {
+  const until = performance.now() + forMs;
+  while (performance.now() < until);
+}
+
+void test('nothing is sent for a caller that left while its host stood still before the attempt', async () => {
+  const controller = new AbortController();
+  let admitted = 0;
+  const reads = new ConnectionReads({clock});
+  await reads.refresh();
+  standStill(STANDSTILL_MS);
+  const runner = makeConnectedRunner();
+  const admit = () => {
+    admitted += 1;
+    return undefined;
+  };
+  const attempt = makeAttempt(runner, controller.signal, admit, reads);
+  // The end of the caller's connection is read in the next turn.
+  setImmediate(() => controller.abort(AbortReason.CALLER_DISCONNECTED));
+  const outcome = await attempt.run();
+  assert.equal(outcome.kind, OutcomeKind.UNSENT);
+  assert.equal(outcome.reason, AbortReason.CALLER_DISCONNECTED);
+  assert.equal(admitted, 0);
+});
+
+void test('nothing is sent for a caller that left while its host stood still during the connect', async () => {
+  const controller = new AbortController();
+  const reads = new ConnectionReads({clock});
+  await reads.refresh();
+  let admitted = 0;
+  let released = 0;
+  const pool = {
+    acquire: async () => {
+      standStill(STANDSTILL_MS);
+      setImmediate(() => controller.abort(AbortReason.CALLER_DISCONNECTED));
+      return {release: () => void (released += 1)};
+    },
+  } as unknown as ConnectionPool;
+  const admit = () => {
+    admitted += 1;
+    return undefined;
+  };
+  const {entry} = makeRunner();
+  const runner = new Runner({clock, entry, pool});
+  const attempt = makeAttempt(runner, controller.signal, admit, reads);
+  const outcome = await attempt.run();
+  assert.equal(outcome.kind, OutcomeKind.UNSENT);
+  assert.deepEqual({admitted, released}, {admitted: 0, released: 1});
+});
--- a/packages/gateway/src/calls/attempt.ts
+++ b/packages/gateway/src/calls/attempt.ts
@@ -201,7 +201,7 @@
   private async exchange(): Promise<AttemptOutcome> {
     const {call, choice, clock, model, caller, headerBuilder} = this.options;
     const {runner} = choice;
-    const connection = await this.connect();
+    const connection = await this.connectForCaller();
     if (!connection) return this.toUnsentOutcome();
     const withheldReason = this.options.admit();
     if (withheldReason !== undefined) {
@@ -258,6 +258,19 @@
     choice.runner.noteStatement(statement, sentAt);
   }
 
+  /** Acquires a connection for a caller that is still there; undefined if the attempt ends before that. */
+  private async connectForCaller(): Promise<PooledConnection | undefined> {
+    const {connectionReads} = this.options;
+    await connectionReads.ensureRecent();
+    const connection = await this.connect();
+    if (!connection) return undefined;
+    // The caller may have left while the connection was opened.
+    await connectionReads.ensureRecent();
+    if (!this.abortController.signal.aborted) return connection;
+    connection.release();
+    return undefined;
+  }
+
   /** Acquires a connection to the runner; undefined if the attempt ends before there is one. */
   private connect(): Promise<PooledConnection | undefined> {
     const {signal} = this.abortController;
