Names of properties that every object has stop no exchange between hosts

What was seen: one entry of a runner with an id like __proto__, constructor or toString, and all hosts fail to answer each other ('unexpected', peer_lost) until the entry is withdrawn. Cause: digests and sums are plain objects keyed by names from outside (ids of runners, services, routes, workspaces, places). A look-up finds what the object inherits, and an assignment to __proto__ sets its prototype. Change: sums are built in maps and turned into records at the end; records from elsewhere are read by getOwn, which sees only their own keys. What is sent stays as it was.

--- a/packages/decisions/src/admission/admission_plan.ts
+++ b/packages/decisions/src/admission/admission_plan.ts
@@ -1,3 +1,4 @@
+import {getOwn} from '@bayspool/kernel';
 import type {ServiceCapacity} from '../capacity/service_capacity.js';
 import {createFlowKey} from '../limits/create_flow_key.js';
 import {allocateByPriority} from './allocate_by_priority.js';
@@ -281,7 +282,9 @@
   private scaleFlows(keys: readonly string[], demand: number): number[] {
     const {own, peers} = this.options;
     const known = keys.map(
-      key => (own.byFlow.get(key) ?? 0) + (peers?.byWorkspace?.[key] ?? 0),
+      key =>
+        (own.byFlow.get(key) ?? 0) +
+        (getOwn(peers?.byWorkspace ?? {}, key) ?? 0),
     );
     const all = sum(known);
     const isKnown = all === 0 || all >= demand * MIN_KNOWN_SHARE;
--- a/packages/decisions/src/admission/demand_report.ts
+++ b/packages/decisions/src/admission/demand_report.ts
@@ -103,12 +103,12 @@
 function roundAll(
   record: Readonly<Record<string, number>>,
 ): Record<string, number> {
-  const rounded: Record<string, number> = {};
+  const rounded = new Map<string, number>();
   for (const [key, value] of Object.entries(record)) {
     const figure = round(value);
-    if (figure > 0) rounded[key] = figure;
+    if (figure > 0) rounded.set(key, figure);
   }
-  return rounded;
+  return Object.fromEntries(rounded);
 }
 
 function round(value: number): number {
--- a/packages/decisions/src/admission/subtract_demand_digest.ts
+++ b/packages/decisions/src/admission/subtract_demand_digest.ts
@@ -1,3 +1,4 @@
+import {getOwn} from '@bayspool/kernel';
 import type {DemandDigest} from './demand_digest.js';
 
 /** Subtracts what one host contributed from a sum of digests. */
@@ -19,10 +20,10 @@
   sum: Readonly<Record<string, number>>,
   part: Readonly<Record<string, number>> = {},
 ): Record<string, number> {
-  const rest: Record<string, number> = {};
+  const rest = new Map<string, number>();
   for (const [key, value] of Object.entries(sum)) {
-    const left = value - (part[key] ?? 0);
-    if (left > 0) rest[key] = left;
+    const left = value - (getOwn(part, key) ?? 0);
+    if (left > 0) rest.set(key, left);
   }
-  return rest;
+  return Object.fromEntries(rest);
 }
--- a/packages/decisions/src/calls/compare_times.ts
+++ b/packages/decisions/src/calls/compare_times.ts
@@ -1,3 +1,4 @@
+import {getOwn} from '@bayspool/kernel';
 import type {TimeComparison} from './time_comparison.js';
 import type {TimeCounts} from './time_counts.js';
 
@@ -29,7 +30,7 @@
  */
 export function compareTimes({fresh, old}: Options): TimeComparison {
   const tests = Object.entries(fresh)
-    .map(([name, counts]) => testStratum(counts, old[name] ?? {}))
+    .map(([name, counts]) => testStratum(counts, getOwn(old, name) ?? {}))
     .filter(({pairs}) => pairs > 0);
   const compared = sumOf(tests, ({freshCount}) => freshCount);
   const pairs = sumOf(tests, test => test.weight * test.pairs);
--- a/packages/decisions/src/membership/sum_by_key.ts
+++ b/packages/decisions/src/membership/sum_by_key.ts
@@ -2,10 +2,10 @@
 export function sumByKey(
   records: readonly Readonly<Record<string, number>>[],
 ): Record<string, number> {
-  const sum: Record<string, number> = {};
+  const sum = new Map<string, number>();
   for (const record of records) {
     for (const [key, value] of Object.entries(record))
-      sum[key] = (sum[key] ?? 0) + value;
+      sum.set(key, (sum.get(key) ?? 0) + value);
   }
-  return sum;
+  return Object.fromEntries(sum);
 }
--- a/packages/gateway/src/calls/call_candidates.ts
+++ b/packages/gateway/src/calls/call_candidates.ts
@@ -1,3 +1,4 @@
+import {getOwn} from '@bayspool/kernel';
 import type {RunnerDirectory} from '../discovery/runner_directory.js';
 import type {Runner} from '../runners/runner.js';
 import type {IncomingCall} from './incoming_call.js';
@@ -20,7 +21,10 @@
     const {directory, regionOf} = this.options;
     const runners = directory.listAcceptingCalls(service);
     if (!regions) return runners;
-    return runners.filter(({entry}) => regions.includes(regionOf[entry.place]));
+    return runners.filter(({entry}) => {
+      const region = getOwn(regionOf, entry.place);
+      return region !== undefined && regions.includes(region);
+    });
   }
 
   /** Explains why a call has no candidate. */
--- a/packages/gateway/src/host/runner_load_exchange.ts
+++ b/packages/gateway/src/host/runner_load_exchange.ts
@@ -1,5 +1,6 @@
 import type {PartQuarantine, Quarantine} from '@bayspool/decisions/calls';
 import type {SpeedSum} from '@bayspool/decisions/capacity';
+import {getOwn} from '@bayspool/kernel';
 import type {Clock} from '@bayspool/kernel';
 import type {ServiceAdmissions} from './service_admissions.js';
 import type {RunnerDirectory} from '../discovery/runner_directory.js';
@@ -45,16 +46,16 @@
 
   /** Creates the digest that this host sends to the others. */
   createDigest(): LoadDigest {
-    const runners: Record<string, [number, number, number, number]> = {};
+    const runners = new Map<string, [number, number, number, number]>();
     for (const {entry, ownLoad} of this.options.directory.all()) {
       const {running, pendingMs, ok, failed} = ownLoad;
       if (running === 0 && ok + failed < MIN_REPORTED_WEIGHT) continue;
-      runners[getIncarnationId(entry)] = [
+      runners.set(getIncarnationId(entry), [
         running,
         Math.round(pendingMs),
         roundTenths(ok),
         roundTenths(failed),
-      ];
+      ]);
     }
     const rollouts = Object.fromEntries(
       this.options.rollouts
@@ -66,7 +67,7 @@
     );
     const quarantine = this.options.quarantine.createDigest();
     return {
-      runners,
+      runners: Object.fromEntries(runners),
       rollouts,
       retries: this.options.serviceLimits.createRetryDigest(),
       parts: this.collectPromptParts(),
@@ -94,10 +95,10 @@
       // Digests are keyed by incarnation: the load of another one with the same id does not count.
       const incarnationId = getIncarnationId(runner.entry);
       const [running, pendingMs, ok, failed] =
-        runners[incarnationId] ?? NO_LOAD;
+        getOwn(runners, incarnationId) ?? NO_LOAD;
       runner.peerLoad.updateFromPeers({running, pendingMs, ok, failed});
-      runner.speed.updateFromPeers(speeds[incarnationId]);
-      const keys = parts[incarnationId];
+      runner.speed.updateFromPeers(getOwn(speeds, incarnationId));
+      const keys = getOwn(parts, incarnationId);
       if (keys) prefixes.addKeysFromPeers(runner.entry.id, keys);
     }
     this.options.rollouts.applyRemoteDigests(rollouts);
@@ -109,22 +110,22 @@
 
   /** Returns the samples of runners that are clearly slower or faster than usual; undefined if there are none. */
   private collectSpeeds(): Record<string, SpeedSum> | undefined {
-    let speeds: Record<string, SpeedSum> | undefined;
+    const speeds = new Map<string, SpeedSum>();
     for (const {entry, speed} of this.options.directory.all()) {
       const sum = speed.createDigest();
-      if (sum) (speeds ??= {})[getIncarnationId(entry)] = sum;
+      if (sum) speeds.set(getIncarnationId(entry), sum);
     }
-    return speeds;
+    return speeds.size > 0 ? Object.fromEntries(speeds) : undefined;
   }
 
   private collectPromptParts(): PartKeysByRunner {
     const recentKeys = this.options.prefixes.collectRecentKeys();
-    const parts: Record<string, readonly number[]> = {};
+    const parts = new Map<string, readonly number[]>();
     for (const {entry} of this.options.directory.all()) {
-      const keys = recentKeys[entry.id];
-      if (keys) parts[getIncarnationId(entry)] = keys;
+      const keys = getOwn(recentKeys, entry.id);
+      if (keys) parts.set(getIncarnationId(entry), keys);
     }
-    return parts;
+    return Object.fromEntries(parts);
   }
 
   /** Counts this host's running requests on versions that the rollout replaces. */
--- a/packages/gateway/src/host/service_admissions.ts
+++ b/packages/gateway/src/host/service_admissions.ts
@@ -1,6 +1,7 @@
 import {OverloadControl} from '@bayspool/decisions/admission';
 import type {DemandDigest} from '@bayspool/decisions/admission';
 import type {ServiceCapacity} from '@bayspool/decisions/capacity';
+import {getOwn} from '@bayspool/kernel';
 import type {Clock} from '@bayspool/kernel';
 import type {EventLog} from '../observability/event_log.js';
 import type {MetricSample} from '../observability/metric_sample.js';
@@ -42,19 +43,19 @@
 
   /** What callers ask of each service at this host. */
   createDigest(): Record<string, DemandDigest> {
-    const digest: Record<string, DemandDigest> = {};
+    const digest = new Map<string, DemandDigest>();
     for (const [service, control] of this.controls) {
       const demand = control.createDigest();
       if (isIdle(demand)) continue;
-      digest[service] = demand;
+      digest.set(service, demand);
     }
-    return digest;
+    return Object.fromEntries(digest);
   }
 
   /** Applies the sum of what callers ask of each service at the other hosts. */
   applyPeerDigest(demands: Readonly<Record<string, DemandDigest>>): void {
     for (const [service, control] of this.controls)
-      control.applyPeerDigest(demands[service] ?? NO_DEMAND);
+      control.applyPeerDigest(getOwn(demands, service) ?? NO_DEMAND);
   }
 
   /** Figures of each service as series of a metric. */
--- a/packages/gateway/src/host/service_limits.ts
+++ b/packages/gateway/src/host/service_limits.ts
@@ -1,6 +1,7 @@
 import {RetrySchedule} from '@bayspool/decisions/admission';
 import {SharedRetryBudget, PriorityAdmission} from '@bayspool/decisions/calls';
 import type {RetryCounts, RunnerRateLimit} from '@bayspool/decisions/calls';
+import {getOwn} from '@bayspool/kernel';
 import type {Clock, RandomSource} from '@bayspool/kernel';
 import type {ActiveConfiguration} from '../discovery/active_configuration.js';
 import type {GatewaySettings} from '../gateway_settings.js';
@@ -92,12 +93,12 @@
 
   /** Calls and retries of this host in the last window, by service. */
   createRetryDigest(): LoadDigest['retries'] {
-    const digest: Record<string, readonly [number, number]> = {};
+    const digest = new Map<string, readonly [number, number]>();
     for (const [service, {windowCounts}] of this.retryBudgets) {
       const {calls, retries} = windowCounts;
-      if (calls + retries > 0) digest[service] = [calls, retries];
+      if (calls + retries > 0) digest.set(service, [calls, retries]);
     }
-    return digest;
+    return Object.fromEntries(digest);
   }
 
   /** Applies the sum of the other hosts' counts. */
@@ -108,7 +109,7 @@
 
   private peerCountsOf(service: string): RetryCounts | undefined {
     const ageMs = this.options.clock.now() - this.peerRetriesAt;
-    const counts = this.peerRetries?.[service];
+    const counts = getOwn(this.peerRetries ?? {}, service);
     if (!counts || ageMs > MAX_PEER_COUNTS_AGE_MS) return undefined;
     const [calls, retries] = counts;
     return {calls, retries};
--- a/packages/gateway/src/peers/advance_rollout_ages.ts
+++ b/packages/gateway/src/peers/advance_rollout_ages.ts
@@ -13,15 +13,15 @@
   digest: LoadDigest,
   byMs: number,
 ): LoadDigest {
-  const services = Object.keys(digest.rollouts);
-  if (services.length === 0 || byMs <= 0) return digest;
-  const rollouts: Record<string, RolloutDigest> = {};
-  for (const service of services) {
-    const rollout = digest.rollouts[service];
-    const {elapsedMs} = rollout;
-    rollouts[service] = hasKnownAge(rollout)
-      ? {...rollout, elapsedMs: elapsedMs + byMs}
-      : rollout;
-  }
-  return {...digest, rollouts};
+  const rollouts = Object.entries(digest.rollouts);
+  if (rollouts.length === 0 || byMs <= 0) return digest;
+  const advanced = rollouts.map(
+    ([service, rollout]) => [service, advanceAge(rollout, byMs)] as const,
+  );
+  return {...digest, rollouts: Object.fromEntries(advanced)};
+}
+
+function advanceAge(rollout: RolloutDigest, byMs: number): RolloutDigest {
+  if (!hasKnownAge(rollout)) return rollout;
+  return {...rollout, elapsedMs: rollout.elapsedMs + byMs};
 }
--- a/packages/gateway/src/peers/merge_demands.ts
+++ b/packages/gateway/src/peers/merge_demands.ts
@@ -7,14 +7,14 @@
 export function mergeDemands(
   records: readonly (Demands | undefined)[],
 ): Demands | undefined {
-  let merged: Record<string, DemandDigest> | undefined;
+  let merged: Map<string, DemandDigest> | undefined;
   for (const record of records) {
     if (!record) continue;
-    merged ??= {};
+    merged ??= new Map<string, DemandDigest>();
     for (const [service, demand] of Object.entries(record)) {
-      const sum = merged[service];
-      merged[service] = sum ? sumDemandDigests(sum, demand) : demand;
+      const sum = merged.get(service);
+      merged.set(service, sum ? sumDemandDigests(sum, demand) : demand);
     }
   }
-  return merged;
+  return merged && Object.fromEntries(merged);
 }
--- a/packages/gateway/src/peers/merge_load_digests.ts
+++ b/packages/gateway/src/peers/merge_load_digests.ts
@@ -12,23 +12,24 @@
 
 /** Sums load digests. */
 export function mergeLoadDigests(digests: readonly LoadDigest[]): LoadDigest {
-  const runners: Record<string, RunnerCounts> = {};
-  const rollouts: Record<string, RolloutDigest> = {};
+  const runners = new Map<string, RunnerCounts>();
+  const rollouts = new Map<string, RolloutDigest>();
   for (const digest of digests) {
     for (const [id, [running, pendingMs, ok, failed]] of Object.entries(
       digest.runners,
     )) {
-      const sum = runners[id] ?? [0, 0, 0, 0];
-      runners[id] = [
+      const sum = runners.get(id) ?? [0, 0, 0, 0];
+      runners.set(id, [
         sum[0] + running,
         sum[1] + pendingMs,
         sum[2] + ok,
         sum[3] + failed,
-      ];
+      ]);
     }
     for (const [service, rollout] of Object.entries(digest.rollouts)) {
-      const sum = rollouts[service];
-      rollouts[service] = sum ? mergeRolloutDigests(sum, rollout) : rollout;
+      const sum = rollouts.get(service);
+      const merged = sum ? mergeRolloutDigests(sum, rollout) : rollout;
+      rollouts.set(service, merged);
     }
   }
   const retries = mergeRetryCounts(digests.map(digest => digest.retries));
@@ -42,8 +43,8 @@
   const speeds = mergeSpeeds(digests.map(digest => digest.speeds));
   const demand = mergeDemands(digests.map(digest => digest.demand));
   return {
-    runners,
-    rollouts,
+    runners: Object.fromEntries(runners),
+    rollouts: Object.fromEntries(rollouts),
     retries,
     speeds,
     parts,
--- a/packages/gateway/src/peers/merge_prompt_parts.ts
+++ b/packages/gateway/src/peers/merge_prompt_parts.ts
@@ -7,14 +7,17 @@
 export function mergePromptParts(
   digests: readonly PartKeysByRunner[],
 ): PartKeysByRunner {
-  const parts: Record<string, number[]> = {};
+  const parts = new Map<string, number[]>();
   let left = MAX_KEYS;
   for (const digest of digests) {
     for (const [runner, keys] of Object.entries(digest)) {
       const taken = keys.slice(0, left);
       left -= taken.length;
-      if (taken.length > 0) (parts[runner] ??= []).push(...taken);
+      if (taken.length === 0) continue;
+      const known = parts.get(runner);
+      if (known) known.push(...taken);
+      else parts.set(runner, [...taken]);
     }
   }
-  return parts;
+  return Object.fromEntries(parts);
 }
--- a/packages/gateway/src/peers/merge_retry_counts.ts
+++ b/packages/gateway/src/peers/merge_retry_counts.ts
@@ -6,12 +6,12 @@
 export function mergeRetryCounts(
   digests: ReadonlyArray<Counts | undefined>,
 ): Counts {
-  const sums: Record<string, readonly [number, number]> = {};
+  const sums = new Map<string, readonly [number, number]>();
   for (const digest of digests) {
     for (const [service, [calls, retries]] of Object.entries(digest ?? {})) {
-      const sum = sums[service] ?? [0, 0];
-      sums[service] = [sum[0] + calls, sum[1] + retries];
+      const sum = sums.get(service) ?? [0, 0];
+      sums.set(service, [sum[0] + calls, sum[1] + retries]);
     }
   }
-  return sums;
+  return Object.fromEntries(sums);
 }
--- a/packages/gateway/src/peers/merge_speeds.ts
+++ b/packages/gateway/src/peers/merge_speeds.ts
@@ -6,14 +6,14 @@
 export function mergeSpeeds(
   parts: ReadonlyArray<Speeds | undefined>,
 ): Speeds | undefined {
-  let merged: Record<string, SpeedSum> | undefined;
+  let merged: Map<string, SpeedSum> | undefined;
   for (const speeds of parts) {
     if (!speeds) continue;
-    merged ??= {};
+    merged ??= new Map<string, SpeedSum>();
     for (const [id, [weight, logSum]] of Object.entries(speeds)) {
-      const [otherWeight, otherSum] = merged[id] ?? [0, 0];
-      merged[id] = [weight + otherWeight, logSum + otherSum];
+      const [otherWeight, otherSum] = merged.get(id) ?? [0, 0];
+      merged.set(id, [weight + otherWeight, logSum + otherSum]);
     }
   }
-  return merged;
+  return merged && Object.fromEntries(merged);
 }
--- a/packages/gateway/src/peers/subtract_demands.ts
+++ b/packages/gateway/src/peers/subtract_demands.ts
@@ -1,4 +1,5 @@
 import {subtractDemandDigest} from '@bayspool/decisions/admission';
+import {getOwn} from '@bayspool/kernel';
 import type {DemandDigest} from '@bayspool/decisions/admission';
 
 type Demands = Readonly<Record<string, DemandDigest>>;
@@ -11,7 +12,7 @@
   if (!sum) return undefined;
   const rest: Record<string, DemandDigest> = {...sum};
   for (const [service, own] of Object.entries(part)) {
-    const all = rest[service];
+    const all = getOwn(rest, service);
     if (all) rest[service] = subtractDemandDigest(all, own);
   }
   return rest;
--- a/packages/gateway/src/peers/subtract_load_digest.ts
+++ b/packages/gateway/src/peers/subtract_load_digest.ts
@@ -1,3 +1,4 @@
+import {getOwn} from '@bayspool/kernel';
 import {combineTimeStrata} from '../rollouts/combine_time_strata.js';
 import type {TimeStrata} from '../rollouts/time_strata.js';
 import type {LoadDigest} from './load_digest.js';
@@ -13,13 +14,13 @@
 ): LoadDigest {
   const runners: Record<string, RunnerCounts> = {...sum.runners};
   for (const [id, own] of Object.entries(part.runners)) {
-    const all = runners[id];
+    const all = getOwn(runners, id);
     if (all)
       runners[id] = all.map((n, i) => subtractClamped(n, own[i])) as never;
   }
   const rollouts = {...sum.rollouts};
   for (const [service, own] of Object.entries(part.rollouts)) {
-    const all = rollouts[service];
+    const all = getOwn(rollouts, service);
     if (!all || all.offset !== own.offset) continue;
     rollouts[service] = {
       ...all,
@@ -53,7 +54,7 @@
 ): RetryCounts {
   const rest = {...sum};
   for (const [service, [calls, retries]] of Object.entries(part)) {
-    const all = rest[service];
+    const all = getOwn(rest, service);
     if (!all) continue;
     rest[service] = [
       subtractClamped(all[0], calls),
@@ -68,7 +69,7 @@
 function subtractCells(sum: Cells, part: Cells): Cells {
   const rest = {...sum};
   for (const [name, own] of Object.entries(part)) {
-    const all = rest[name];
+    const all = getOwn(rest, name);
     if (all)
       rest[name] = all.map((n, i) =>
         subtractClamped(n ?? 0, own[i] ?? 0),
--- a/packages/gateway/src/peers/subtract_speeds.ts
+++ b/packages/gateway/src/peers/subtract_speeds.ts
@@ -1,3 +1,4 @@
+import {getOwn} from '@bayspool/kernel';
 import type {SpeedSum} from '@bayspool/decisions/capacity';
 
 type Speeds = Readonly<Record<string, SpeedSum>>;
@@ -10,7 +11,7 @@
   if (!sum) return undefined;
   const rest: Record<string, SpeedSum> = {...sum};
   for (const [id, [weight, logSum]] of Object.entries(part)) {
-    const all = rest[id];
+    const all = getOwn(rest, id);
     if (!all) continue;
     if (all[0] > weight) rest[id] = [all[0] - weight, all[1] - logSum];
     else delete rest[id];
--- a/packages/gateway/src/relay/relay_host_registry.ts
+++ b/packages/gateway/src/relay/relay_host_registry.ts
@@ -1,3 +1,4 @@
+import {getOwn} from '@bayspool/kernel';
 import type {Clock, RandomSource} from '@bayspool/kernel';
 import type {HostDirectory} from '../peers/host_directory.js';
 import {RunnerProbe} from '../runners/runner_probe.js';
@@ -114,7 +115,8 @@
     const places = [self.place, ...hostDirectory.listOtherPlaces()];
     const found: RelayHost[] = [];
     for (const place of places) {
-      if (regions && !regions.includes(regionOf[place])) continue;
+      const region = getOwn(regionOf, place);
+      if (regions && (!region || !regions.includes(region))) continue;
       // Those that did not respond to this host a moment ago are left out.
       for (const entry of hostDirectory.listReaderCandidates(place)) {
         const {name, relayAddress} = entry;
--- a/packages/gateway/src/rollouts/combine_time_strata.ts
+++ b/packages/gateway/src/rollouts/combine_time_strata.ts
@@ -1,3 +1,5 @@
+import type {TimeCounts} from '@bayspool/decisions/calls';
+import {getOwn} from '@bayspool/kernel';
 import type {TimeStrata} from './time_strata.js';
 
 /** Combines two sets of times number by number; a number that one of them lacks is 0. */
@@ -6,14 +8,23 @@
   b: TimeStrata,
   combine: (a: number, b: number) => number,
 ): TimeStrata {
-  const result: Record<string, Record<string, number>> = {};
-  for (const name of unionKeys(a, b)) {
-    const [ofA = {}, ofB = {}] = [a[name], b[name]];
-    result[name] = {};
-    for (const index of unionKeys(ofA, ofB))
-      result[name][index] = combine(ofA[index] ?? 0, ofB[index] ?? 0);
-  }
-  return result;
+  const strata = unionKeys(a, b).map(name => {
+    const [ofA = {}, ofB = {}] = [getOwn(a, name), getOwn(b, name)];
+    return [name, combineTimes(ofA, ofB, combine)] as const;
+  });
+  return Object.fromEntries(strata);
+}
+
+function combineTimes(
+  a: TimeCounts,
+  b: TimeCounts,
+  combine: (a: number, b: number) => number,
+): TimeCounts {
+  const times = unionKeys(a, b).map(
+    index =>
+      [index, combine(getOwn(a, index) ?? 0, getOwn(b, index) ?? 0)] as const,
+  );
+  return Object.fromEntries(times);
 }
 
 function unionKeys(a: object, b: object): string[] {
--- a/packages/gateway/src/rollouts/merge_rollout_digests.ts
+++ b/packages/gateway/src/rollouts/merge_rollout_digests.ts
@@ -2,7 +2,6 @@
 import {combineTimeStrata} from './combine_time_strata.js';
 import {mergeShareSteps} from './merge_share_steps.js';
 import {selectAge} from './select_age.js';
-import type {OutcomeCounts} from './outcome_counts.js';
 import type {RolloutAge} from './rollout_age.js';
 import type {RolloutDigest} from './rollout_digest.js';
 import type {TimeStrata} from './time_strata.js';
@@ -40,8 +39,8 @@
 }
 
 function mergeCells(a: Cells, b: Cells): Cells {
-  const sum: Record<string, OutcomeCounts> = {...a};
+  const sum = new Map(Object.entries(a));
   for (const [name, counts] of Object.entries(b))
-    sum[name] = addOutcomeCounts(sum[name] ?? [0, 0, 0], counts);
-  return sum;
+    sum.set(name, addOutcomeCounts(sum.get(name) ?? [0, 0, 0], counts));
+  return Object.fromEntries(sum);
 }
--- a/packages/gateway/src/rollouts/recent_evidence.ts
+++ b/packages/gateway/src/rollouts/recent_evidence.ts
@@ -1,3 +1,4 @@
+import {getOwn} from '@bayspool/kernel';
 import type {Clock} from '@bayspool/kernel';
 import type {OutcomeCounts} from './outcome_counts.js';
 import type {RolloutDigest} from './rollout_digest.js';
@@ -64,9 +65,9 @@
   before: Cells,
   onDecrease: (counts: OutcomeCounts) => OutcomeCounts,
 ): Cells {
-  const recent: Record<string, OutcomeCounts> = {};
+  const recent = new Map<string, OutcomeCounts>();
   for (const [name, counts] of Object.entries(now)) {
-    const [ended, failed, slow, lost = 0] = before[name] ?? ZERO_COUNTS;
+    const [ended, failed, slow, lost = 0] = getOwn(before, name) ?? ZERO_COUNTS;
     const difference = [
       counts[0] - ended,
       counts[1] - failed,
@@ -74,7 +75,7 @@
       (counts[3] ?? 0) - lost,
     ] as const;
     const isMonotonic = difference.every(count => count >= 0);
-    recent[name] = isMonotonic ? difference : onDecrease(counts);
+    recent.set(name, isMonotonic ? difference : onDecrease(counts));
   }
-  return recent;
+  return Object.fromEntries(recent);
 }
--- a/packages/gateway/src/rollouts/rollout.ts
+++ b/packages/gateway/src/rollouts/rollout.ts
@@ -16,6 +16,7 @@
   TimeComparison,
   VersionOutcomes,
 } from '@bayspool/decisions/calls';
+import {getOwn} from '@bayspool/kernel';
 import type {Clock} from '@bayspool/kernel';
 import {roundToHundredths} from '../observability/round_to_hundredths.js';
 import type {EventLog} from '../observability/event_log.js';
@@ -461,13 +462,14 @@
   cells: RolloutEvidence['fresh'],
   overdue: ReadonlyMap<string, number>,
 ): Record<string, OutcomeCounts> {
-  const counts: Record<string, OutcomeCounts> = {};
+  const counts = new Map<string, OutcomeCounts>();
   for (const name of new Set([...cells.keys(), ...overdue.keys()])) {
     const {ended = 0, failed = 0, slow = 0, lost = 0} = cells.get(name) ?? {};
     const overdueCount = overdue.get(name) ?? 0;
-    counts[name] = [ended + overdueCount, failed, slow + overdueCount, lost];
+    const isSlow = slow + overdueCount;
+    counts.set(name, [ended + overdueCount, failed, isSlow, lost]);
   }
-  return counts;
+  return Object.fromEntries(counts);
 }
 
 function compareTimesOf({
@@ -486,7 +488,7 @@
   names: string[],
 ): VersionOutcomes {
   const [ended, failed, slow, lost] = names
-    .map(name => cells[name] ?? ZERO_COUNTS)
+    .map(name => getOwn(cells, name) ?? ZERO_COUNTS)
     .reduce(addOutcomeCounts, ZERO_COUNTS);
   return {ended, failed, slow, lost};
 }
--- a/packages/gateway/src/runners/prefix_cache_index.ts
+++ b/packages/gateway/src/runners/prefix_cache_index.ts
@@ -66,10 +66,13 @@
     this.recentParts = this.recentParts
       .filter(({at}) => at > since)
       .slice(-MAX_SHARED_KEYS);
-    const keys: Record<string, number[]> = {};
-    for (const {runner, key} of this.recentParts)
-      (keys[runner] ??= []).push(key);
-    return keys;
+    const keys = new Map<string, number[]>();
+    for (const {runner, key} of this.recentParts) {
+      const known = keys.get(runner);
+      if (known) known.push(key);
+      else keys.set(runner, [key]);
+    }
+    return Object.fromEntries(keys);
   }
 
   /** Adds parts that a runner processed for other hosts. */
--- a/packages/kernel/src/index.ts
+++ b/packages/kernel/src/index.ts
@@ -27,6 +27,7 @@
 export type {Plugin} from './plugins/plugin.js';
 export {pluginRegistry} from './plugins/plugin_registry.js';
 export type {Service} from './plugins/service.js';
+export {getOwn} from './records/get_own.js';
 export {Kernel} from './kernel.js';
 export type {Logger} from './observability/logger.js';
 export {createLogger} from './observability/create_logger.js';
