Refuse runner entries with numbers and addresses that no runner can have

What was seen: an entry with a port over 65,535 was taken for a runner; a call sent to it failed with a RangeError, which counts as a request that may have run. By reading: an entry that names 9e15 slots draws the calls of a plain service; one under a runner's id that was born in 180,000 years, a time in another unit, keeps out all later entries of that runner.

--- a/packages/gateway/src/records/field_codecs.ts
+++ b/packages/gateway/src/records/field_codecs.ts
@@ -1,8 +1,10 @@
+import {isIPv4} from 'node:net';
 import {Codec, number, string} from 'purify-ts/Codec';
 import {Left, Right} from 'purify-ts/Either';
 
 /** IPv4 address and port at which a runner or host listens. */
-const ADDRESS_PATTERN = /^(\d{1,3}\.){3}\d{1,3}:\d{1,5}$/;
+const ADDRESS_PATTERN = /^([\d.]+):(\d{1,5})$/;
+const MAX_PORT = 65_535;
 /** Longest name that the platform assigns, in characters. */
 const MAX_NAME_LENGTH = 200;
 
@@ -21,6 +23,12 @@
   });
 }
 
+function isAddress(text: string): boolean {
+  const [, ip, port] = ADDRESS_PATTERN.exec(text) ?? [];
+  if (ip === undefined || !isIPv4(ip)) return false;
+  return Number(port) > 0 && Number(port) <= MAX_PORT;
+}
+
 /** Codecs for the fields of store entries. */
 export const fieldCodecs = {
   /** A non-empty name of bounded length. */
@@ -32,15 +40,23 @@
   /** IP:PORT. */
   address: refine(
     string,
-    text => ADDRESS_PATTERN.test(text),
-    'must be IP:PORT',
-  ),
-  /** An integer of at least 1 that a JSON number represents exactly. */
-  positiveInteger: refine(
-    number,
-    value => Number.isSafeInteger(value) && value > 0,
-    'must be an integer greater than 0',
+    isAddress,
+    `must be IP:PORT with a port from 1 to ${MAX_PORT}`,
   ),
+  /** An integer from 1 to a maximum. */
+  integerUpTo: (max: number) =>
+    refine(
+      number,
+      value => Number.isInteger(value) && value > 0 && value <= max,
+      `must be an integer from 1 to ${max}`,
+    ),
+  /** A number from 0 to a maximum. */
+  numberUpTo: (max: number) =>
+    refine(
+      number,
+      value => value >= 0 && value <= max,
+      `must be a number from 0 to ${max}`,
+    ),
   /** A finite number of at least 0. */
   nonNegative: refine(
     number,
