Daemon: handle a request only if its caller is still there

What callers saw: nothing of their own, as they had left; their requests ran all the same where the daemon's host had not run for a while. Cause: as at the gateway: a request is handled in the turn of the event loop in which it is read, the end of its connection is read later. Requests that wait for an earlier one on their connection were never told of its end. Change: the caller door uses the kernel's CallerDepartures and ConnectionReads. A caller that has left is logged as 'caller left' and counted with the status 'none'.

--- a/packages/daemon/src/callers/caller_server.ts
+++ b/packages/daemon/src/callers/caller_server.ts
@@ -1,6 +1,8 @@
 import {randomUUID} from 'node:crypto';
 import {Outcome, RequestFailure} from '@bayspool/decisions';
 import {
+  CallerDepartures,
+  ConnectionReads,
   Problem,
   ProblemKind,
   sleep,
@@ -42,17 +44,23 @@
   readonly drainTimeoutMs: number;
 }
 
+/** Label of requests whose callers left before they got a response. */
+const NO_STATUS = 'none';
+
 /** The HTTP server for callers. */
 export class CallerServer implements Service {
   readonly name = 'caller door';
   private readonly server: HttpServer;
+  private readonly departures = new CallerDepartures();
+  private readonly connectionReads: ConnectionReads;
   private readonly requestsTotal: Counter<'kind' | 'status' | 'outcome'>;
   private readonly requestSeconds: Histogram<'kind'>;
   private openRequests = 0;
   address = '';
 
   constructor(private readonly options: Options) {
-    const {metrics, endpoint} = options;
+    const {clock, metrics, endpoint} = options;
+    this.connectionReads = new ConnectionReads({clock});
     this.requestsTotal = metrics.counter(
       'requests_total',
       "Callers' requests.",
@@ -141,16 +149,17 @@
     const id = randomUUID();
     const kind = classifyPath(request.path);
     const startedAt = clock.now();
+    const disconnected = new AbortController();
+    this.departures.watch(request, response, () => disconnected.abort());
+    await this.connectionReads.refresh();
+    if (disconnected.signal.aborted)
+      return this.recordLeft(id, kind, clock.now() - startedAt);
     const span = tracing.start(
       'caller door',
       tracing.extract(request.headers),
       {request_id: id, kind},
     );
     const trace = tracing.under(span);
-    const disconnected = new AbortController();
-    response.on('close', () => {
-      if (!response.writableFinished) disconnected.abort();
-    });
     this.openRequests++;
     let answer: CallResponse;
     try {
@@ -191,6 +200,14 @@
     });
     span.end();
   }
+
+  /** Records that the caller had left when its request was read; nothing was done for it. */
+  private recordLeft(requestId: string, kind: string, forMs: number): void {
+    const outcome = Outcome.NOT_RUN;
+    this.requestsTotal.inc({kind, status: NO_STATUS, outcome});
+    const durationMs = Math.round(forMs);
+    this.options.logger.info('caller left', {requestId, kind, durationMs});
+  }
 }
 
 function createRawCall(
