Gateway: the kinds of a runner's response, and the connection of an attempt, apart

Change: classifyResponse tells the kind of a response from its head; acquireConnection takes a connection for a caller that is still there.

--- a/packages/daemon/src/runners/http_runner.test.ts
+++ b/packages/daemon/src/runners/http_runner.test.ts
@@ -1,3 +1,4 @@
+// Guards against sending a request to a second engine because the first one repeats a refusal of another request.
 import assert from 'node:assert/strict';
 import {createServer} from 'node:net';
 import type {AddressInfo, Socket} from 'node:net';
@@ -14,12 +15,32 @@
 /** Time after which the connection of an answer is certainly idle, in ms. */
 const IDLE_MS = 50;
 
-/** Starts an engine that refuses its first request, repeats that once the second one has arrived, and then answers it. */
-async function startEngine(context: TestContext): Promise<string> {
-  let refusedSocket: Socket | undefined;
+async function startServer(
+  context: TestContext,
+  accept: (socket: Socket) => void,
+): Promise<HttpRunner> {
   const server = createServer(socket => {
     context.after(() => socket.destroy());
     socket.on('error', () => undefined);
+    accept(socket);
+  });
+  context.after(() => server.close());
+  await new Promise<void>(resolve => {
+    server.listen(0, '127.0.0.1', resolve);
+  });
+  return new HttpRunner({
+    id: 'one',
+    place: 'a',
+    endpoint: `127.0.0.1:${(server.address() as AddressInfo).port}`,
+    connectTimeoutMs: 1_000,
+    stallTimeoutMs: 1_000,
+  });
+}
+
+/** Starts an engine that refuses its first request, repeats that once the second one has arrived, and then answers it. */
+function startEngine(context: TestContext): Promise<HttpRunner> {
+  let refusedSocket: Socket | undefined;
+  return startServer(context, socket =>
     socket.on('data', () => {
       if (!refusedSocket) {
         refusedSocket = socket;
@@ -27,13 +48,8 @@
       }
       if (!refusedSocket.destroyed) refusedSocket.write(REFUSAL);
       socket.write(ANSWER);
-    });
-  });
-  context.after(() => server.close());
-  await new Promise<void>(resolve => {
-    server.listen(0, '127.0.0.1', resolve);
-  });
-  return `127.0.0.1:${(server.address() as AddressInfo).port}`;
+    }),
+  );
 }
 
 /** Sends a request. @returns how the runner failed it */
@@ -61,14 +77,21 @@
 }
 
 void test('a refusal that an engine repeats is not taken for the response to the next request', async context => {
-  const runner = new HttpRunner({
-    id: 'one',
-    place: 'a',
-    endpoint: await startEngine(context),
-    connectTimeoutMs: 1_000,
-    stallTimeoutMs: 1_000,
-  });
+  const runner = await startEngine(context);
   assert.equal((await failOnce(runner, 'first')).mayHaveRun, false);
   await sleep(IDLE_MS);
   assert.equal((await failOnce(runner, 'second')).mayHaveRun, true);
 });
+
+void test('a failure that is no refusal makes no promise, and keeps its connection', async context => {
+  let connections = 0;
+  const runner = await startServer(context, socket => {
+    connections += 1;
+    socket.on('data', () => socket.write(ANSWER));
+  });
+  for (const id of ['first', 'second']) {
+    assert.equal((await failOnce(runner, id)).mayHaveRun, true);
+    await sleep(IDLE_MS);
+  }
+  assert.equal(connections, 1);
+});
--- a/packages/daemon/src/runners/http_service_runner.test.ts
+++ b/packages/daemon/src/runners/http_service_runner.test.ts
@@ -1,3 +1,4 @@
+// Guards against passing a part of a response of a plain service on as the whole.
 import assert from 'node:assert/strict';
 import {createServer} from 'node:net';
 import type {AddressInfo, Socket} from 'node:net';
--- a/packages/gateway/src/calls/attempt.ts
+++ b/packages/gateway/src/calls/attempt.ts
@@ -1,5 +1,4 @@
 import type {IncomingMessage} from 'node:http';
-import {isStreamed} from '@bayspool/decisions/calls';
 import type {Clock, ConnectionReads} from '@bayspool/kernel';
 import {ConnectFailure} from '../runners/connect_failure.js';
 import type {PooledConnection} from '../runners/pooled_connection.js';
@@ -8,17 +7,21 @@
 import {drainResponse} from '../runners/drain_response.js';
 import {ExchangeFailure} from '../runners/exchange_failure.js';
 import {sendRequest} from '../runners/send_request.js';
+import {acquireConnection} from './acquire_connection.js';
 import {BufferedResponseReader} from './buffered_response_reader.js';
+import {classifyResponse} from './classify_response.js';
 import {OutcomeKind} from './outcome_kind.js';
 import type {AttemptOutcome} from './attempt_outcome.js';
 import type {CallerResponse} from './caller_response.js';
 import {EventRelay} from './event_relay.js';
 import type {HeaderNames} from './header_names.js';
 import type {IncomingCall} from './incoming_call.js';
+import {MISDIRECTED} from './misdirected.js';
 import {readKeepAliveSeconds} from './read_keep_alive_seconds.js';
 import {readLoadReport} from './read_load_report.js';
 import {readRunnerStatement} from './read_runner_statement.js';
 import type {RequestHeaders} from './request_headers.js';
+import {ResponseKind} from './response_kind.js';
 import {ResponseReading} from './response_reading.js';
 import {RunEnd} from './run_end.js';
 import {SilenceDetector} from './silence_detector.js';
@@ -52,12 +55,6 @@
   readonly claimDelivery: () => boolean;
 }
 
-/** Status by which a runner reports that the request was meant for another one. */
-const MISDIRECTED = 421;
-/** Statuses from this one up to {@link REDIRECT} are successes. */
-const OK = 200;
-const REDIRECT = 300;
-
 /** One attempt of a call at one runner. */
 export class Attempt {
   private readonly abortController = new AbortController();
@@ -199,9 +196,15 @@
   }
 
   private async exchange(): Promise<AttemptOutcome> {
-    const {call, choice, clock, model, caller, headerBuilder} = this.options;
+    const {call, choice, clock, connectionReads, model, caller, headerBuilder} =
+      this.options;
     const {runner} = choice;
-    const connection = await this.connectForCaller();
+    const connection = await acquireConnection({
+      pool: runner.pool,
+      requestId: call.id,
+      connectionReads,
+      signal: this.abortController.signal,
+    });
     if (!connection) return this.toUnsentOutcome();
     const withheldReason = this.options.admit();
     if (withheldReason !== undefined) {
@@ -225,7 +228,7 @@
     const {method, path, body} = call;
     const sentAt = clock.now();
     this.sentAt = sentAt;
-    this.callerAgeAtSendMs = this.options.connectionReads.ageMs;
+    this.callerAgeAtSendMs = connectionReads.ageMs;
     const response = await sendRequest({
       connection,
       request: {method, path, headers, body},
@@ -258,36 +261,6 @@
     choice.runner.noteStatement(statement, sentAt);
   }
 
-  /** Acquires a connection for a caller that is still there; undefined if the attempt ends before that. */
-  private async connectForCaller(): Promise<PooledConnection | undefined> {
-    const {connectionReads} = this.options;
-    await connectionReads.ensureRecent();
-    const connection = await this.connect();
-    if (!connection) return undefined;
-    // The caller may have left while the connection was opened.
-    await connectionReads.ensureRecent();
-    if (!this.abortController.signal.aborted) return connection;
-    connection.release();
-    return undefined;
-  }
-
-  /** Acquires a connection to the runner; undefined if the attempt ends before there is one. */
-  private connect(): Promise<PooledConnection | undefined> {
-    const {signal} = this.abortController;
-    const {call, choice} = this.options;
-    const {pool} = choice.runner;
-    return new Promise((resolve, reject) => {
-      const giveUp = () => resolve(undefined);
-      if (signal.aborted) return giveUp();
-      signal.addEventListener('abort', giveUp, {once: true});
-      pool.acquire(call.id).then(connection => {
-        signal.removeEventListener('abort', giveUp);
-        if (signal.aborted) connection.release();
-        else resolve(connection);
-      }, reject);
-    });
-  }
-
   /** A missing connection counts against the runner only if the call itself has not ended. */
   private toUnsentOutcome(): AttemptOutcome {
     const isRunnersFault = this.abortReason === RunEnd.SILENT;
@@ -299,44 +272,43 @@
     response: IncomingMessage,
     connection: PooledConnection,
   ): Promise<AttemptOutcome> | AttemptOutcome {
-    const {headerNames, call, choice} = this.options;
+    const {headerNames, call} = this.options;
     const status = response.statusCode ?? 0;
-    const id = response.headers[headerNames.requestId];
-    if (id !== undefined && id !== call.id) {
-      connection.discard();
-      return {kind: OutcomeKind.BROKEN, reason: 'answer to another request'};
-    }
-    const isSuccess = status >= OK && status < REDIRECT;
-    const isNotRun =
-      status === MISDIRECTED ||
-      response.headers[headerNames.notRun] !== undefined;
-    if (isNotRun || !isSuccess)
-      connection.noteUnanswered(call.id, call.deadlineAt);
-    if (isNotRun) {
-      if (status === MISDIRECTED) choice.runner.noteReplaced();
-      else choice.runner.brittleness.noteRejected();
-      drainResponse({clock: this.options.clock, response, connection});
-      return {
-        kind: OutcomeKind.NOT_RUN,
-        reason: `runner says ${status}`,
-        status,
-      };
+    switch (classifyResponse(response, call, headerNames)) {
+      case ResponseKind.OTHER_REQUEST:
+        connection.discard();
+        return {kind: OutcomeKind.BROKEN, reason: 'answer to another request'};
+      case ResponseKind.UNUSABLE:
+        connection.discard();
+        return {
+          kind: OutcomeKind.BROKEN,
+          reason: 'unsigned or encoded',
+          status,
+        };
+      case ResponseKind.STREAM:
+        return this.readStream(response, connection);
+      case ResponseKind.WHOLE:
+        return this.readBuffered(response, connection);
+      case ResponseKind.NOT_RUN:
+        connection.noteUnanswered(call.id, call.deadlineAt);
+        return this.dropRejection(response, connection);
+      case ResponseKind.FAILURE:
+        connection.noteUnanswered(call.id, call.deadlineAt);
+        return this.readBuffered(response, connection);
     }
-    if (isSuccess && !this.isSignedAndUnencoded(response)) {
-      connection.discard();
-      return {kind: OutcomeKind.BROKEN, reason: 'unsigned or encoded', status};
-    }
-    if (isSuccess && isStreamed(call.route.kind))
-      return this.readStream(response, connection);
-    return this.readBuffered(response, connection);
   }
 
-  private isSignedAndUnencoded(response: IncomingMessage): boolean {
-    const {headerNames} = this.options;
-    return (
-      response.headers[headerNames.signature] !== undefined &&
-      response.headers['content-encoding'] === undefined
-    );
+  private dropRejection(
+    response: IncomingMessage,
+    connection: PooledConnection,
+  ): AttemptOutcome {
+    const {clock, choice} = this.options;
+    const status = response.statusCode;
+    if (status === MISDIRECTED) choice.runner.noteReplaced();
+    else choice.runner.brittleness.noteRejected();
+    drainResponse({clock, response, connection});
+    const reason = `runner says ${status}`;
+    return {kind: OutcomeKind.NOT_RUN, reason, status};
   }
 
   private readStream(
--- a/packages/gateway/src/calls/streams.test.ts
+++ b/packages/gateway/src/calls/streams.test.ts
@@ -81,6 +81,25 @@
   assert.equal(resumed.headers[names.lastEventId], '2');
 });
 
+void test('a stream that began in chunks is completed by a runner that gives no length and ends in the ordinary way', async () => {
+  await serve([first, second]);
+  let requestCount = 0;
+  first.script = second.script = (request, response) => {
+    if (requestCount++ > 0) {
+      response.useChunkedEncodingByDefault = false;
+      response.shouldKeepAlive = false;
+      return streamAll(request, response);
+    }
+    writeHead(request.id, response);
+    response.write(event(1) + event(2));
+    setTimeout(() => request.socket.destroy(), 30);
+  };
+  const result = await fixture.call();
+  assert.equal(result.body, ALL_EVENTS);
+  assert.ok(result.isComplete);
+  assert.equal(first.received.length + second.received.length, 2);
+});
+
 void test('a stream that falls silent continues at another runner', async () => {
   await serve([first, second], {timeLimitMs: 4_000});
   let requestCount = 0;
--- a/packages/gateway/src/http/fetch_response.test.ts
+++ b/packages/gateway/src/http/fetch_response.test.ts
@@ -1,3 +1,4 @@
+// Guards against taking a part of a response of the store or of a peer for the whole.
 import assert from 'node:assert/strict';
 import {Agent} from 'node:http';
 import {createServer} from 'node:net';
--- a/packages/gateway/src/http/fetch_response.ts
+++ b/packages/gateway/src/http/fetch_response.ts
@@ -44,8 +44,8 @@
       response.once('error', fail);
       response.once('end', () => {
         timer.cancel();
-        if (end?.wasOrderly === false)
-          return reject(new Error('the answer was reset'));
+        if (end && !end.wasOrderly)
+          return reject(new Error('the connection was reset'));
         resolve({
           status: response.statusCode ?? 0,
           body: Buffer.concat(chunks),
--- a/packages/gateway/src/runners/connection_pool.test.ts
+++ b/packages/gateway/src/runners/connection_pool.test.ts
@@ -1,3 +1,4 @@
+// Guards against sending a request twice on one connection, where a late response to the first could pass for that to the second.
 import assert from 'node:assert/strict';
 import {createServer} from 'node:net';
 import type {AddressInfo} from 'node:net';
