A body whose caller left before it was read ends at once

Cause: by reading: a relayed request waits before its body is read; if its caller leaves then, both signs of it are over when the reader begins to listen, and the call would wait without end. Change: the reader asks first whether the call has been aborted.

--- a/packages/gateway/src/calls/read_body.ts
+++ b/packages/gateway/src/calls/read_body.ts
@@ -44,6 +44,7 @@
       const hasLeft = signal.reason === AbortReason.CALLER_DISCONNECTED;
       resolve(hasLeft ? 'broken' : 'late');
     };
+    if (signal.aborted) return abort();
     signal.addEventListener('abort', abort, {once: true});
   });
 }
--- a/packages/kernel/src/net/connection_reads.ts
+++ b/packages/kernel/src/net/connection_reads.ts
@@ -24,8 +24,8 @@
   }
 
   /**
-   * Waits until all that the kernel had received before this call is read, and was a moment ago. Where a turn has much
-   * to do, those that wait go on in the order of their calls, for a part of each turn.
+   * Waits until everything has been read that the kernel had received before this call, and lets the caller go on only
+   * while that is recent. Where turns have much to do, those that wait go on in the order of their calls, some each turn.
    */
   async refresh(): Promise<void> {
     await this.finishTurn();
