Names that every object has are no versions, workspaces, tasks or places

Cause: look-ups in configurations by names from outside see what every object inherits. Change: the fold of intents, the choice of versions and the routes of plain services read configurations by getOwn.

--- a/packages/daemon/src/callers/services/find_service_route.ts
+++ b/packages/daemon/src/callers/services/find_service_route.ts
@@ -3,7 +3,7 @@
   type Configuration,
   type Route,
 } from '@bayspool/decisions';
-import {Problem, ProblemKind} from '@bayspool/kernel';
+import {getOwn, Problem, ProblemKind} from '@bayspool/kernel';
 
 const SAFE_METHODS = new Set(['GET', 'HEAD', 'OPTIONS']);
 
@@ -17,7 +17,7 @@
   method: string,
   path: string,
 ): Route {
-  const definition = config.services[service];
+  const definition = getOwn(config.services, service);
   if (!definition) {
     throw new Problem({
       kind: ProblemKind.NOT_FOUND,
--- a/packages/decisions/src/configuration/apply_intent.ts
+++ b/packages/decisions/src/configuration/apply_intent.ts
@@ -1,3 +1,4 @@
+import {getOwn} from '@bayspool/kernel';
 import {Left, Right, type Either} from 'purify-ts';
 import type {Configuration} from './configuration.js';
 import type {Intent} from './intent.js';
@@ -77,12 +78,15 @@
   config: Configuration,
   intent: Extract<Intent, {kind: 'allow-version'}>,
 ): Result {
-  const version = config.versions[intent.version];
+  const version = getOwn(config.versions, intent.version);
   if (!version) return Left(`there is no version ${intent.version}`);
   if (intent.allowed && version.state === VersionState.WITHDRAWN) {
     return Left(`version ${intent.version} is withdrawn`);
   }
-  const task = config.workspaces[intent.workspace]?.tasks[intent.task];
+  const task = getOwn(
+    getOwn(config.workspaces, intent.workspace)?.tasks ?? {},
+    intent.task,
+  );
   if (!task)
     return Left(`workspace ${intent.workspace} has no task ${intent.task}`);
   const others = task.versions.filter(id => id !== intent.version);
@@ -97,7 +101,7 @@
   config: Configuration,
   intent: Extract<Intent, {kind: 'roll-out'}>,
 ): Result {
-  if (config.versions[intent.version]) {
+  if (getOwn(config.versions, intent.version)) {
     return Left(
       `version ${intent.version} was rolled out before; give the new one an id of its own`,
     );
@@ -165,7 +169,7 @@
   intent: Extract<Intent, {kind: 'undrain'}>,
 ): Result {
   if (intent.place) {
-    const place = config.places[intent.place];
+    const place = getOwn(config.places, intent.place);
     if (!place?.handedOverTo)
       return Left(`place ${intent.place} is not handed over`);
     return Right({
@@ -193,7 +197,7 @@
   return requirePlace(config, from)
     .chain(() => requirePlace(config, to))
     .chain(() => {
-      if (config.places[to].handedOverTo)
+      if (getOwn(config.places, to)?.handedOverTo)
         return Left(`place ${to} is handed over itself`);
       const takers = Object.values(config.places).filter(
         place => place.handedOverTo === from,
@@ -214,7 +218,9 @@
   config: Configuration,
   id: string,
 ): Either<Rejection, true> {
-  return config.places[id] ? Right(true) : Left(`there is no place ${id}`);
+  return getOwn(config.places, id)
+    ? Right(true)
+    : Left(`there is no place ${id}`);
 }
 
 function changeWorkspace(
@@ -222,7 +228,7 @@
   id: string,
   change: (workspace: Workspace) => Workspace,
 ): Result {
-  const workspace = config.workspaces[id];
+  const workspace = getOwn(config.workspaces, id);
   if (!workspace) return Left(`there is no workspace ${id}`);
   return Right({
     ...config,
@@ -235,7 +241,7 @@
   id: string,
   change: (version: Version) => Either<Rejection, Version>,
 ): Result {
-  const version = config.versions[id];
+  const version = getOwn(config.versions, id);
   if (!version) return Left(`there is no version ${id}`);
   return change(version).map(changed => ({
     ...config,
--- a/packages/decisions/src/versions/find_eligible_versions.ts
+++ b/packages/decisions/src/versions/find_eligible_versions.ts
@@ -1,4 +1,4 @@
-import {Problem, ProblemKind} from '@bayspool/kernel';
+import {getOwn, Problem, ProblemKind} from '@bayspool/kernel';
 import {Left, Right, type Either} from 'purify-ts';
 import type {Configuration} from '../configuration/configuration.js';
 import type {Version} from '../configuration/version.js';
@@ -17,9 +17,9 @@
   config: Configuration,
   request: VersionRequest,
 ): Either<Problem, Version[]> {
-  const workspace = config.workspaces[request.workspace];
-  const task = workspace?.tasks[request.task];
-  if (!task)
+  const workspace = getOwn(config.workspaces, request.workspace);
+  const task = getOwn(workspace?.tasks ?? {}, request.task);
+  if (!workspace || !task)
     return Left(
       createUnknownTaskProblem(
         request.task,
@@ -29,7 +29,7 @@
   if (request.stale && workspace.whenStale === StalePolicy.REFUSE)
     return Left(createStaleProblem());
   const allowed = task.versions
-    .map(id => config.versions[id])
+    .map(id => getOwn(config.versions, id))
     .filter(version => version !== undefined);
   if (request.session) return resolveSessionVersion(config, request, allowed);
   const selected = allowed.filter(version =>
@@ -49,7 +49,7 @@
   allowed: readonly Version[],
 ): Either<Problem, Version[]> {
   const id = request.session!.version;
-  const version = config.versions[id];
+  const version = getOwn(config.versions, id);
   if (!version || version.state === VersionState.WITHDRAWN)
     return Left(createSessionEndedProblem(`version ${id} was withdrawn`));
   if (!allowed.includes(version))
--- a/packages/gateway/src/rollouts/rollout.ts
+++ b/packages/gateway/src/rollouts/rollout.ts
@@ -466,8 +466,8 @@
   for (const name of new Set([...cells.keys(), ...overdue.keys()])) {
     const {ended = 0, failed = 0, slow = 0, lost = 0} = cells.get(name) ?? {};
     const overdueCount = overdue.get(name) ?? 0;
-    const isSlow = slow + overdueCount;
-    counts.set(name, [ended + overdueCount, failed, isSlow, lost]);
+    const slowCount = slow + overdueCount;
+    counts.set(name, [ended + overdueCount, failed, slowCount, lost]);
   }
   return Object.fromEntries(counts);
 }
