--- a/packages/gateway/src/calls/forwarding.test.ts
+++ b/packages/gateway/src/calls/forwarding.test.ts
@@ -25,11 +25,8 @@
 });
 
 /** Starts one host with a route of this kind and the given runners. */
-async function serve(kind: CallKind, runners: ScriptedRunner[], extra = {}) {
-  fixture.configure([{kind, ...extra}]);
-  for (const runner of runners) await fixture.addRunner(runner);
-  await fixture.startHost();
-  await fixture.waitReady();
+function serve(kind: CallKind, runners: ScriptedRunner[], extra = {}) {
+  return fixture.serve({kind, ...extra}, runners);
 }
 
 void test('requests and responses are forwarded unchanged', async () => {
--- a/packages/gateway/src/calls/started_response_silence.test.ts
+++ b/packages/gateway/src/calls/started_response_silence.test.ts
@@ -53,11 +53,9 @@
   };
 }
 
-async function serve(runners: readonly ScriptedRunner[]): Promise<void> {
-  fixture.configure([{kind: CallKind.RESUMABLE, timeLimitMs: 8_000}]);
-  for (const runner of runners) await fixture.addRunner(runner);
-  await fixture.startHost({retryRatio: 5});
-  await fixture.waitReady();
+function serve(runners: readonly ScriptedRunner[]): Promise<void> {
+  const route = {kind: CallKind.RESUMABLE, timeLimitMs: 8_000};
+  return fixture.serve(route, runners, {retryRatio: 5});
 }
 
 function assertWhole({body, isComplete}: CallerResult): void {
--- a/packages/gateway/src/calls/streams.test.ts
+++ b/packages/gateway/src/calls/streams.test.ts
@@ -25,11 +25,8 @@
   second.stop();
 });
 
-async function serve(runners: ScriptedRunner[], extra = {}) {
-  fixture.configure([{kind: CallKind.RESUMABLE, ...extra}]);
-  for (const runner of runners) await fixture.addRunner(runner);
-  await fixture.startHost();
-  await fixture.waitReady();
+function serve(runners: ScriptedRunner[], extra = {}) {
+  return fixture.serve({kind: CallKind.RESUMABLE, ...extra}, runners);
 }
 
 function writeHead(id: string, response: ServerResponse, confidence?: number) {
--- a/packages/gateway/src/calls/truncated_heads.test.ts
+++ b/packages/gateway/src/calls/truncated_heads.test.ts
@@ -41,14 +41,11 @@
 
 afterEach(() => fixture.stop());
 
-async function serve(
+function serve(
   kind: CallKind,
   runners: readonly ScriptedRunner[],
 ): Promise<void> {
-  fixture.configure([{kind}]);
-  for (const runner of runners) await fixture.addRunner(runner);
-  await fixture.startHost({retryRatio: 5});
-  await fixture.waitReady();
+  return fixture.serve({kind}, runners, {retryRatio: 5});
 }
 
 function breakOffBehind(bytes: string, end: End): ScriptedRunner['script'] {
--- a/packages/gateway/src/testing/gateway_fixture.ts
+++ b/packages/gateway/src/testing/gateway_fixture.ts
@@ -135,6 +135,18 @@
     return host;
   }
 
+  /** Starts one host that serves one route with these runners, and waits until it is ready. */
+  async serve(
+    route: Partial<CallRoute>,
+    runners: readonly FixtureRunner[],
+    overrides: Partial<GatewaySettings> = {},
+  ): Promise<void> {
+    this.configure([route]);
+    for (const runner of runners) await this.addRunner(runner);
+    await this.startHost(overrides);
+    await this.waitReady();
+  }
+
   /** Writes a configuration with these routes to the store. */
   configure(
     routes: ReadonlyArray<Partial<CallRoute>>,
