--- a/packages/gateway/src/calls/call_server.ts
+++ b/packages/gateway/src/calls/call_server.ts
@@ -96,6 +96,11 @@
     return this.openResponses.size;
   }
 
+  /** Whether connections are accepted. */
+  get isListening(): boolean {
+    return this.server.listening;
+  }
+
   /** Starts listening for callers. */
   start(): Promise<void> {
     const {ip, port} = this.options;
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -55,6 +55,7 @@
   private readonly metricsServer: MetricsServer;
   private readonly gracefulShutdown: GracefulShutdown;
   private readonly hostRegistration: HostRegistration;
+  private startup: Promise<void> = Promise.resolve();
   private maintenanceTimer: Timer | undefined;
   private wasFresh = false;
   private wasReady = false;
@@ -105,6 +106,8 @@
       clock,
       log,
       callServers: this.callServers,
+      // Whoever called `start` is told of its failure.
+      startup: () => this.startup.catch(() => undefined),
       graceMs: () => this.settings.graceMs,
     });
     this.readinessServer = new ReadinessServer({
@@ -130,15 +133,27 @@
     });
   }
 
-  /** Starts serving; the host becomes ready once the configuration and runners are known. */
-  async start(): Promise<void> {
+  /** Number of calls that have no complete response yet. */
+  get openCalls(): number {
+    return this.gracefulShutdown.openCalls;
+  }
+
+  /**
+   * Starts serving; the host becomes ready once the configuration and runners are known. Ends early if the host is told
+   * to shut down meanwhile.
+   */
+  start(): Promise<void> {
+    this.startup = this.runStartup();
+    return this.startup;
+  }
+
+  private async runStartup(): Promise<void> {
     const {log, settings} = this.options;
-    await this.readinessServer.start();
-    await this.stateSynchronizer.listen();
-    for (const server of this.callServers) await server.start();
-    await this.metricsServer.start().catch(error => {
-      log.write('unexpected', {where: 'metrics', message: String(error)});
-    });
+    for (const startServer of this.serverStarts) {
+      if (this.gracefulShutdown.hasStarted) return;
+      await startServer();
+    }
+    if (this.gracefulShutdown.hasStarted) return;
     void this.stateSynchronizer
       .startFollowing()
       .then(() => this.hostRegistration.run());
@@ -176,6 +191,7 @@
 
   /** Shuts down gracefully within the grace period. */
   async shutDown(reason: string): Promise<void> {
+    this.hostRegistration.stop();
     await this.gracefulShutdown.run(reason);
     this.stopImmediately();
   }
@@ -196,6 +212,20 @@
     this.state.reachability.stop();
   }
 
+  /** Starts of all servers, in their order. */
+  private get serverStarts(): ReadonlyArray<() => Promise<void>> {
+    const {log} = this.options;
+    return [
+      () => this.readinessServer.start(),
+      () => this.stateSynchronizer.listen(),
+      ...this.callServers.map(server => () => server.start()),
+      () =>
+        this.metricsServer.start().catch(error => {
+          log.write('unexpected', {where: 'metrics', message: String(error)});
+        }),
+    ];
+  }
+
   private get callServers(): readonly CallServer[] {
     return this.relayServer
       ? [this.callServer, this.relayServer]
--- a/packages/gateway/src/lifecycle/graceful_shutdown.test.ts
+++ b/packages/gateway/src/lifecycle/graceful_shutdown.test.ts
@@ -87,3 +87,26 @@
   assert.ok(performance.now() - startedAt < 6_000);
   assert.equal((await hanging).status, 502);
 });
+
+void test('a host that is told to stop while it starts goes no further and ends at once', async () => {
+  const {gateway, settings} = await fixture.createHost({graceMs: 6_000});
+  const startedAt = performance.now();
+  const startup = gateway.start();
+  const shutDown = gateway.shutDown('test');
+  await Promise.all([startup, shutDown]);
+  assert.ok(performance.now() - startedAt < 1_000);
+  const ofHost = (event: string) =>
+    fixture.events(event).filter(({host}) => host === settings.host);
+  assert.deepEqual(ofHost('process_started'), []);
+  assert.deepEqual(ofHost('host_entered'), []);
+  assert.equal(ofHost('process_stopped').length, 1);
+});
+
+void test('a host that is told to stop before it starts does not listen', async () => {
+  const {gateway, settings} = await fixture.createHost({graceMs: 6_000});
+  await gateway.shutDown('test');
+  await gateway.start();
+  const {callerPort} = settings;
+  await assert.rejects(fetch(`http://127.0.0.1:${callerPort}/x/1`));
+  gateway.stopImmediately();
+});
--- a/packages/gateway/src/lifecycle/graceful_shutdown.ts
+++ b/packages/gateway/src/lifecycle/graceful_shutdown.ts
@@ -8,6 +8,8 @@
   readonly clock: Clock;
   readonly log: EventLog;
   readonly callServers: readonly CallServer[];
+  /** Settles when the start is over that may be under way. */
+  readonly startup: () => Promise<void>;
   /** Grace period until the process is killed, in ms. */
   readonly graceMs: () => number;
 }
@@ -36,6 +38,14 @@
     return this.isClosingConnections;
   }
 
+  /** Number of calls that have no complete response yet. */
+  get openCalls(): number {
+    return this.options.callServers.reduce(
+      (sum, {openCalls}) => sum + openCalls,
+      0,
+    );
+  }
+
   /** Resolves when no call is open any more, or shortly before the grace period ends. */
   async run(reason: string): Promise<void> {
     const {clock, log, callServers} = this.options;
@@ -48,7 +58,10 @@
       graceMs,
     });
     const until = startedAt + graceMs - FINAL_RESPONSE_MARGIN_MS;
-    await sleep(clock, Math.min(BALANCER_REACTION_MS, graceMs / 2));
+    await this.options.startup();
+    // Nobody can have sent anything to a host that was stopped before it listened.
+    if (callServers.some(({isListening}) => isListening))
+      await sleep(clock, Math.min(BALANCER_REACTION_MS, graceMs / 2));
     this.closeIdle();
     while (this.openCalls > 0 && clock.now() < until) {
       await sleep(clock, POLL_INTERVAL_MS);
@@ -63,13 +76,6 @@
     log.write('process_stopped', {reason, cut, forMs});
   }
 
-  private get openCalls(): number {
-    return this.options.callServers.reduce(
-      (sum, {openCalls}) => sum + openCalls,
-      0,
-    );
-  }
-
   private closeIdle(): void {
     this.isClosingConnections = true;
     for (const server of this.options.callServers) server.closeIdle();
--- a/packages/gateway/src/observability/event_fields.ts
+++ b/packages/gateway/src/observability/event_fields.ts
@@ -11,6 +11,17 @@
     configurationKnown: boolean;
     forMs: number;
   };
+  /** A signal that the process has a listener for; one that ends it leaves no line. */
+  signal_received: {
+    signal: string;
+    action: string;
+    /** Calls without a complete response. */
+    open: number;
+    /** Time since the shutdown began; absent if it had not. */
+    stoppingMs?: number;
+    /** Lines that were left out before this one. */
+    omittedLines?: number;
+  };
   process_stopping: {reason: string; open: number; graceMs: number};
   process_stopped: {reason: string; cut: number; forMs: number};
   settings_reloaded: {reason: string; changed: string};
--- a/packages/gateway/src/testing/gateway_fixture.ts
+++ b/packages/gateway/src/testing/gateway_fixture.ts
@@ -71,6 +71,16 @@
   async startHost(
     overrides: Partial<GatewaySettings> = {},
     store = this.store,
+  ): Promise<Host> {
+    const host = await this.createHost(overrides, store);
+    await host.gateway.start();
+    return host;
+  }
+
+  /** Creates a host that is not started. */
+  async createHost(
+    overrides: Partial<GatewaySettings> = {},
+    store = this.store,
   ): Promise<Host> {
     const [callerPort, readinessPort, peerPort, metricsPort, relayPort] =
       await findPorts(5);
@@ -126,7 +136,6 @@
       reader: new PlainReader(),
       headerNames: names,
     });
-    await gateway.start();
     const suspend = (forMs: number) => {
       suspendedMs += forMs;
     };
