A stopping host closes no connection whose response has not left it

Cause: server.close() and closeIdleConnections() of Node.js take a connection for idle once its response was ended, and destroy what a slow reader has not taken. They also end the checks for late headers. After the abort of the last calls the process waited 50 ms for their answers, whatever was open. Change: ServerConnections (kernel) knows the open responses of each connection and closes those without one, of which nothing is read and nothing waits to be written, after two turns of the event loop have read what had arrived. The listener is closed by itself. At the end of the grace period the host waits until the last answers have left, at most until 0.4 s before its end. process_stopped counts responses that had not left (unsent) and idle connections that were closed; response_unsent names each such request. The caller door of the daemon had the same fault and uses the same class.

--- a/packages/daemon/src/http_server.ts
+++ b/packages/daemon/src/http_server.ts
@@ -1,6 +1,6 @@
 import {createServer, type Server} from 'node:http';
 import type {AddressInfo} from 'node:net';
-import {Problem, ProblemKind} from '@bayspool/kernel';
+import {Problem, ProblemKind, ServerConnections} from '@bayspool/kernel';
 import type {RequestListener} from 'node:http';
 
 interface Options {
@@ -17,10 +17,13 @@
 }
 
 const KEEP_ALIVE_MS = 30_000;
+/** Interval between two checks for idle connections while the server stops, in ms. */
+const IDLE_CHECK_INTERVAL_MS = 50;
 
 /** An HTTP server with limits on header size, slow senders, idle time and connections. */
 export class HttpServer {
   private readonly server: Server;
+  private readonly connections: ServerConnections;
 
   constructor(private readonly options: Options) {
     this.server = createServer(
@@ -34,6 +37,7 @@
       options.listener,
     );
     this.server.maxConnections = options.maxConnections;
+    this.connections = new ServerConnections(this.server);
   }
 
   /** Sets the handler for requests that could not be parsed. */
@@ -68,11 +72,18 @@
     });
   }
 
-  /** Accepts no new connections and resolves when the last one has ended. */
+  /** Accepts no new connections, closes those that are or become idle, and resolves when the last one has ended. */
   stop(): Promise<void> {
+    const timer = setInterval(
+      () => this.connections.closeIdle(),
+      IDLE_CHECK_INTERVAL_MS,
+    );
     return new Promise(resolve => {
-      this.server.close(() => resolve());
-      this.server.closeIdleConnections();
+      this.connections.stopListening(() => {
+        clearInterval(timer);
+        resolve();
+      });
+      this.connections.closeIdle();
     });
   }
 
--- a/packages/gateway/src/calls/call_server.ts
+++ b/packages/gateway/src/calls/call_server.ts
@@ -3,7 +3,7 @@
 import type {Socket} from 'node:net';
 import {MAX_HEADER_BYTES} from '@bayspool/decisions/calls';
 import type {CallConfiguration} from '@bayspool/decisions/calls';
-import {CallerDepartures} from '@bayspool/kernel';
+import {CallerDepartures, ServerConnections} from '@bayspool/kernel';
 import type {
   Clock,
   ConnectionReads,
@@ -67,6 +67,7 @@
 /** HTTP server for callers: validates a request, resolves its route and hands it to the forwarder. */
 export class CallServer {
   private readonly server: Server;
+  private readonly connections: ServerConnections;
   private readonly validator: RequestValidator;
   private readonly recorder: RequestRecorder;
   private readonly rejecter: RequestRejecter;
@@ -84,6 +85,7 @@
       {maxHeaderSize: MAX_HEADER_BYTES, noDelay: true},
       (request, response) => this.accept(request, response),
     );
+    this.connections = new ServerConnections(this.server);
     this.server.requestTimeout = 0;
     this.server.on('clientError', (error, socket) =>
       this.rejectMalformed(error, socket as Socket),
@@ -107,10 +109,14 @@
     return listenOn(this.server, ip, port);
   }
 
-  /** Closes idle connections and accepts no new ones. */
-  closeIdle(): void {
-    this.server.close();
-    this.server.closeIdleConnections();
+  /** Accepts no new connections. */
+  stopListening(): void {
+    this.connections.stopListening();
+  }
+
+  /** Closes idle connections. @returns how many there were */
+  closeIdle(): number {
+    return this.connections.closeIdle();
   }
 
   /** Aborts all open calls. @returns how many there were */
@@ -123,6 +129,8 @@
 
   /** Closes all connections immediately. */
   stop(): void {
+    for (const response of this.openResponses.keys())
+      this.recorder.recordUnsent(response.req, response.writableLength);
     closeServer(this.server);
   }
 
--- a/packages/gateway/src/calls/request_recorder.ts
+++ b/packages/gateway/src/calls/request_recorder.ts
@@ -120,6 +120,15 @@
     });
   }
 
+  /** Records a response whose connection is closed because the process ends. */
+  recordUnsent(request: IncomingMessage, unsentBytes: number): void {
+    this.options.log.write('response_unsent', {
+      request: this.readRequestId(request),
+      relayedBy: this.findRelayingHost(request),
+      unsentBytes,
+    });
+  }
+
   /** Counts a request that was not handed on; a relayed one is counted by the host whose caller sent it. */
   private countWithoutRoute(outcome: string, reason: string): void {
     const {metrics, relayAdmission} = this.options;
--- a/packages/gateway/src/lifecycle/graceful_shutdown.test.ts
+++ b/packages/gateway/src/lifecycle/graceful_shutdown.test.ts
@@ -6,6 +6,10 @@
 import {plainHeaderNames as names} from '../testing/plain_header_names.js';
 import {ScriptedRunner} from '../testing/scripted_runner.js';
 
+/** More than the buffers of the kernel hold, in bytes. */
+const LARGE_BYTES = 12_000_000;
+const LARGE_BODY = 'x'.repeat(LARGE_BYTES);
+
 let fixture: GatewayFixture;
 let runner: ScriptedRunner;
 
@@ -25,6 +29,18 @@
   runner.stop();
 });
 
+const respondLarge: ScriptedRunner['script'] = ({id}, response) => {
+  const head = {[names.requestId]: id, [names.signature]: 's'};
+  response.writeHead(200, {...head, 'content-length': LARGE_BYTES});
+  response.end(LARGE_BODY);
+};
+
+/** Responds near the end of the grace period. */
+const respondLate: ScriptedRunner['script'] = ({id}, response) => {
+  const head = {[names.requestId]: id, [names.signature]: 's'};
+  setTimeout(() => response.writeHead(200, head).end(), 4_000);
+};
+
 void test('a host that shuts down is not ready, still serves new calls, and finishes running ones', async () => {
   const respondCompletely = runner.script;
   runner.script = (request, response) =>
@@ -110,3 +126,52 @@
   await assert.rejects(fetch(`http://127.0.0.1:${callerPort}/x/1`));
   gateway.stopImmediately();
 });
+
+void test('a response that its caller reads slowly is complete, although the host shuts down', async () => {
+  runner.script = respondLarge;
+  const agent = new Agent({keepAlive: true, maxSockets: 1});
+  const reading = fixture.call({agent, pauseReadingMs: 3_500});
+  await fixture.waitFor(() => fixture.events('attempt_ended').length === 1);
+  await fixture.hosts[0].gateway.shutDown('test');
+  const {isComplete, body} = await reading;
+  assert.ok(isComplete, `${body.length} bytes`);
+  assert.equal(body.length, LARGE_BYTES);
+  const [{unsent, cut}] = fixture.events('process_stopped');
+  assert.deepEqual({unsent, cut}, {unsent: 0, cut: 0});
+  assert.deepEqual(fixture.events('response_unsent'), []);
+  agent.destroy();
+});
+
+void test('a response that its caller does not read keeps no host from ending, and leaves a line', async () => {
+  const {gateway, settings} = await fixture.startHost({graceMs: 3_000});
+  await fixture.waitReady(1);
+  runner.script = respondLarge;
+  const headers = {[names.requestId]: 'unread'};
+  const reading = fixture.call({host: 1, headers, pauseReadingMs: 4_000});
+  await fixture.waitFor(() => fixture.events('attempt_ended').length === 1);
+  const startedAt = performance.now();
+  await gateway.shutDown('test');
+  assert.ok(performance.now() - startedAt < settings.graceMs);
+  const [{request, unsentBytes}] = fixture.events('response_unsent');
+  assert.equal(request, 'unread');
+  assert.ok(Number(unsentBytes) > 0);
+  assert.ok(!(await reading).isComplete);
+});
+
+void test('an idle connection is closed when the host shuts down, before its last call ends', async () => {
+  const agent = new Agent({keepAlive: true, maxSockets: 1});
+  await fixture.call({agent});
+  assert.equal(Object.values(agent.freeSockets).flat().length, 1);
+  runner.script = respondLate;
+  const running = fixture.call();
+  await fixture.waitFor(() => runner.received.length === 2);
+  const shutDown = fixture.hosts[0].gateway.shutDown('test');
+  await fixture.waitFor(
+    () => Object.values(agent.freeSockets).flat().length === 0,
+  );
+  assert.equal(fixture.hosts[0].gateway.openCalls, 1);
+  assert.equal((await running).status, 200);
+  await shutDown;
+  const [{closed}] = fixture.events('process_stopped');
+  assert.equal(closed, 1);
+});
--- a/packages/gateway/src/lifecycle/graceful_shutdown.ts
+++ b/packages/gateway/src/lifecycle/graceful_shutdown.ts
@@ -1,4 +1,4 @@
-import {sleep} from '@bayspool/kernel';
+import {finishTurn, sleep} from '@bayspool/kernel';
 import type {Clock} from '@bayspool/kernel';
 import type {CallServer} from '../calls/call_server.js';
 import {AbortReason} from '../calls/abort_reason.js';
@@ -18,6 +18,8 @@
 const BALANCER_REACTION_MS = 2_300;
 /** Margin before the end of the grace period, in ms, for the last responses to reach their callers. */
 const FINAL_RESPONSE_MARGIN_MS = 700;
+/** Time before the end of the grace period at which the process ends, whatever is open, in ms: the last log lines are written then. */
+const EXIT_MARGIN_MS = 400;
 /** Interval between two checks whether all calls have ended, in ms. */
 const POLL_INTERVAL_MS = 50;
 
@@ -62,22 +64,37 @@
     // Nobody can have sent anything to a host that was stopped before it listened.
     if (callServers.some(({isListening}) => isListening))
       await sleep(clock, Math.min(BALANCER_REACTION_MS, graceMs / 2));
-    this.closeIdle();
+    this.isClosingConnections = true;
+    for (const server of callServers) server.stopListening();
+    let closed = await this.closeIdle();
     while (this.openCalls > 0 && clock.now() < until) {
       await sleep(clock, POLL_INTERVAL_MS);
-      this.closeIdle();
+      closed += await this.closeIdle();
     }
     const cut = callServers.reduce(
       (sum, server) => sum + server.abortAll(AbortReason.HOST_SHUTDOWN),
       0,
     );
-    await sleep(clock, POLL_INTERVAL_MS);
+    await this.waitForResponses(startedAt + graceMs - EXIT_MARGIN_MS);
     const forMs = Math.round(clock.now() - startedAt);
-    log.write('process_stopped', {reason, cut, forMs});
+    const unsent = this.openCalls;
+    log.write('process_stopped', {reason, cut, unsent, closed, forMs});
   }
 
-  private closeIdle(): void {
-    this.isClosingConnections = true;
-    for (const server of this.options.callServers) server.closeIdle();
+  /** Closes idle connections, judged by all that the kernel had received of them. @returns how many there were */
+  private async closeIdle(): Promise<number> {
+    // The first turn of the event loop may be one that had read its connections before this call.
+    for (let turn = 0; turn < 2; turn++) await finishTurn();
+    return this.options.callServers.reduce(
+      (sum, server) => sum + server.closeIdle(),
+      0,
+    );
+  }
+
+  /** Waits until the last responses, also those of aborted calls, have left this process. */
+  private async waitForResponses(until: number): Promise<void> {
+    const {clock} = this.options;
+    do await sleep(clock, POLL_INTERVAL_MS);
+    while (this.openCalls > 0 && clock.now() < until);
   }
 }
--- a/packages/gateway/src/observability/event_fields.ts
+++ b/packages/gateway/src/observability/event_fields.ts
@@ -23,7 +23,16 @@
     omittedLines?: number;
   };
   process_stopping: {reason: string; open: number; graceMs: number};
-  process_stopped: {reason: string; cut: number; forMs: number};
+  process_stopped: {
+    reason: string;
+    /** Calls that were aborted at the end of the grace period. */
+    cut: number;
+    /** Calls whose responses had not left the process when it ended. */
+    unsent: number;
+    /** Idle connections that were closed. */
+    closed: number;
+    forMs: number;
+  };
   settings_reloaded: {reason: string; changed: string};
   settings_refused: {reason: string};
   readiness_changed: {isReady: boolean; reason: string};
@@ -187,6 +196,8 @@
   };
   /** A response was given up, because its caller took nothing of it for too long. */
   response_unread: {request: string; relayedBy?: string; unsentBytes: number};
+  /** A response had not left the process when the process closed its connections to end. */
+  response_unsent: {request: string; relayedBy?: string; unsentBytes: number};
   /** Bytes of a runner followed a complete response, so that its connection was closed. */
   runner_excess_bytes: {runner: string; service: string};
   runner_end_counted: {
--- a/packages/kernel/src/net/connection_reads.ts
+++ b/packages/kernel/src/net/connection_reads.ts
@@ -1,4 +1,5 @@
 import type {Clock} from '../clock/clock.js';
+import {finishTurn} from './finish_turn.js';
 
 interface Options {
   /** A clock whose ages are never too low, also after a suspension of the machine. */
@@ -52,6 +53,6 @@
   /** Waits until this turn of the event loop has read what it can. */
   private finishTurn(): Promise<void> {
     this.watch();
-    return new Promise(resolve => setImmediate(resolve));
+    return finishTurn();
   }
 }
--- /dev/null
+++ b/packages/kernel/src/net/server_connections.test.ts
@@ -0,0 +1,118 @@
+// Guards against judging a connection by what was read of it, although a response still has to leave it.
+import assert from 'node:assert/strict';
+import {once} from 'node:events';
+import {createServer} from 'node:http';
+import type {RequestListener} from 'node:http';
+import {connect} from 'node:net';
+import type {AddressInfo, Socket} from 'node:net';
+import {test} from 'node:test';
+import type {TestContext} from 'node:test';
+import {setTimeout as sleep} from 'node:timers/promises';
+import {ServerConnections} from './server_connections.js';
+
+/** More than the buffers of the kernel hold, in bytes. */
+const LARGE_BYTES = 12_000_000;
+const REQUEST = 'GET / HTTP/1.1\r\nhost: a\r\n\r\n';
+const HEADERS_TIMEOUT_MS = 300;
+/** Time in which both sides read what was sent, in ms. */
+const SETTLE_MS = 100;
+
+async function startServer(context: TestContext, listener: RequestListener) {
+  const server = createServer(
+    {headersTimeout: HEADERS_TIMEOUT_MS, connectionsCheckingInterval: 50},
+    listener,
+  );
+  const connections = new ServerConnections(server);
+  server.listen(0, '127.0.0.1');
+  await once(server, 'listening');
+  context.after(() => {
+    server.close();
+    server.closeAllConnections();
+  });
+  const {port} = server.address() as AddressInfo;
+  const open = async (text: string): Promise<Socket> => {
+    const socket = connect(port, '127.0.0.1');
+    context.after(() => socket.destroy());
+    socket.on('error', () => undefined);
+    await once(socket, 'connect');
+    socket.write(text);
+    await sleep(SETTLE_MS);
+    return socket;
+  };
+  return {connections, open, port};
+}
+
+/** Reads a connection to its end. @returns the number of bytes */
+async function readAll(socket: Socket): Promise<number> {
+  let count = 0;
+  socket.on('data', chunk => {
+    count += chunk.length;
+  });
+  await once(socket, 'close');
+  return count;
+}
+
+void test('a response that waits for its reader is not closed, and its connection is closed once it has left', async context => {
+  const {connections, open} = await startServer(
+    context,
+    (_request, response) => void response.end(Buffer.alloc(LARGE_BYTES)),
+  );
+  const socket = await open(REQUEST);
+  assert.equal(connections.closeIdle(), 0);
+  const read = readAll(socket);
+  const timer = setInterval(() => connections.closeIdle(), SETTLE_MS);
+  context.after(() => clearInterval(timer));
+  assert.ok((await read) > LARGE_BYTES);
+});
+
+void test('an idle connection is closed', async context => {
+  const {connections, open} = await startServer(
+    context,
+    (_request, response) => void response.end('ok'),
+  );
+  const socket = await open(REQUEST);
+  const ended = once(socket, 'close');
+  socket.resume();
+  assert.equal(connections.closeIdle(), 1);
+  await ended;
+  await sleep(0);
+  assert.equal(connections.closeIdle(), 0);
+});
+
+void test('a request that is being read is answered', async context => {
+  const {connections, open} = await startServer(
+    context,
+    (_request, response) => void response.end('ok'),
+  );
+  const [head, rest] = [REQUEST.slice(0, 10), REQUEST.slice(10)];
+  const first = await open(head);
+  const second = await open(REQUEST);
+  second.write(head);
+  await sleep(SETTLE_MS);
+  assert.equal(connections.closeIdle(), 0);
+  for (const socket of [first, second]) {
+    const [chunk] = (await Promise.all([
+      once(socket, 'data'),
+      socket.write(rest),
+    ])) as unknown as [[Buffer]];
+    assert.match(String(chunk), /^HTTP\/1.1 200/);
+  }
+});
+
+void test('no connection is accepted any more, and the time limit of headers stays in force', async context => {
+  const {connections, open, port} = await startServer(
+    context,
+    (_request, response) => void response.end('ok'),
+  );
+  const slow = await open(REQUEST.slice(0, 10));
+  connections.stopListening();
+  const refused = connect(port, '127.0.0.1');
+  await assert.rejects(once(refused, 'connect'), {code: 'ECONNREFUSED'});
+  slow.resume();
+  await Promise.race([
+    once(slow, 'close'),
+    sleep(5 * HEADERS_TIMEOUT_MS, undefined, {ref: false}).then(() =>
+      assert.fail('the connection is still open'),
+    ),
+  ]);
+});
--- /dev/null
+++ b/packages/kernel/src/net/server_connections.ts
@@ -0,0 +1,78 @@
+import type {IncomingMessage, Server, ServerResponse} from 'node:http';
+import {Server as NetServer} from 'node:net';
+import type {Socket} from 'node:net';
+
+/** How a connection is used. */
+interface ConnectionUse {
+  /** Number of responses that have not left this process completely. */
+  openResponses: number;
+  /** Whether the connection has carried a request. */
+  hasCarriedRequest: boolean;
+  /** Bytes read from the connection when its last response had left; more mean that a request is being read. */
+  bytesReadAtRest: number;
+}
+
+/**
+ * Closes the idle connections of an HTTP server. To Node.js itself a connection is idle once its response was ended,
+ * also while a part of it waits for a slow reader; here it is idle once the response has left this process.
+ */
+export class ServerConnections {
+  private readonly uses = new Map<Socket, ConnectionUse>();
+
+  constructor(private readonly server: Server) {
+    server.on('connection', (socket: Socket) => this.add(socket));
+    server.prependListener('request', (request, response) =>
+      this.addResponse(request, response),
+    );
+  }
+
+  /**
+   * Accepts no new connections; those that are open stay, with their time limits in force. Calls `onClosed` when the
+   * last one has ended.
+   */
+  stopListening(onClosed?: () => void): void {
+    // The method of the HTTP server would also close idle connections, and end the checks for late headers.
+    NetServer.prototype.close.call(this.server, onClosed);
+  }
+
+  /**
+   * Closes the connections that have carried a request, and on which no response is open and no request is being read.
+   *
+   * @returns how many there were
+   */
+  closeIdle(): number {
+    const idle = [...this.uses].filter(([socket, use]) => isIdle(socket, use));
+    for (const [socket] of idle) socket.destroy();
+    return idle.length;
+  }
+
+  private add(socket: Socket): void {
+    this.uses.set(socket, {
+      openResponses: 0,
+      hasCarriedRequest: false,
+      bytesReadAtRest: 0,
+    });
+    socket.once('close', () => this.uses.delete(socket));
+  }
+
+  private addResponse({socket}: IncomingMessage, response: ServerResponse) {
+    const use = this.uses.get(socket);
+    if (!use) return;
+    use.hasCarriedRequest = true;
+    use.openResponses += 1;
+    // Emitted once the last byte was handed to the kernel.
+    response.once('close', () => {
+      use.openResponses -= 1;
+      use.bytesReadAtRest = socket.bytesRead;
+    });
+  }
+}
+
+function isIdle(socket: Socket, use: ConnectionUse): boolean {
+  return (
+    use.hasCarriedRequest &&
+    use.openResponses === 0 &&
+    socket.writableLength === 0 &&
+    socket.bytesRead === use.bytesReadAtRest
+  );
+}
