A stopping host answers all requests that it has read from one connection

Cause: once a host stops, each response said connection: close and closed its connection, also where requests that the caller had sent ahead were already at runners. Their answers were lost. A request read behind such a response was sent to a runner as well, though its connection was about to close. Change: only the response to the last request that was read closes the connection. A request behind it doesn't run and leaves a line request_ignored.

--- a/packages/gateway/src/calls/call_server.ts
+++ b/packages/gateway/src/calls/call_server.ts
@@ -73,7 +73,7 @@
   private readonly rejecter: RequestRejecter;
   private readonly departures = new CallerDepartures();
   private readonly openResponses = new Map<ServerResponse, AbortController>();
-  /** Connections that are being closed and accept no further request. */
+  /** Connections whose last response says that they close; they accept no further request. */
   private readonly closingConnections = new WeakSet<Socket>();
 
   constructor(private readonly options: Options) {
@@ -136,12 +136,18 @@
 
   /**
    * Closes the connection after a response whose headers were sent before shutdown began, so
-   * without `connection: close`.
+   * without `connection: close`; one that other responses still have to take stays open.
    */
-  private closeIfShuttingDown(socket: Socket): void {
-    if (!this.options.isClosing()) return;
-    this.closingConnections.add(socket);
-    socket.destroySoon();
+  private closeIfShuttingDown(response: ServerResponse): void {
+    if (this.shouldCloseAfter(response)) response.req.socket.destroySoon();
+  }
+
+  /** Whether a connection is closed after this response: requests behind it that are being served get theirs first. */
+  private shouldCloseAfter(response: ServerResponse): boolean {
+    if (!this.options.isClosing() || !this.connections.isLast(response))
+      return false;
+    this.closingConnections.add(response.req.socket);
+    return true;
   }
 
   private applyLimits(limits: CallConfiguration['limits']): void {
@@ -165,11 +171,11 @@
   }
 
   private accept(request: IncomingMessage, response: ServerResponse): void {
-    // The request arrived while its connection was being closed. It has not been read, so the
-    // caller can safely resend it.
+    // The connection closes after a response to an earlier request. This one does not run, so the caller can safely
+    // resend it.
     if (this.closingConnections.has(request.socket))
-      return void request.socket.destroy();
-    response.once('finish', () => this.closeIfShuttingDown(request.socket));
+      return this.recorder.recordIgnored(request);
+    response.once('finish', () => this.closeIfShuttingDown(response));
     const controller = new AbortController();
     this.openResponses.set(response, controller);
     response.once('close', () => this.openResponses.delete(response));
@@ -212,7 +218,7 @@
       response,
       held,
       lastEventId: readNumberHeader(request, headerNames.lastEventId),
-      shouldCloseConnection: this.options.isClosing,
+      shouldCloseConnection: () => this.shouldCloseAfter(response),
       notRunHeader: relayAdmission && headerNames.notRun,
     });
     startUnreadResponseTimeout({
--- a/packages/gateway/src/calls/pipelined_requests.test.ts
+++ b/packages/gateway/src/calls/pipelined_requests.test.ts
@@ -1,14 +1,20 @@
 // Guards against work for a caller that has left after it sent several requests on one connection.
 import assert from 'node:assert/strict';
+import {once} from 'node:events';
 import {connect} from 'node:net';
 import type {Socket} from 'node:net';
 import {afterEach, beforeEach, test} from 'node:test';
+import {setTimeout as sleep} from 'node:timers/promises';
 import {CallKind} from '@bayspool/decisions/calls';
 import {GatewayFixture} from '../testing/gateway_fixture.js';
 import {plainHeaderNames as names} from '../testing/plain_header_names.js';
 import {ScriptedRunner} from '../testing/scripted_runner.js';
 
 const REQUESTS = 3;
+/** Time that a run takes longer than the one before it, in ms. */
+const WORK_MS = 200;
+/** More than the buffers of the kernel hold, in bytes. */
+const LARGE_BYTES = 12_000_000;
 /** Time after which work for a caller that has left has to have ended, in ms. */
 const STOPPED_WITHIN_MS = 500;
 
@@ -81,3 +87,63 @@
   );
   socket.destroy();
 });
+
+/** Sends requests that take long one after the other, and shuts the host down. @returns what the caller reads */
+async function readDuringShutdown(): Promise<string> {
+  let started = 0;
+  runner.script = ({id}, response) => {
+    started += 1;
+    setTimeout(() => {
+      const head = {[names.requestId]: id, [names.signature]: 's'};
+      response.writeHead(200, head).end(id);
+    }, started * WORK_MS);
+  };
+  const socket = await sendAhead();
+  let text = '';
+  socket.on('data', chunk => {
+    text += chunk.toString('latin1');
+  });
+  const closed = once(socket, 'close');
+  const shutDown = fixture.hosts[0].gateway.shutDown('test');
+  await closed;
+  await shutDown;
+  return text;
+}
+
+void test('all requests that a runner has are answered when the host shuts down, and the last answer closes the connection', async () => {
+  const text = await readDuringShutdown();
+  const responses = text.split('HTTP/1.1 ').slice(1);
+  assert.deepEqual(
+    responses.map(response => response.slice(0, 3)),
+    Array<string>(REQUESTS).fill('200'),
+  );
+  assert.deepEqual(
+    responses.map(response => /^connection: close/im.test(response)),
+    [false, false, true],
+  );
+});
+
+void test('a request that is read behind the answer that closes its connection does not run', async () => {
+  runner.script = ({id}, response) => {
+    const head = {[names.requestId]: id, [names.signature]: 's'};
+    response.writeHead(200, head).end('x'.repeat(LARGE_BYTES));
+  };
+  const {port, request} = fixture.describeCall();
+  const socket = connect({host: '127.0.0.1', port});
+  socket.pause();
+  socket.write(request);
+  const shutDown = fixture.hosts[0].gateway.shutDown('test');
+  await fixture.waitFor(() => fixture.events('attempt_ended').length === 1);
+  await sleep(WORK_MS);
+  socket.write(fixture.describeCall().request);
+  await fixture.waitFor(() => fixture.events('request_ignored').length === 1);
+  let bytes = 0;
+  socket.on('data', chunk => {
+    bytes += chunk.length;
+  });
+  socket.resume();
+  await once(socket, 'close');
+  assert.ok(bytes > LARGE_BYTES);
+  assert.equal(runner.received.length, 1);
+  await shutDown;
+});
--- a/packages/gateway/src/calls/request_recorder.ts
+++ b/packages/gateway/src/calls/request_recorder.ts
@@ -129,6 +129,15 @@
     });
   }
 
+  /** Records a request that is neither run nor answered. */
+  recordIgnored(request: IncomingMessage): void {
+    this.options.log.write('request_ignored', {
+      request: this.readRequestId(request),
+      relayedBy: this.findRelayingHost(request),
+      reason: 'read behind a response that closes its connection',
+    });
+  }
+
   /** Counts a request that was not handed on; a relayed one is counted by the host whose caller sent it. */
   private countWithoutRoute(outcome: string, reason: string): void {
     const {metrics, relayAdmission} = this.options;
--- a/packages/gateway/src/observability/event_fields.ts
+++ b/packages/gateway/src/observability/event_fields.ts
@@ -198,6 +198,8 @@
   response_unread: {request: string; relayedBy?: string; unsentBytes: number};
   /** A response had not left the process when the process closed its connections to end. */
   response_unsent: {request: string; relayedBy?: string; unsentBytes: number};
+  /** A request is neither run nor answered: its connection closes after the response to an earlier one. */
+  request_ignored: {request: string; relayedBy?: string; reason: string};
   /** Bytes of a runner followed a complete response, so that its connection was closed. */
   runner_excess_bytes: {runner: string; service: string};
   runner_end_counted: {
--- a/packages/kernel/src/net/server_connections.ts
+++ b/packages/kernel/src/net/server_connections.ts
@@ -6,8 +6,8 @@
 interface ConnectionUse {
   /** Number of responses that have not left this process completely. */
   openResponses: number;
-  /** Whether the connection has carried a request. */
-  hasCarriedRequest: boolean;
+  /** The response to the last request that was read; absent if the connection has carried none. */
+  lastResponse?: ServerResponse;
   /** Bytes read from the connection when its last response had left; more mean that a request is being read. */
   bytesReadAtRest: number;
 }
@@ -35,6 +35,11 @@
     NetServer.prototype.close.call(this.server, onClosed);
   }
 
+  /** Whether no request behind that of a response has been read from its connection. */
+  isLast(response: ServerResponse): boolean {
+    return this.uses.get(response.req.socket)?.lastResponse === response;
+  }
+
   /**
    * Closes the connections that have carried a request, and on which no response is open and no request is being read.
    *
@@ -49,7 +54,6 @@
   private add(socket: Socket): void {
     this.uses.set(socket, {
       openResponses: 0,
-      hasCarriedRequest: false,
       bytesReadAtRest: 0,
     });
     socket.once('close', () => this.uses.delete(socket));
@@ -58,7 +62,7 @@
   private addResponse({socket}: IncomingMessage, response: ServerResponse) {
     const use = this.uses.get(socket);
     if (!use) return;
-    use.hasCarriedRequest = true;
+    use.lastResponse = response;
     use.openResponses += 1;
     // Emitted once the last byte was handed to the kernel.
     response.once('close', () => {
@@ -70,7 +74,7 @@
 
 function isIdle(socket: Socket, use: ConnectionUse): boolean {
   return (
-    use.hasCarriedRequest &&
+    use.lastResponse !== undefined &&
     use.openResponses === 0 &&
     socket.writableLength === 0 &&
     socket.bytesRead === use.bytesReadAtRest
