A request under which runners end without a word is held back

Cause: what speaks against a request was taken from connections that its runner breaks. A runner whose machine is lost breaks none: its run ends as silent, at its time limit, or as its caller leaves, and that the runner is gone is learned later, when the run is forgotten. So nothing counted, and each repeat ended further runners; a call that may not be repeated waited for its time limit.

Change: such a run stays unsettled, as it was at the last sign of its runner. It counts if the runner turns out to be gone (a connect is refused, a successor is there, or its entry went and neither connect nor place explains it), and is dropped if the runner is heard of again. A silent runner is asked by a rare connect of its own. Two refusals end the runs that wait for a runner of unusual silence. A runner that comes back under the same start takes its ends back, with the hold if the others don't suffice. Evidence still waits until another runner is heard of; a runner that leaves as planned proves nothing.

--- a/packages/decisions/src/calls/part_quarantine.ts
+++ b/packages/decisions/src/calls/part_quarantine.ts
@@ -31,6 +31,8 @@
 const MAX_SUSPECTS = 1_000;
 /** Most quarantined parts; the oldest is released beyond that. */
 const MAX_QUARANTINED = 200;
+/** Most retracted crashes that are remembered; the oldest are forgotten first. */
+const MAX_RETRACTED = 1_000;
 
 /**
  * Detects parts of prompts that crash the runners that begin a response on them, whatever else the
@@ -45,6 +47,8 @@
   /** When a part first had enough crashes, by its fingerprint. */
   private readonly sufficedAt = new Map<string, number>();
   private readonly listeners: Listener[] = [];
+  /** When the crash of a runner start was retracted, the oldest first: reports of it are under way for a while. */
+  private readonly retracted = new Map<number, number>();
 
   constructor(private readonly options: Options) {}
 
@@ -92,6 +96,23 @@
     }
   }
 
+  /** Takes back the crash of a runner start, which is there again, and releases parts that the other crashes don't suffice for. */
+  retractCrash(start: number): void {
+    this.retracted.set(start, this.options.clock.now());
+    if (this.retracted.size > MAX_RETRACTED)
+      this.retracted.delete([...this.retracted.keys()][0]);
+    for (const suspect of this.suspects.values()) {
+      if (!suspect.crashes.includes(start)) continue;
+      suspect.clearCrash(start);
+      if (suspect.crashes.length >= QUARANTINE_CRASHES) continue;
+      this.sufficedAt.delete(suspect.key);
+      if (suspect.quarantinedAt === undefined) continue;
+      suspect.quarantinedAt = undefined;
+      for (const {onReleased} of this.listeners)
+        onReleased(suspect.key, ReleaseReason.RETRACTED);
+    }
+  }
+
   /** Creates the digest for the other hosts. */
   createDigest(): PartQuarantineDigest | undefined {
     const now = this.options.clock.now();
@@ -186,6 +207,11 @@
     }
   }
 
+  private isRetracted(start: number): boolean {
+    const at = this.retracted.get(start) ?? -Infinity;
+    return this.options.clock.now() - at <= GOSSIP_MS;
+  }
+
   private addCrashes(
     part: string,
     depth: number,
@@ -196,7 +222,8 @@
     this.suspects.delete(part);
     this.suspects.set(part, suspect);
     const now = this.options.clock.now();
-    for (const start of starts) suspect.addCrash(start, now);
+    for (const start of starts)
+      if (!this.isRetracted(start)) suspect.addCrash(start, now);
     if (this.suspects.size > MAX_SUSPECTS) this.evictOldest();
   }
 
--- a/packages/decisions/src/calls/quarantine.ts
+++ b/packages/decisions/src/calls/quarantine.ts
@@ -64,6 +64,8 @@
  * released.
  */
 const MAX_QUARANTINED = 200;
+/** Maximum number of retracted crashes that are remembered; the oldest are forgotten first. */
+const MAX_RETRACTED = 1_000;
 
 /**
  * Detects requests that crash the runners they are sent to, whichever caller sends them, and
@@ -76,6 +78,8 @@
   private readonly suspects = new Map<string, SuspectRequest>();
   private readonly answered = new Map<string, number>();
   private readonly listeners: Listener[] = [];
+  /** When the crash of a runner start was retracted, the oldest first: reports of it are under way for a while. */
+  private readonly retracted = new Map<number, number>();
 
   constructor(private readonly options: Options) {}
 
@@ -170,6 +174,22 @@
     for (const {onReleased} of this.listeners) onReleased(fingerprint, reason);
   }
 
+  /** Takes back the crash of a runner start, which is there again, and releases requests that the other crashes don't suffice for. */
+  retractCrash(start: number): void {
+    this.retracted.set(start, this.options.clock.now());
+    if (this.retracted.size > MAX_RETRACTED)
+      this.retracted.delete([...this.retracted.keys()][0]);
+    for (const suspect of this.suspects.values()) {
+      if (!suspect.wasPresentAt(start)) continue;
+      suspect.discountCrash(start);
+      if (suspect.quarantinedAt === undefined) continue;
+      if (reachesThreshold(suspect.weight)) continue;
+      suspect.quarantinedAt = undefined;
+      for (const {onReleased} of this.listeners)
+        onReleased(suspect.fingerprint, ReleaseReason.RETRACTED);
+    }
+  }
+
   /** Applies the rules that depend on time; to be called about once a second. */
   review(): void {
     this.expire();
@@ -201,11 +221,18 @@
     );
   }
 
+  private isRetracted(start: number): boolean {
+    const at = this.retracted.get(start) ?? -Infinity;
+    return this.options.clock.now() - at <= GOSSIP_MS;
+  }
+
   private addCrashes(
     fingerprint: string,
     crashes: readonly RunnerCrash[],
   ): void {
-    const weighted = crashes.filter(({weight}) => weight > 0);
+    const weighted = crashes.filter(
+      ({start, weight}) => weight > 0 && !this.isRetracted(start),
+    );
     if (weighted.length === 0) return;
     const suspect = this.touchSuspect(fingerprint);
     const now = this.options.clock.now();
--- a/packages/decisions/src/calls/release_reason.ts
+++ b/packages/decisions/src/calls/release_reason.ts
@@ -3,6 +3,7 @@
   ANSWERED: 'answered well',
   EXPIRED: 'time is over',
   REMOVED: 'removed from the store',
+  RETRACTED: 'runners are back',
   OVER_CAPACITY: 'too many are held back',
 } as const;
 type ReleaseReason = (typeof ReleaseReason)[keyof typeof ReleaseReason];
--- a/packages/decisions/src/calls/suspect_part.ts
+++ b/packages/decisions/src/calls/suspect_part.ts
@@ -34,6 +34,12 @@
       this.counted.delete([...this.counted.keys()][0]);
   }
 
+  /** Discounts the crash of one runner start. */
+  clearCrash(start: number): void {
+    this.counted.delete(start);
+    this.cleared.add(start);
+  }
+
   /** Discounts all crashes so far and ends the quarantine. */
   clear(): void {
     for (const start of this.counted.keys()) this.cleared.add(start);
--- a/packages/decisions/src/calls/suspect_request.ts
+++ b/packages/decisions/src/calls/suspect_request.ts
@@ -81,6 +81,11 @@
       .reduce((sum, {weight}) => sum + weight, 0);
   }
 
+  /** Discounts the crash of one runner start. */
+  discountCrash(start: number): void {
+    this.discounted.add(start);
+  }
+
   /** Discounts all crashes recorded so far and ends the quarantine. */
   discountCrashes(): void {
     for (const start of this.recorded.keys()) this.discounted.add(start);
--- a/packages/gateway/src/calls/attempt.ts
+++ b/packages/gateway/src/calls/attempt.ts
@@ -65,6 +65,7 @@
   private lastRelayedId: number | undefined;
   private outputAt: number | undefined;
   private wasRunnerSilent = false;
+  private wasReadingPaused = false;
   private headAt: number | undefined;
   private reading: ResponseReading | undefined;
   private runnerStatement: RunnerStatement | undefined;
@@ -75,6 +76,8 @@
   private admitted = false;
   private sentAt: number | undefined;
   private callerAgeAtSendMs: number | undefined;
+  /** Whether the runner had no other request when nothing had been heard of it for a while since a sign of it. */
+  private silence: {signAt: number; wasAlone: boolean} | undefined;
   /** Ends the check whether the runner's first output is overdue. */
   private stopTracking: (() => void) | undefined;
 
@@ -132,6 +135,43 @@
     return this.options.clock.now() - this.silenceDetector.lastProgressAt;
   }
 
+  /** When the request was sent, on this host's clock; undefined if it was not. */
+  get requestSentAt(): number | undefined {
+    return this.sentAt;
+  }
+
+  /** When the runner was last heard of on any connection, or the request was sent if that was later, on this host's clock. */
+  get lastSignAt(): number {
+    // What the runner sends is not read now.
+    if (this.reading?.isPaused) return this.options.clock.now();
+    return Math.max(
+      this.silenceDetector.lastProgressAt,
+      this.sentAt ?? this.startedAt,
+      this.options.choice.runner.heardAt,
+    );
+  }
+
+  /** Whether this host ended the attempt. */
+  get wasEndedByHost(): boolean {
+    return this.abortReason !== undefined;
+  }
+
+  /** Whether this host was not reading the response when the attempt ended, or had not for long. */
+  get wasUnread(): boolean {
+    return this.wasReadingPaused || this.reading?.wasLeftUnread === true;
+  }
+
+  /**
+   * Notes that nothing has been heard of the runner for a while: if it has ended, requests that are sent to it from now on
+   * had no part in that.
+   */
+  noteRunnerSilent(): void {
+    if (this.reading?.isPaused) return;
+    const signAt = this.lastSignAt;
+    if (this.silence?.signAt === signAt) return;
+    this.silence = {signAt, wasAlone: this.isAlone};
+  }
+
   /** Ends the attempt, although neither its runner nor the call has ended. */
   end(reason: RunEnd): void {
     this.abortController.abort(reason);
@@ -153,6 +193,20 @@
     return this.options.clock.now() - this.headAt;
   }
 
+  /** Time from the response headers to the last sign of the runner, in ms; 0 if none have arrived. */
+  get headToLastSignMs(): number {
+    if (this.headAt === undefined) return 0;
+    return Math.max(0, this.lastSignAt - this.headAt);
+  }
+
+  /** Whether the runner had no other request until its last sign, as far as this host knows. */
+  get wasAloneAtLastSign(): boolean {
+    const {silence} = this;
+    return silence?.signAt === this.lastSignAt
+      ? silence.wasAlone
+      : this.isAlone;
+  }
+
   /** Whether the runner has had no other request during the attempt, as far as this host knows. */
   get isAlone(): boolean {
     const {runner} = this.options.choice;
@@ -180,6 +234,7 @@
       this.silenceDetector.stop();
       this.recordFirstOutput();
       this.wasRunnerSilent = runner.isQuiet && !this.reading?.isPaused;
+      this.wasReadingPaused = this.reading?.isPaused === true;
       this.reading?.stop();
       if (this.admitted) runner.noteAdmittedEnded();
       const tookMs = this.options.clock.now() - this.startedAt;
--- a/packages/gateway/src/calls/attempt_recorder.ts
+++ b/packages/gateway/src/calls/attempt_recorder.ts
@@ -14,6 +14,7 @@
 import type {AttemptOutcome} from './attempt_outcome.js';
 import type {AttemptTiming} from './attempt_timing.js';
 import type {CallProgress} from './call_progress.js';
+import {RunEnd} from './run_end.js';
 import {LatencyRecorder} from './latency_recorder.js';
 import {estimateLatencyMs} from './estimate_latency_ms.js';
 import {roundToHundredths} from '../observability/round_to_hundredths.js';
@@ -91,7 +92,9 @@
       });
     this.recordOutput(call, outcome, timing);
     this.recordHealth(runner, outcome, timing.wasSilent);
-    if (isUnreachable(outcome) || outcome.isTruncated) runner.noteUnreachable();
+    const isGone = outcome.reason === RunEnd.RUNNER_GONE;
+    if (isUnreachable(outcome) || outcome.isTruncated || isGone)
+      runner.noteUnreachable();
     this.recordEvidence(progress, runner, outcome, timing);
   }
 
--- a/packages/gateway/src/calls/attempt_runner.ts
+++ b/packages/gateway/src/calls/attempt_runner.ts
@@ -121,7 +121,13 @@
         ? Math.max(0, reachability.heardAt - startedAt)
         : undefined,
     );
+    const stopWatching = crashAttribution.watch(
+      progress.call,
+      choice.runner,
+      attempt,
+    );
     const outcome = await attempt.run();
+    stopWatching();
     const {call, workMs} = progress;
     if (attempt.isAdmitted)
       this.options.overloadControlOf(call.service).recordEnded(workMs);
@@ -194,8 +200,13 @@
     const {clock, connectionReads, headerNames, headerBuilder} = this.options;
     const {call, model} = progress;
     const {runner} = request.choice;
+    const onSilent = () => {
+      this.options.crashAttribution.noteSilence(runner);
+      request.onSilent();
+    };
     return new Attempt({
       ...request,
+      onSilent,
       clock,
       connectionReads,
       headerNames,
--- a/packages/gateway/src/calls/call_forwarder.ts
+++ b/packages/gateway/src/calls/call_forwarder.ts
@@ -39,6 +39,7 @@
 import {CallFinisher} from './call_finisher.js';
 import type {HeaderNames} from './header_names.js';
 import type {IncomingCall} from './incoming_call.js';
+import type {SilentRunnerMonitor} from './silent_runner_monitor.js';
 import {RetryPolicy} from './retry_policy.js';
 import {CrashAttribution} from './crash_attribution.js';
 import {findHold} from '../quarantine/find_hold.js';
@@ -64,6 +65,7 @@
   readonly chooser: RunnerChooser;
   readonly gate: RunnerGate;
   readonly reachability: RunnerReachability;
+  readonly silentRunners: SilentRunnerMonitor;
   /** Name of this host. */
   readonly host: string;
   readonly relayHosts: RelayHostRegistry;
--- a/packages/gateway/src/calls/crash_attribution.ts
+++ b/packages/gateway/src/calls/crash_attribution.ts
@@ -5,21 +5,30 @@
   weighRunnerCrash,
 } from '@bayspool/decisions/calls';
 import type {PartQuarantine, Quarantine} from '@bayspool/decisions/calls';
+import type {Clock} from '@bayspool/kernel';
 import type {EventLog} from '../observability/event_log.js';
 import type {Runner} from '../runners/runner.js';
 import type {RunnerReachability} from '../runners/runner_reachability.js';
+import {CONNECTION_REFUSED} from '../runners/connection_refused.js';
 import {getIncarnationId} from '../runners/get_incarnation_id.js';
+import {RunnerEndEvidence} from '../runners/runner_end_evidence.js';
+import {AbortReason} from './abort_reason.js';
 import type {Attempt} from './attempt.js';
 import {OutcomeKind} from './outcome_kind.js';
 import type {AttemptOutcome} from './attempt_outcome.js';
+import type {CrashEvidence} from './crash_evidence.js';
 import type {IncomingCall} from './incoming_call.js';
+import type {RunnerEnd} from './runner_end.js';
+import type {SilentRunnerMonitor} from './silent_runner_monitor.js';
 import {roundToHundredths} from '../observability/round_to_hundredths.js';
 
 interface Options {
+  readonly clock: Clock;
   readonly log: EventLog;
   readonly quarantine: Quarantine;
   readonly partQuarantine: PartQuarantine;
   readonly reachability: RunnerReachability;
+  readonly silentRunners: SilentRunnerMonitor;
 }
 
 /** Time from the head of a response within which a part of its prompt may have crashed the runner, in ms. */
@@ -29,8 +38,34 @@
 
 /** Counts runner crashes against the request that was running and the parts of its prompt, to detect what crashes the runners. */
 export class CrashAttribution {
+  /** Calls that have been answered: another run of them that ends at a runner that is gone says nothing. */
+  private readonly answeredCalls = new WeakSet<IncomingCall>();
+  /** Attempts whose runner was known to have ended while they waited. */
+  private readonly settledAttempts = new WeakSet<Attempt>();
+
   constructor(private readonly options: Options) {}
 
+  /** Watches the runner of an attempt until the returned function is called. */
+  watch(call: IncomingCall, runner: Runner, attempt: Attempt): () => void {
+    return this.options.silentRunners.watch(runner, {
+      request: call.id,
+      get isAdmitted() {
+        return attempt.isAdmitted;
+      },
+      get lastSignAt() {
+        return attempt.lastSignAt;
+      },
+      noteRunnerSilent: () => attempt.noteRunnerSilent(),
+      end: reason => attempt.end(reason),
+      onRunnerEnded: end => this.recordSilentEnd(call, runner, attempt, end),
+    });
+  }
+
+  /** Notes that an attempt at a runner has been silent for too long. */
+  noteSilence(runner: Runner): void {
+    this.options.silentRunners.noteSilence(runner);
+  }
+
   /**
    * Records the outcome for the fingerprint of the request. The count has to outlive the call and
    * can't go by the request id, because callers resend such a request with a new id, to any host.
@@ -41,30 +76,103 @@
     attempt: Attempt,
     outcome: AttemptOutcome,
   ): void {
-    const {quarantine} = this.options;
     if (outcome.kind === OutcomeKind.ANSWERED) {
-      quarantine.recordAnswer(call.fingerprint);
-      this.clearParts(call);
+      this.recordAnswer(call);
     } else if (outcome.isTruncated) {
-      this.recordCrash(call, runner, attempt);
-      this.recordPartCrash(call, runner, attempt);
+      const {hasHead, sinceHeadMs, firstOutputAt, isAlone} = attempt;
+      this.recordEvidence(call, runner, {
+        knownBy: RunnerEndEvidence.BROKEN,
+        knownAfterMs: 0,
+        hasHead,
+        hasBodyBytes: firstOutputAt !== undefined,
+        sinceHeadMs,
+        isAlone,
+      });
+    } else if (outcome.reason === CONNECTION_REFUSED) {
+      this.options.silentRunners.noteRefused(runner);
+    } else if (attempt.isAdmitted && attempt.wasEndedByHost) {
+      this.keepUnsettled(call, runner, attempt, outcome);
     }
   }
 
-  private clearParts({prompt, workspace}: IncomingCall): void {
-    const {partQuarantine} = this.options;
-    if (partQuarantine.isEmpty) return;
-    partQuarantine.recordAnswer(fingerprintPromptParts(prompt, workspace));
+  private recordAnswer(call: IncomingCall): void {
+    const {quarantine, partQuarantine, silentRunners} = this.options;
+    const {fingerprint, prompt, workspace} = call;
+    quarantine.recordAnswer(fingerprint);
+    this.answeredCalls.add(call);
+    const {hasUnsettledRuns} = silentRunners;
+    if (partQuarantine.isEmpty && !hasUnsettledRuns) return;
+    const parts = fingerprintPromptParts(prompt, workspace);
+    partQuarantine.recordAnswer(parts);
+    if (hasUnsettledRuns) silentRunners.recordAnswer(fingerprint, parts);
+  }
+
+  /** Keeps a run that this host ended: its runner may have ended before, without a sign. */
+  private keepUnsettled(
+    call: IncomingCall,
+    runner: Runner,
+    attempt: Attempt,
+    {reason}: AttemptOutcome,
+  ): void {
+    if (reason === AbortReason.HOST_SHUTDOWN) return;
+    if (attempt.wasUnread || this.answeredCalls.has(call)) return;
+    if (this.settledAttempts.has(attempt)) return;
+    const {id: request, fingerprint, prompt, workspace} = call;
+    const {lastSignAt, requestSentAt = lastSignAt} = attempt;
+    const evidence = toSilentEvidence(attempt);
+    this.options.silentRunners.add(runner, {
+      request,
+      fingerprint,
+      parts: fingerprintPromptParts(prompt, workspace),
+      sentAt: requestSentAt,
+      lastSignAt,
+      endedAt: this.options.clock.now(),
+      onRunnerEnded: (end, parts) =>
+        this.recordEvidence(
+          call,
+          runner,
+          {...evidence, ...toKnowledge(end, evidence.isAlone)},
+          parts,
+        ),
+    });
+  }
+
+  private recordSilentEnd(
+    call: IncomingCall,
+    runner: Runner,
+    attempt: Attempt,
+    end: RunnerEnd,
+  ): void {
+    if (this.answeredCalls.has(call)) return;
+    this.settledAttempts.add(attempt);
+    const evidence = toSilentEvidence(attempt);
+    this.recordEvidence(call, runner, {
+      ...evidence,
+      ...toKnowledge(end, evidence.isAlone),
+    });
+  }
+
+  private recordEvidence(
+    call: IncomingCall,
+    runner: Runner,
+    evidence: CrashEvidence,
+    parts: readonly string[] = fingerprintPromptParts(
+      call.prompt,
+      call.workspace,
+    ),
+  ): void {
+    this.recordCrash(call, runner, evidence);
+    this.recordPartCrash(call, runner, evidence, parts);
   }
 
   /** Counts a crash against the prompt's parts if the runner may just have begun a response on them. */
   private recordPartCrash(
-    {id: request, route, prompt, workspace}: IncomingCall,
+    {id: request, route}: IncomingCall,
     runner: Runner,
-    {hasHead, sinceHeadMs}: Attempt,
+    {hasHead, sinceHeadMs, knownBy}: CrashEvidence,
+    parts: readonly string[],
   ): void {
     const {log, partQuarantine, reachability} = this.options;
-    const parts = fingerprintPromptParts(prompt, workspace);
     if (parts.length === 0) return;
     if (isStreamed(route.kind) && !hasHead) return;
     if (sinceHeadMs >= JUST_BEGUN_MS) return;
@@ -80,24 +188,21 @@
           .map(part => partQuarantine.countCrashes(part))
           .join(' '),
         sinceHeadMs: Math.round(sinceHeadMs),
+        knownBy,
       });
     });
   }
 
   private recordCrash(
-    call: IncomingCall,
+    {fingerprint, id: request, route}: IncomingCall,
     runner: Runner,
-    attempt: Attempt,
+    evidence: CrashEvidence,
   ): void {
     const {log, quarantine, reachability} = this.options;
-    const {fingerprint, id: request, route} = call;
-    const {hasHead, sinceHeadMs, firstOutputAt, isAlone} = attempt;
+    const {isAlone, sinceHeadMs, knownBy, knownAfterMs} = evidence;
     const weight = weighRunnerCrash({
+      ...evidence,
       isStreamed: isStreamed(route.kind),
-      hasHead,
-      sinceHeadMs,
-      isAlone,
-      hasBodyBytes: firstOutputAt !== undefined,
     });
     if (weight === 0) return;
     reachability.whenConfirmed(runner, () => {
@@ -113,7 +218,30 @@
         sum: roundToHundredths(quarantine.weightOf(fingerprint)),
         isAlone,
         sinceHeadMs: Math.round(sinceHeadMs),
+        knownBy,
+        knownAfterMs: Math.round(knownAfterMs),
       });
     });
   }
 }
+
+function toSilentEvidence(attempt: Attempt) {
+  return {
+    hasHead: attempt.hasHead,
+    hasBodyBytes: attempt.firstOutputAt !== undefined,
+    sinceHeadMs: attempt.headToLastSignMs,
+    isAlone: attempt.wasAloneAtLastSign,
+  };
+}
+
+/** If the runner lived on for a while after its last sign, other requests may have come to it meanwhile. */
+function toKnowledge(
+  {evidence, knownAfterMs, wasListening}: RunnerEnd,
+  wasAlone: boolean,
+) {
+  return {
+    knownBy: evidence,
+    knownAfterMs,
+    isAlone: wasAlone && !wasListening,
+  };
+}
--- /dev/null
+++ b/packages/gateway/src/calls/crash_evidence.ts
@@ -0,0 +1,13 @@
+import type {RunnerEndEvidence} from '../runners/runner_end_evidence.js';
+
+/** State of a run at the end of its runner, or at the last sign of it if that was not seen. */
+export interface CrashEvidence {
+  readonly knownBy: RunnerEndEvidence;
+  /** Time from the last sign of the runner until its end was known, in ms. */
+  readonly knownAfterMs: number;
+  readonly hasHead: boolean;
+  readonly hasBodyBytes: boolean;
+  readonly sinceHeadMs: number;
+  /** Whether the runner had no other request, as far as this host knows. */
+  readonly isAlone: boolean;
+}
--- a/packages/gateway/src/calls/run_end.ts
+++ b/packages/gateway/src/calls/run_end.ts
@@ -2,6 +2,8 @@
 const RunEnd = {
   /** The runner sent nothing for too long; another run has delivered, or no connection was up yet. */
   SILENT: 'silent',
+  /** The runner has ended without closing the connection. */
+  RUNNER_GONE: 'runner is gone',
   /** Another run of the call has delivered. */
   SUPERSEDED: 'another run delivered first',
 } as const;
--- /dev/null
+++ b/packages/gateway/src/calls/silent_runner_monitor.ts
@@ -0,0 +1,419 @@
+import {hashToUint32} from '@bayspool/decisions/calls';
+import type {RunnerEntry} from '@bayspool/decisions/calls';
+import type {Clock, Timer} from '@bayspool/kernel';
+import type {EventLog} from '../observability/event_log.js';
+import type {GatewayMetrics} from '../observability/gateway_metrics.js';
+import {getIncarnationId} from '../runners/get_incarnation_id.js';
+import {ListenerState} from '../runners/listener_state.js';
+import type {Runner} from '../runners/runner.js';
+import {RunnerEndEvidence} from '../runners/runner_end_evidence.js';
+import type {RunnerEnd} from './runner_end.js';
+import {RunEnd} from './run_end.js';
+import {RunSettlement} from './run_settlement.js';
+import type {UnsettledRun} from './unsettled_run.js';
+import type {WatchedRun} from './watched_run.js';
+import {WatchedRunner} from './watched_runner.js';
+
+interface Options {
+  readonly clock: Clock;
+  readonly log: EventLog;
+  readonly metrics: GatewayMetrics;
+  /** Finds out by one connect whether a process listens at an address. */
+  readonly checkListener: (address: string) => Promise<ListenerState>;
+  /** All runners known now. */
+  readonly runners: () => readonly Runner[];
+  /** Applies what holds only if this host's own links work, once another runner is heard of. */
+  readonly whenConfirmed: (runner: Runner, apply: () => void) => void;
+  /** Called with the hash of the incarnation of a runner that is there, whether or not its end was recorded. */
+  readonly onReturned: (start: number) => void;
+}
+
+/** Time between two reviews of the runners that have runs, in ms. */
+const REVIEW_INTERVAL_MS = 100;
+/** Time without anything from a runner after which a refused connect shows that it has ended, in ms. */
+const MIN_SILENT_MS = 200;
+/** Longest silence after a run that ended until its runner is asked by a connect, in ms. */
+const MAX_CONNECT_DELAY_MS = 1_000;
+/** Time from one connect to a runner to the next, in ms; it doubles with each up to the maximum. */
+const CONNECT_INTERVAL_MS = 1_000;
+const MAX_CONNECT_INTERVAL_MS = 8_000;
+/** Connects of this host that may be under way. */
+const MAX_CONNECTS = 8;
+/** Refused connects in a row after which runs that wait for the runner are ended. */
+const REFUSALS_TO_END_RUNS = 2;
+/** Connects in a row without a reply after which a runner whose entry went has ended. */
+const UNANSWERED_TO_END = 2;
+/** Time after bytes from a runner within which the entry of its successor would have come, in ms. */
+const SUCCESSOR_DELAY_MS = 1_000;
+/** Time for which a runner that counts as ended is watched for bytes, in ms. */
+const RETURN_WATCH_MS = 60_000;
+/** Most runs that ended and are kept, over all runners. */
+const MAX_UNSETTLED_RUNS = 512;
+/** Most incarnations that are remembered as gone; the oldest are forgotten first. */
+const MAX_GONE = 4_096;
+
+/**
+ * Learns of runners that end without closing their connections. A run that ends while nothing is heard of its runner stays
+ * unsettled: silence alone says nothing, as a slow or suspended runner and a cut link look alike. It counts if the runner
+ * turns out to have ended since, and is dropped if the runner is heard of again.
+ */
+export class SilentRunnerMonitor {
+  private readonly watched = new Map<string, WatchedRunner>();
+  /** Incarnations whose entry went or whose end was recorded, the oldest first. */
+  private readonly gone = new Set<string>();
+  private timer: Timer | undefined;
+  private connects = 0;
+  private isStopped = false;
+
+  constructor(private readonly options: Options) {}
+
+  /** Watches the runner of a run until the returned function is called. */
+  watch(runner: Runner, run: WatchedRun): () => void {
+    const watched = this.getOrAdd(runner);
+    watched.active.add(run);
+    return () => watched.active.delete(run);
+  }
+
+  /** Whether runs are kept that ended while nothing was heard of their runners. */
+  get hasUnsettledRuns(): boolean {
+    for (const {endedCount} of this.watched.values())
+      if (endedCount > 0) return true;
+    return false;
+  }
+
+  /** Keeps a run that ended while nothing was heard of its runner, until more is known. */
+  add(runner: Runner, run: UnsettledRun): void {
+    const watched = this.getOrAdd(runner);
+    const {end} = watched;
+    const now = this.options.clock.now();
+    const silentMs = now - run.lastSignAt;
+    if (end && runner.heardAt <= end.at) {
+      // What was sent to a runner that had ended has no part in it.
+      if (run.sentAt < end.at) this.settleAsEnded(watched, run);
+      return;
+    }
+    if (this.countUnsettled() >= MAX_UNSETTLED_RUNS || !watched.add(run))
+      return;
+    if (silentMs < MIN_SILENT_MS) return;
+    this.options.log.write('run_unsettled', {
+      request: run.request,
+      runner: runner.id,
+      silentMs: Math.round(silentMs),
+    });
+  }
+
+  /** Drops what is kept against a request that was answered, and against the parts of its prompt. */
+  recordAnswer(fingerprint: string, parts: readonly string[]): void {
+    for (const watched of this.watched.values())
+      watched.dropAnswered(fingerprint, parts);
+  }
+
+  /** Notes that a run at a runner has been silent for too long. */
+  noteSilence(runner: Runner): void {
+    const watched = this.watched.get(getIncarnationId(runner.entry));
+    if (watched) watched.isSuspected = true;
+  }
+
+  /** Notes that a connection to a runner was refused. */
+  noteRefused(runner: Runner): void {
+    const watched = this.watched.get(getIncarnationId(runner.entry));
+    if (!watched) return;
+    watched.isSuspected = true;
+    if (this.silentMsOf(watched) < MIN_SILENT_MS) return;
+    this.applyRefusal(watched);
+  }
+
+  /** Notes that another runner answers at the address of this one. */
+  noteReplaced(runner: Runner): void {
+    const watched = this.watched.get(getIncarnationId(runner.entry));
+    if (watched) this.settleEnd(watched, RunnerEndEvidence.REPLACED);
+  }
+
+  /**
+   * Notes that the entry of a runner went.
+   *
+   * @param isRestarted whether a later incarnation is there under its id
+   */
+  noteRemoved(runner: Runner, isRestarted: boolean): void {
+    const id = getIncarnationId(runner.entry);
+    const watched = this.watched.get(id);
+    this.rememberGone(id);
+    if (!watched) return;
+    if (isRestarted)
+      return this.settleEnd(watched, RunnerEndEvidence.RESTARTED);
+    watched.removedAt = this.options.clock.now();
+    watched.nextConnectAt = -Infinity;
+  }
+
+  /** Notes the entry of a runner that was not known, or not any more. */
+  noteEntered(entry: RunnerEntry): void {
+    const id = getIncarnationId(entry);
+    // Without the time of its start, a runner that was started again under its id looks the same.
+    if (entry.bornAt !== undefined && this.gone.delete(id))
+      this.retract(id, entry.id, 'entry is back');
+    for (const [otherId, watched] of this.watched)
+      if (otherId !== id && watched.runner.entry.address === entry.address)
+        this.settleEnd(watched, RunnerEndEvidence.REPLACED);
+    const known = this.watched.get(id);
+    if (known && known.runner.entry.address !== entry.address)
+      this.settleEnd(known, RunnerEndEvidence.RESTARTED);
+  }
+
+  /** Stops all connects. */
+  stop(): void {
+    this.isStopped = true;
+    this.timer?.cancel();
+  }
+
+  private getOrAdd(runner: Runner): WatchedRunner {
+    const id = getIncarnationId(runner.entry);
+    const known = this.watched.get(id);
+    if (known && known.runner === runner) return known;
+    const watched = new WatchedRunner(runner);
+    this.watched.set(id, watched);
+    this.scheduleReview();
+    return watched;
+  }
+
+  private countUnsettled(): number {
+    let count = 0;
+    for (const {endedCount} of this.watched.values()) count += endedCount;
+    return count;
+  }
+
+  private scheduleReview(): void {
+    if (this.timer || this.isStopped) return;
+    this.timer = this.options.clock.after(REVIEW_INTERVAL_MS, () => {
+      this.timer = undefined;
+      this.review();
+      if (this.watched.size > 0) this.scheduleReview();
+    });
+  }
+
+  private review(): void {
+    const now = this.options.clock.now();
+    for (const [id, watched] of [...this.watched]) {
+      this.settleHeard(id, watched, now);
+      this.noteSilentRuns(watched, now);
+      this.endWaitingRuns(watched);
+      if (this.isConnectDue(watched, now)) void this.connect(watched);
+      if (this.isOver(watched, now)) this.watched.delete(id);
+    }
+  }
+
+  private isOver(
+    {active, endedCount, isConnecting, end}: WatchedRunner,
+    now: number,
+  ): boolean {
+    if (active.size > 0 || endedCount > 0 || isConnecting) return false;
+    return end === undefined || now - end.at >= RETURN_WATCH_MS;
+  }
+
+  /** Drops runs whose runner was heard of again, or of whose runner nothing was learned. */
+  private settleHeard(id: string, watched: WatchedRunner, now: number): void {
+    const {runner, end} = watched;
+    const heard = watched.takeHeard(now, SUCCESSOR_DELAY_MS);
+    for (const run of heard) this.logSettled(watched, run, RunSettlement.ALIVE);
+    for (const run of watched.takeExpired(now))
+      this.logSettled(watched, run, RunSettlement.UNKNOWN);
+    if (this.silentMsOf(watched) < MIN_SILENT_MS) this.resetConnects(watched);
+    const isHeardAgain = end !== undefined && runner.heardAt > end.at;
+    if (!isHeardAgain || now - runner.heardAt < SUCCESSOR_DELAY_MS) return;
+    if (isEndBySuccessor(end.evidence)) return;
+    watched.end = undefined;
+    if (this.gone.delete(id)) this.retract(id, runner.id, 'heard again');
+  }
+
+  private resetConnects(watched: WatchedRunner): void {
+    watched.isSuspected = false;
+    watched.connects = 0;
+    watched.refusedConnects = 0;
+    watched.unansweredConnects = 0;
+    if (!watched.isConnecting) watched.nextConnectAt = -Infinity;
+  }
+
+  private noteSilentRuns({active}: WatchedRunner, now: number): void {
+    for (const run of active)
+      if (run.isAdmitted && now - run.lastSignAt >= MIN_SILENT_MS)
+        run.noteRunnerSilent();
+  }
+
+  /** Time since the last sign that concerns the runs of a runner, in ms; 0 if it has none. */
+  private silentMsOf(watched: WatchedRunner): number {
+    const signs = [...watched.active]
+      .filter(({isAdmitted}) => isAdmitted)
+      .map(({lastSignAt}) => lastSignAt);
+    const {unheardSince} = watched;
+    if (unheardSince !== undefined) signs.push(unheardSince);
+    if (signs.length === 0) return 0;
+    return this.options.clock.now() - Math.min(...signs);
+  }
+
+  private isConnectDue(watched: WatchedRunner, now: number): boolean {
+    const {runner, isConnecting, nextConnectAt, isSuspected, active} = watched;
+    if (isConnecting || now < nextConnectAt || this.connects >= MAX_CONNECTS)
+      return false;
+    if (watched.end && active.size === 0) return false;
+    const silentMs = this.silentMsOf(watched);
+    if (silentMs < MIN_SILENT_MS) return false;
+    if (isSuspected || runner.isQuiet) return true;
+    if (watched.removedAt !== undefined) return true;
+    const {unheardSince} = watched;
+    if (unheardSince === undefined) return false;
+    const delayMs = Math.min(MAX_CONNECT_DELAY_MS, runner.toleratedSilenceMs);
+    return now - unheardSince >= delayMs;
+  }
+
+  private async connect(watched: WatchedRunner): Promise<void> {
+    const {clock, checkListener} = this.options;
+    const {address} = watched.runner.entry;
+    watched.isConnecting = true;
+    this.connects += 1;
+    const startedAt = clock.now();
+    const state = await checkListener(address);
+    this.connects -= 1;
+    watched.isConnecting = false;
+    if (this.isStopped) return;
+    const intervalMs = CONNECT_INTERVAL_MS * 2 ** watched.connects;
+    watched.connects += 1;
+    watched.nextConnectAt =
+      clock.now() + Math.min(MAX_CONNECT_INTERVAL_MS, intervalMs);
+    if (watched.runner.heardAt >= startedAt) return;
+    if (state === ListenerState.REFUSED) this.applyRefusal(watched);
+    else if (state === ListenerState.LISTENING) this.applyAccepted(watched);
+    else this.applyUnanswered(watched);
+  }
+
+  private applyAccepted(watched: WatchedRunner): void {
+    watched.listenedAt = this.options.clock.now();
+    watched.refusedConnects = 0;
+    watched.unansweredConnects = 0;
+  }
+
+  private applyRefusal(watched: WatchedRunner): void {
+    const now = this.options.clock.now();
+    watched.refusedConnects += 1;
+    watched.unansweredConnects = 0;
+    if (watched.refusedConnects < REFUSALS_TO_END_RUNS)
+      watched.nextConnectAt = now + MIN_SILENT_MS;
+    this.settleEnd(watched, RunnerEndEvidence.REFUSED);
+    this.endWaitingRuns(watched);
+  }
+
+  /** No reply is weak evidence: it counts only with the entry gone as well, and while other runners of the place are heard of. */
+  private applyUnanswered(watched: WatchedRunner): void {
+    const {removedAt, runner} = watched;
+    if (removedAt === undefined) return;
+    watched.unansweredConnects += 1;
+    if (watched.unansweredConnects < UNANSWERED_TO_END) return;
+    const isPlaceHeard = this.options
+      .runners()
+      .some(
+        ({entry, heardAt}) =>
+          entry.place === runner.entry.place && heardAt > removedAt,
+      );
+    if (isPlaceHeard) this.settleEnd(watched, RunnerEndEvidence.REMOVED);
+  }
+
+  /** Counts the end of a runner against the runs of which it is not known that it outlived them. */
+  private settleEnd(watched: WatchedRunner, evidence: RunnerEndEvidence): void {
+    const {runner, active} = watched;
+    if (watched.isLeaving) {
+      for (const run of watched.takeAll())
+        this.logSettled(watched, run, RunSettlement.LEFT);
+      return;
+    }
+    const now = this.options.clock.now();
+    const isFirst = watched.end === undefined;
+    const isSuccessorKnown = isEndBySuccessor(evidence);
+    if (isFirst || isSuccessorKnown) watched.end = {evidence, at: now};
+    this.rememberGone(getIncarnationId(runner.entry));
+    // What was heard of it lately may have been its successor.
+    const runs = isSuccessorKnown ? watched.takeAll() : watched.takeUnheard();
+    for (const run of runs) this.settleAsEnded(watched, run);
+    if (!isFirst) return;
+    // Requests on idle connections to a runner that has ended would be lost.
+    runner.pool.closeIdle();
+    for (const run of active) {
+      if (!run.isAdmitted || now - run.lastSignAt < MIN_SILENT_MS) continue;
+      this.logSettled(watched, run, RunSettlement.ENDED);
+      run.onRunnerEnded(this.describeEnd(watched, run.lastSignAt));
+    }
+  }
+
+  private settleAsEnded(watched: WatchedRunner, run: UnsettledRun): void {
+    this.logSettled(watched, run, RunSettlement.ENDED);
+    run.onRunnerEnded(this.describeEnd(watched, run.lastSignAt), run.parts);
+  }
+
+  private describeEnd(
+    {end, listenedAt}: WatchedRunner,
+    lastSignAt: number,
+  ): RunnerEnd {
+    const {evidence, at} = end!;
+    const knownAfterMs = Math.max(0, at - lastSignAt);
+    // What accepted the connect may have been its successor.
+    const wasListening = !isEndBySuccessor(evidence) && listenedAt > lastSignAt;
+    return {evidence, knownAfterMs, wasListening};
+  }
+
+  /** Ends the runs that wait for a runner at which nothing listens. */
+  private endWaitingRuns(watched: WatchedRunner): void {
+    const {runner, end, refusedConnects, active} = watched;
+    if (!end || refusedConnects < REFUSALS_TO_END_RUNS) return;
+    if (runner.heardAt > end.at || !runner.isQuiet) return;
+    for (const run of [...active]) {
+      if (!run.isAdmitted) continue;
+      active.delete(run);
+      this.options.whenConfirmed(runner, () => {
+        if (runner.heardAt <= end.at) run.end(RunEnd.RUNNER_GONE);
+      });
+    }
+  }
+
+  private rememberGone(id: string): void {
+    this.gone.delete(id);
+    this.gone.add(id);
+    if (this.gone.size > MAX_GONE) this.gone.delete([...this.gone][0]);
+  }
+
+  private retract(id: string, runner: string, reason: string): void {
+    const watched = this.watched.get(id);
+    if (watched) watched.end = undefined;
+    this.options.onReturned(hashToUint32(id));
+    this.options.log.write('runner_end_retracted', {runner, reason});
+  }
+
+  private logSettled(
+    {runner, end}: WatchedRunner,
+    {
+      request,
+      lastSignAt,
+      endedAt = lastSignAt,
+    }: Pick<UnsettledRun, 'request' | 'lastSignAt'> & Partial<UnsettledRun>,
+    outcome: RunSettlement,
+  ): void {
+    const {clock, log, metrics} = this.options;
+    const silentMs = clock.now() - lastSignAt;
+    const isEnded = outcome === RunSettlement.ENDED;
+    const knownBy = isEnded ? end?.evidence : undefined;
+    metrics.settledRuns.inc({outcome, knownBy: knownBy ?? ''});
+    const wasLogged = endedAt - lastSignAt >= MIN_SILENT_MS;
+    if (!wasLogged && !isEnded) return;
+    log.write('run_settled', {
+      request,
+      runner: runner.id,
+      outcome,
+      knownBy,
+      ageMs: Math.round(silentMs),
+    });
+  }
+}
+
+/** Whether the end is known from a later runner, under the id or at the address of the one that ended. */
+function isEndBySuccessor(evidence: RunnerEndEvidence): boolean {
+  return (
+    evidence === RunnerEndEvidence.RESTARTED ||
+    evidence === RunnerEndEvidence.REPLACED
+  );
+}
--- a/packages/gateway/src/discovery/runner_directory.ts
+++ b/packages/gateway/src/discovery/runner_directory.ts
@@ -16,8 +16,12 @@
   readonly reader: RecordReader;
   /** The mirror whose freshnessMirror shows when the store was unavailable. */
   readonly freshnessMirror: TopicMirror;
-  /** Called with the id of each runner that is removed. */
-  readonly onRemoved: (id: string) => void;
+  /** Called with each runner that is removed, and whether a later incarnation is there under its id. */
+  readonly onRemoved: (
+    id: string,
+    runner: Runner,
+    isRestarted: boolean,
+  ) => void;
   /** Whether operators cordoned a place. */
   readonly isCordoned: (place: string) => boolean;
   readonly refusedEntries: RefusedEntryReporter;
@@ -123,7 +127,7 @@
     this.unreadable.delete(id);
     this.cancelLapseTimer(id);
     if (this.isRestart(entry))
-      this.removeRunner(id, 'started again under its id');
+      this.removeRunner(id, 'started again under its id', true);
     const known = this.runners.get(id);
     const wasDraining = known?.entry.isDraining ?? false;
     this.recordVersion(entry);
@@ -212,7 +216,7 @@
   }
 
   /** Removes a runner with all its state: connections, load, outcomes and cached prompt parts. */
-  private removeRunner(id: string, reason: string): void {
+  private removeRunner(id: string, reason: string, isRestarted = false): void {
     const runner = this.runners.get(id);
     if (!runner) return;
     const {service} = runner.entry;
@@ -221,7 +225,7 @@
     this.unreadable.delete(id);
     this.cancelLapseTimer(id);
     runner.retire();
-    this.options.onRemoved(id);
+    this.options.onRemoved(id, runner, isRestarted);
     this.options.log.write('runner_gone', {runner: id, service, reason});
   }
 }
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -210,6 +210,7 @@
     this.metricsServer.stop();
     for (const server of this.callServers) server.stop();
     this.state.reachability.stop();
+    this.state.silentRunners.stop();
   }
 
   /** Starts of all servers, in their order. */
@@ -370,6 +371,7 @@
       directory,
       gate: runnerGate,
       reachability,
+      silentRunners: this.state.silentRunners,
       host: settings.host,
       relayHosts: this.relayHosts,
       candidates: new CallCandidates({
--- a/packages/gateway/src/host/host_state.ts
+++ b/packages/gateway/src/host/host_state.ts
@@ -4,6 +4,7 @@
   SessionVersions,
 } from '@bayspool/decisions/calls';
 import type {RunnerRateLimit, RunnerEntry} from '@bayspool/decisions/calls';
+import {SilentRunnerMonitor} from '../calls/silent_runner_monitor.js';
 import {ActiveConfiguration} from '../discovery/active_configuration.js';
 import {CordonRegistry} from '../discovery/cordon_registry.js';
 import {RunnerDirectory} from '../discovery/runner_directory.js';
@@ -26,6 +27,7 @@
 import {DeclaredLimitBound} from '../runners/declared_limit_bound.js';
 import type {Dialer} from '../runners/dialer.js';
 import {LeavingBound} from '../runners/leaving_bound.js';
+import {ListenerCheck} from '../runners/listener_check.js';
 import {PrefixCacheIndex} from '../runners/prefix_cache_index.js';
 import {Runner} from '../runners/runner.js';
 import {RunnerReachability} from '../runners/runner_reachability.js';
@@ -111,6 +113,8 @@
   readonly serviceCapacities: ServiceCapacities;
   /** Whether this host reaches any runner. */
   readonly reachability: RunnerReachability;
+  /** Learns of runners that end without closing their connections. */
+  readonly silentRunners: SilentRunnerMonitor;
   private readonly dialer: Dialer;
   private readonly connectTimeout = new ConnectTimeout();
 
@@ -132,6 +136,7 @@
     this.metrics = options.metrics;
     this.dialer = options.dialer ?? new TcpDialer();
     this.reachability = this.createReachability();
+    this.silentRunners = this.createSilentRunnerMonitor();
     this.prefixes = new PrefixCacheIndex({clock});
     this.storeHealth = new StoreHealth({clock, log});
     this.statedAvailabilities = new StatedAvailabilityRegistry({
@@ -219,7 +224,8 @@
       mirror: mirrors[Topic.RUNNERS],
       refusedEntries,
       isCordoned: place => cordons.has(place),
-      onRemoved: id => {
+      onRemoved: (id, runner, isRestarted) => {
+        this.silentRunners.noteRemoved(runner, isRestarted);
         this.prefixes.removeRunner(id);
         sentCalls.removeRunner(id);
         this.declaredLimits.removeRunner(id);
@@ -331,7 +337,27 @@
     });
   }
 
+  private createSilentRunnerMonitor(): SilentRunnerMonitor {
+    const {clock, log, metrics} = this.options;
+    const {dialer} = this;
+    const listenerCheck = new ListenerCheck({clock, dialer});
+    return new SilentRunnerMonitor({
+      clock,
+      log,
+      metrics,
+      checkListener: address => listenerCheck.check(address),
+      runners: () => this.directory.all(),
+      whenConfirmed: (runner, apply) =>
+        this.reachability.whenConfirmed(runner, apply),
+      onReturned: start => {
+        this.quarantine.retractCrash(start);
+        this.partQuarantine.retractCrash(start);
+      },
+    });
+  }
+
   private createRunner(entry: RunnerEntry): Runner {
+    this.silentRunners.noteEntered(entry);
     const {clock, log, metrics} = this.options;
     const {dialer} = this;
     const {service} = entry;
@@ -345,16 +371,20 @@
       onExcessBytes: () =>
         recordExcessBytes({log, metrics, runner: this.directory.get(entry.id)}),
     });
-    return new Runner({
+    const runner: Runner = new Runner({
       clock,
       entry,
       pool,
       availability: this.statedAvailabilities.get(entry),
       onHeard: () => this.reachability.recordHeard(entry.id),
-      onReplaced: () => this.directory.invalidateAccepting(),
+      onReplaced: () => {
+        this.directory.invalidateAccepting();
+        this.silentRunners.noteReplaced(runner);
+      },
       onRoomChange: change => this.runnerRooms.recordChange(entry, change),
       onLimitChange: change => this.declaredLimits.recordChange(entry, change),
     });
+    return runner;
   }
 }
 
--- a/packages/gateway/src/observability/event_fields.ts
+++ b/packages/gateway/src/observability/event_fields.ts
@@ -212,7 +212,22 @@
     /** Whether the runner had no other request, as far as this host knows. */
     isAlone: boolean;
     sinceHeadMs: number;
+    /** How the end is known, see RunnerEndEvidence, and how long after the last sign of the runner. */
+    knownBy: string;
+    knownAfterMs: number;
+  };
+  /** A run ended while nothing was heard of its runner: whether that counts depends on what is learned of the runner. */
+  run_unsettled: {request: string; runner: string; silentMs: number};
+  /** What was learned of the runner of such a run, see RunSettlement; `ageMs` is the time since the last sign of it. */
+  run_settled: {
+    request: string;
+    runner: string;
+    outcome: string;
+    knownBy?: string;
+    ageMs: number;
   };
+  /** A runner is there that counted as ended, so that nothing counts of that. */
+  runner_end_retracted: {runner: string; reason: string};
   /** A runner ended that had just begun a response on these parts of a prompt; `ends` counts those of each part. */
   part_end_counted: {
     request: string;
@@ -220,6 +235,7 @@
     parts: string;
     ends: string;
     sinceHeadMs: number;
+    knownBy: string;
   };
   /** A request was rejected because this part of its prompt is quarantined. */
   part_held_back: {request: string; part: string};
--- a/packages/gateway/src/observability/gateway_metrics.ts
+++ b/packages/gateway/src/observability/gateway_metrics.ts
@@ -28,6 +28,11 @@
     'Calls that this host took from other hosts that reach no runner',
     ['route'],
   );
+  readonly settledRuns = this.counter(
+    'settled_runs_total',
+    'Runs that ended while nothing was heard of their runners, by what was learned of these',
+    ['outcome', 'knownBy'],
+  );
   readonly retries = this.counter(
     'repeats_total',
     'Attempts beyond the first of a request',
--- a/packages/gateway/src/runners/connection_pool.ts
+++ b/packages/gateway/src/runners/connection_pool.ts
@@ -60,6 +60,11 @@
   /** Closes idle connections; those in use close when they become idle. */
   close(): void {
     this.isClosed = true;
+    this.closeIdle();
+  }
+
+  /** Closes the connections that are idle now. */
+  closeIdle(): void {
     for (const connection of this.idle.splice(0)) connection.discard();
   }
 
--- /dev/null
+++ b/packages/gateway/src/runners/connection_refused.ts
@@ -0,0 +1,2 @@
+/** Reason of a `ConnectFailure` if no process listens at the address. */
+export const CONNECTION_REFUSED = 'ECONNREFUSED';
--- a/packages/gateway/src/runners/runner.ts
+++ b/packages/gateway/src/runners/runner.ts
@@ -73,6 +73,7 @@
   private pendingMs = 0;
   private replaced = false;
   private lastBytesAt: number;
+  private lastHeardAt = -Infinity;
   private meanFirstByteMs = 0;
   private meanGapMs = 0;
   private meanDurationMs = 0;
@@ -139,9 +140,19 @@
   get isQuiet(): boolean {
     if (!this.awaitsBytes) return false;
     const quietMs = this.options.clock.now() - this.lastBytesAt;
+    return quietMs > this.toleratedSilenceMs;
+  }
+
+  /** Silence of the runner that is not unusual while it has requests, in ms. */
+  get toleratedSilenceMs(): number {
     const expectedMs =
       this.meanGapMs * GAP_FACTOR + this.pendingMs * PENDING_FACTOR;
-    return quietMs > MIN_QUIET_MS + expectedMs;
+    return MIN_QUIET_MS + expectedMs;
+  }
+
+  /** When bytes last arrived from the runner, on this host's clock; -Infinity if none did. */
+  get heardAt(): number {
+    return this.lastHeardAt;
   }
 
   /** Load and outcomes of this host at the runner. */
@@ -233,6 +244,7 @@
     if (this.awaitsBytes)
       this.meanGapMs += GAP_WEIGHT * (now - this.lastBytesAt - this.meanGapMs);
     this.lastBytesAt = now;
+    this.lastHeardAt = now;
     this.options.onHeard?.();
   }
 
--- a/packages/gateway/src/testing/crashing_runners.ts
+++ b/packages/gateway/src/testing/crashing_runners.ts
@@ -18,6 +18,8 @@
   readonly sendsEvent?: boolean;
   /** Whether sound responses have neither a length nor chunks, and end with their connection. */
   readonly closesConnections?: boolean;
+  /** Whether a crash closes no connection: open ones fall silent, and new ones are refused. */
+  readonly isSilent?: boolean;
   /** Time from a crash until another runner comes, in ms. */
   readonly restartDelayMs?: number;
   /** Time from a crash until the entry of the runner goes, in ms. */
@@ -87,7 +89,8 @@
     this.crashCount += 1;
     this.crashBodies.push(body);
     const {id} = runner.entry;
-    runner.stop();
+    if (this.options.isSilent) runner.endSilently();
+    else runner.stop();
     const {fixture, noticeDelayMs = 0, restartDelayMs = 0} = this.options;
     if (restartDelayMs === 0) await this.add();
     else setTimeout(() => void this.add(), restartDelayMs).unref();
--- a/packages/gateway/src/testing/scripted_runner.ts
+++ b/packages/gateway/src/testing/scripted_runner.ts
@@ -22,6 +22,8 @@
   readonly version?: string;
   readonly place?: string;
   readonly script?: Script;
+  /** When the runner was started, in ms since the epoch; its entry doesn't tell if absent. */
+  readonly bornAt?: number;
 }
 
 /** Path of health checks, which are answered without the script. */
@@ -36,7 +38,9 @@
   /** Ids of requests whose connection closed before the response ended. */
   readonly abortedIds: string[] = [];
   script: Script;
+  private isFrozen = false;
   private readonly server: Server;
+  private readonly sockets = new Set<Socket>();
 
   constructor(private readonly options: Options) {
     this.script = options.script ?? sendCompleteResponse;
@@ -44,7 +48,11 @@
       void this.handle(request, response);
     });
     this.server.keepAliveTimeout = 10_000;
-    this.server.on('connection', () => (this.connections += 1));
+    this.server.on('connection', (socket: Socket) => {
+      this.connections += 1;
+      this.sockets.add(socket);
+      socket.once('close', () => this.sockets.delete(socket));
+    });
   }
 
   get address(): string {
@@ -56,6 +64,7 @@
     const {id, service = 'svc', version = 'v1', place = 'a'} = this.options;
     return {
       id,
+      bornAt: this.options.bornAt,
       service,
       version,
       place,
@@ -74,12 +83,32 @@
   stop(): void {
     this.server.close();
     this.server.closeAllConnections();
+    for (const socket of this.sockets) socket.destroy();
+  }
+
+  /** Ends as if its machine was lost: nothing more is sent on open connections, and new ones are refused. */
+  endSilently(): void {
+    this.server.close();
+    this.freeze();
+  }
+
+  /** Stops reading and answering; the system still accepts connections. */
+  freeze(): void {
+    this.isFrozen = true;
+    for (const socket of this.sockets) socket.pause();
+  }
+
+  /** Answers all requests from now on. */
+  thaw(): void {
+    this.isFrozen = false;
+    for (const socket of this.sockets) socket.resume();
   }
 
   private async handle(
     request: IncomingMessage,
     response: ServerResponse,
   ): Promise<void> {
+    if (this.isFrozen) return;
     if (request.url === HEALTH_PATH) return void response.end();
     const chunks: Buffer[] = [];
     for await (const chunk of request as AsyncIterable<Buffer>)
