A restarted host holds a part of a prompt back as soon as others tell of it

Cause: hosts told each other the ends of a part, not that it is held back, and a host that has just started waited for the part to settle again, 0.5 to 1 s. Its requests went on to runners meanwhile. Change: a digest says which parts are held back. A host that has heard of as many ends needs no settling of its own; a claim without the ends holds nothing.

--- a/packages/decisions/src/calls/part_quarantine.ts
+++ b/packages/decisions/src/calls/part_quarantine.ts
@@ -129,7 +129,14 @@
     if (told.length === 0 && this.answered.size === 0) return undefined;
     return {
       suspects: Object.fromEntries(
-        told.map(({key, depth, crashes}) => [key, {depth, starts: crashes}]),
+        told.map(({key, depth, crashes, quarantinedAt}) => [
+          key,
+          {
+            depth,
+            starts: crashes,
+            ...(quarantinedAt === undefined ? {} : {isQuarantined: true}),
+          },
+        ]),
       ),
       answered: [...this.answered.keys()].slice(-MAX_DIGEST_PARTS),
     };
@@ -138,8 +145,13 @@
   /** Merges a digest from other hosts. */
   mergeDigest({suspects, answered}: PartQuarantineDigest): void {
     for (const part of answered) this.release(part, ReleaseReason.ANSWERED);
-    for (const [part, {depth, starts}] of Object.entries(suspects))
+    for (const [part, {depth, starts, isQuarantined}] of Object.entries(
+      suspects,
+    )) {
       this.addCrashes(part, depth, starts);
+      const suspect = this.suspects.get(part);
+      if (suspect && isQuarantined) suspect.isSettledElsewhere = true;
+    }
     this.review();
   }
 
@@ -166,7 +178,9 @@
     return open.length >= QUARANTINE_CRASHES;
   }
 
-  private hasSettled({key, changedAt}: SuspectPart): boolean {
+  private hasSettled(suspect: SuspectPart): boolean {
+    const {key, changedAt, isSettledElsewhere} = suspect;
+    if (isSettledElsewhere) return true;
     const now = this.options.clock.now();
     const sufficedAt = this.sufficedAt.get(key) ?? now;
     this.sufficedAt.set(key, sufficedAt);
--- a/packages/decisions/src/calls/part_quarantine_digest.ts
+++ b/packages/decisions/src/calls/part_quarantine_digest.ts
@@ -2,6 +2,8 @@
 interface PartCrashes {
   readonly depth: number;
   readonly starts: readonly number[];
+  /** Whether the part is quarantined at the host that tells of it; absent if not. */
+  readonly isQuarantined?: boolean;
 }
 
 /** Gossip between hosts about prompt parts whose responses had begun when runners crashed. */
--- a/packages/decisions/src/calls/suspect_part.ts
+++ b/packages/decisions/src/calls/suspect_part.ts
@@ -7,6 +7,8 @@
   quarantinedAt: number | undefined;
   /** When a crash was last added; the part is gossiped for some time after that. */
   changedAt = -Infinity;
+  /** Whether another host has quarantined the part for these crashes: it has settled there. */
+  isSettledElsewhere = false;
   /** Crashes that count, by the runner's start, with the time at which this host learned of them. */
   private readonly counted = new Map<number, number>();
   /** Crashes before a whole response; they are remembered because other hosts still gossip them. */
@@ -45,6 +47,7 @@
     for (const start of this.counted.keys()) this.cleared.add(start);
     this.counted.clear();
     this.quarantinedAt = undefined;
+    this.isSettledElsewhere = false;
     for (const start of this.cleared) {
       if (this.cleared.size <= MAX_CRASHES) break;
       this.cleared.delete(start);
--- a/packages/gateway/src/quarantine/merge_part_quarantine_digests.ts
+++ b/packages/gateway/src/quarantine/merge_part_quarantine_digests.ts
@@ -9,21 +9,26 @@
 ): PartQuarantineDigest | undefined {
   const digests = all.filter(digest => digest !== undefined);
   if (digests.length === 0) return undefined;
-  const merged = new Map<string, {depth: number; starts: Set<number>}>();
+  const merged = new Map<
+    string,
+    {depth: number; starts: Set<number>; isQuarantined?: boolean}
+  >();
   for (const {suspects} of digests) {
-    for (const [part, {depth, starts}] of Object.entries(suspects)) {
+    for (const [part, told] of Object.entries(suspects)) {
+      const {depth, starts} = told;
       if (!merged.has(part) && merged.size >= MAX_PARTS) continue;
       const sum = merged.get(part) ?? {depth, starts: new Set<number>()};
       merged.set(part, sum);
       starts.forEach(start => sum.starts.add(start));
+      if (told.isQuarantined) sum.isQuarantined = true;
     }
   }
   const answered = new Set(digests.flatMap(digest => digest.answered));
   return {
     suspects: Object.fromEntries(
-      [...merged].map(([part, {depth, starts}]) => [
+      [...merged].map(([part, {starts, ...rest}]) => [
         part,
-        {depth, starts: [...starts]},
+        {...rest, starts: [...starts]},
       ]),
     ),
     answered: [...answered].slice(0, MAX_PARTS),
