A stopping host accepts the connections that wait for it before it stops listening

Cause: the event loop accepts one connection in a turn, and a host that is behind has many that the kernel has established. Closing the listener reset them, with requests that had been sent up to seconds before. Change: a host goes on accepting until two turns bring no new connection, for 2 s at most, then closes the listener. They are served as others, and their answers close them. Result: graceful_shutdown.test.ts, 20 connections established while the process is busy: reset without the change, all answered with it.

--- a/packages/gateway/src/calls/call_server.ts
+++ b/packages/gateway/src/calls/call_server.ts
@@ -109,8 +109,9 @@
     return listenOn(this.server, ip, port);
   }
 
-  /** Accepts no new connections. */
-  stopListening(): void {
+  /** Accepts the connections that the kernel has established, at most until a time on the clock, and no others. */
+  async stopListening(until: number): Promise<void> {
+    await this.connections.acceptBacklog(this.options.clock, until);
     this.connections.stopListening();
   }
 
--- a/packages/gateway/src/lifecycle/graceful_shutdown.test.ts
+++ b/packages/gateway/src/lifecycle/graceful_shutdown.test.ts
@@ -1,6 +1,9 @@
 import assert from 'node:assert/strict';
+import {once} from 'node:events';
 import {Agent} from 'node:http';
+import {connect} from 'node:net';
 import {afterEach, beforeEach, test} from 'node:test';
+import {setTimeout as sleep} from 'node:timers/promises';
 import {CallKind} from '@bayspool/decisions/calls';
 import {GatewayFixture} from '../testing/gateway_fixture.js';
 import {plainHeaderNames as names} from '../testing/plain_header_names.js';
@@ -10,6 +13,10 @@
 const LARGE_BYTES = 12_000_000;
 const LARGE_BODY = 'x'.repeat(LARGE_BYTES);
 
+/** Time after which a host that shuts down stops listening, in ms. */
+const BALANCER_REACTION_MS = 2_300;
+const WAITING_CONNECTIONS = 20;
+
 let fixture: GatewayFixture;
 let runner: ScriptedRunner;
 
@@ -41,6 +48,12 @@
   setTimeout(() => response.writeHead(200, head).end(), 4_000);
 };
 
+/** Lets this process do nothing else for a time, in ms. */
+function occupy(forMs: number): void {
+  const until = performance.now() + forMs;
+  while (performance.now() < until);
+}
+
 void test('a host that shuts down is not ready, still serves new calls, and finishes running ones', async () => {
   const respondCompletely = runner.script;
   runner.script = (request, response) =>
@@ -175,3 +188,23 @@
   const [{closed}] = fixture.events('process_stopped');
   assert.equal(closed, 1);
 });
+
+void test('requests on connections that wait to be accepted are answered, although the host stops listening', async () => {
+  const shutDown = fixture.hosts[0].gateway.shutDown('test');
+  await sleep(BALANCER_REACTION_MS - 100);
+  const sockets = Array.from({length: WAITING_CONNECTIONS}, () => {
+    const {port, request} = fixture.describeCall();
+    const socket = connect(port, '127.0.0.1');
+    socket.on('error', () => undefined);
+    socket.write(request);
+    return socket;
+  });
+  let text = '';
+  for (const socket of sockets)
+    socket.on('data', chunk => (text += chunk.toString('latin1')));
+  // In the next turn, after the connections were requested, nothing is accepted until the listener is about to close.
+  setImmediate(() => occupy(200));
+  await Promise.all(sockets.map(socket => once(socket, 'close')));
+  assert.equal(text.split('HTTP/1.1 200').length - 1, WAITING_CONNECTIONS);
+  await shutDown;
+});
--- a/packages/gateway/src/lifecycle/graceful_shutdown.ts
+++ b/packages/gateway/src/lifecycle/graceful_shutdown.ts
@@ -16,6 +16,8 @@
 
 /** Time for which the load balancer still sends new connections, in ms: two health checks a second apart, plus slack. */
 const BALANCER_REACTION_MS = 2_300;
+/** Longest time for which connections that wait are accepted before a host stops listening, in ms: a host that is short of the processor needs it. */
+const MAX_BACKLOG_MS = 2_000;
 /** Margin before the end of the grace period, in ms, for the last responses to reach their callers. */
 const FINAL_RESPONSE_MARGIN_MS = 700;
 /** Time before the end of the grace period at which the process ends, whatever is open, in ms: the last log lines are written then. */
@@ -65,7 +67,10 @@
     if (callServers.some(({isListening}) => isListening))
       await sleep(clock, Math.min(BALANCER_REACTION_MS, graceMs / 2));
     this.isClosingConnections = true;
-    for (const server of callServers) server.stopListening();
+    const backlogUntil = Math.min(clock.now() + MAX_BACKLOG_MS, until);
+    await Promise.all(
+      callServers.map(server => server.stopListening(backlogUntil)),
+    );
     let closed = await this.closeIdle();
     while (this.openCalls > 0 && clock.now() < until) {
       await sleep(clock, POLL_INTERVAL_MS);
--- a/packages/kernel/src/net/server_connections.ts
+++ b/packages/kernel/src/net/server_connections.ts
@@ -1,6 +1,8 @@
 import type {IncomingMessage, Server, ServerResponse} from 'node:http';
 import {Server as NetServer} from 'node:net';
 import type {Socket} from 'node:net';
+import type {Clock} from '../clock/clock.js';
+import {finishTurn} from './finish_turn.js';
 
 /** How a connection is used. */
 interface ConnectionUse {
@@ -12,12 +14,17 @@
   bytesReadAtRest: number;
 }
 
+/** Turns of the event loop without a new connection after which none waits to be accepted. */
+const QUIET_TURNS = 2;
+
 /**
  * Closes the idle connections of an HTTP server. To Node.js itself a connection is idle once its response was ended,
  * also while a part of it waits for a slow reader; here it is idle once the response has left this process.
  */
 export class ServerConnections {
   private readonly uses = new Map<Socket, ConnectionUse>();
+  /** Number of connections accepted since the start. */
+  private accepted = 0;
 
   constructor(private readonly server: Server) {
     server.on('connection', (socket: Socket) => this.add(socket));
@@ -35,6 +42,19 @@
     NetServer.prototype.close.call(this.server, onClosed);
   }
 
+  /**
+   * Accepts the connections that the kernel has established for this server; it would reset them once the server stops
+   * listening. The event loop accepts only one in a turn. Goes on until none is left, or until a time on the clock.
+   */
+  async acceptBacklog(clock: Clock, until: number): Promise<void> {
+    let quietTurns = 0;
+    while (quietTurns < QUIET_TURNS && clock.now() < until) {
+      const {accepted} = this;
+      await finishTurn();
+      quietTurns = this.accepted === accepted ? quietTurns + 1 : 0;
+    }
+  }
+
   /** Whether no request behind that of a response has been read from its connection. */
   isLast(response: ServerResponse): boolean {
     return this.uses.get(response.req.socket)?.lastResponse === response;
@@ -52,6 +72,7 @@
   }
 
   private add(socket: Socket): void {
+    this.accepted += 1;
     this.uses.set(socket, {
       openResponses: 0,
       bytesReadAtRest: 0,
