A runner whose entry is back drops what is kept, and a line says so only if its end counted

Cause: runs that had ended in silence at a runner whose entry went and came back under the same start were kept until they expired, and a refused connect counted them meanwhile; runner_end_retracted was written for each entry that came back. Change: the entry that is back settles the runs as alive; the line is written if the end had counted at this host. Other hosts still take the end back, whether or not they knew of it.

--- a/packages/gateway/src/calls/silent_runner_monitor.test.ts
+++ b/packages/gateway/src/calls/silent_runner_monitor.test.ts
@@ -212,3 +212,16 @@
   assert.equal(ends.length, 1);
   assert.deepEqual(returned, []);
 });
+
+void test('a run at a runner whose entry went and is back does not count', async () => {
+  const runner = addRunner('a');
+  listener = ListenerState.LISTENING;
+  addRun(runner);
+  monitor.noteRemoved(runner, false);
+  await clock.advanceSettled(SILENT_MS);
+  monitor.noteEntered(runner.entry);
+  listener = ListenerState.REFUSED;
+  await clock.advanceSettled(LONG_MS);
+  assert.deepEqual(ends, []);
+  assert.equal(returned.length, 1);
+});
--- a/packages/gateway/src/calls/silent_runner_monitor.ts
+++ b/packages/gateway/src/calls/silent_runner_monitor.ts
@@ -59,8 +59,8 @@
  */
 export class SilentRunnerMonitor {
   private readonly watched = new Map<string, WatchedRunner>();
-  /** Incarnations whose entry went or whose end was recorded, the oldest first. */
-  private readonly gone = new Set<string>();
+  /** Incarnations whose entry went or that count as ended, the oldest first, and whether they do at this host. */
+  private readonly gone = new Map<string, boolean>();
   private timer: Timer | undefined;
   private connects = 0;
   private isStopped = false;
@@ -137,7 +137,7 @@
   noteRemoved(runner: Runner, isRestarted: boolean): void {
     const id = getIncarnationId(runner.entry);
     const watched = this.watched.get(id);
-    this.rememberGone(id);
+    this.rememberGone(id, false);
     if (!watched) return;
     if (isRestarted)
       return this.settleEnd(watched, RunnerEndEvidence.RESTARTED);
@@ -149,8 +149,7 @@
   noteEntered(entry: RunnerEntry): void {
     const id = getIncarnationId(entry);
     // Without the time of its start, a runner that was started again under its id looks the same.
-    if (entry.bornAt !== undefined && this.gone.delete(id))
-      this.retract(id, entry.id, 'entry is back');
+    if (entry.bornAt !== undefined) this.noteBack(id, entry.id);
     for (const [otherId, watched] of this.watched)
       if (otherId !== id && watched.runner.entry.address === entry.address)
         this.settleEnd(watched, RunnerEndEvidence.REPLACED);
@@ -159,6 +158,15 @@
       this.settleEnd(known, RunnerEndEvidence.RESTARTED);
   }
 
+  /** Settles what is kept of an incarnation whose entry is back. */
+  private noteBack(id: string, runnerId: string): void {
+    if (!this.gone.has(id)) return;
+    this.retract(id, runnerId, 'entry is back');
+    const watched = this.watched.get(id);
+    for (const run of watched?.takeAll() ?? [])
+      this.logSettled(watched!, run, RunSettlement.ALIVE);
+  }
+
   /** Stops all connects. */
   stop(): void {
     this.isStopped = true;
@@ -221,7 +229,7 @@
     if (!isHeardAgain || now - runner.heardAt < SUCCESSOR_DELAY_MS) return;
     if (isEndBySuccessor(end.evidence)) return;
     watched.end = undefined;
-    if (this.gone.delete(id)) this.retract(id, runner.id, 'heard again');
+    this.retract(id, runner.id, 'heard again');
   }
 
   private resetConnects(watched: WatchedRunner): void {
@@ -327,7 +335,7 @@
     const isFirst = watched.end === undefined;
     const isSuccessorKnown = isEndBySuccessor(evidence);
     if (isFirst || isSuccessorKnown) watched.end = {evidence, at: now};
-    this.rememberGone(getIncarnationId(runner.entry));
+    this.rememberGone(getIncarnationId(runner.entry), true);
     // What was heard of it lately may have been its successor.
     const runs = isSuccessorKnown ? watched.takeAll() : watched.takeUnheard();
     for (const run of runs) this.settleAsEnded(watched, run);
@@ -371,16 +379,21 @@
     }
   }
 
-  private rememberGone(id: string): void {
+  private rememberGone(id: string, hasEnded: boolean): void {
+    const hadEnded = this.gone.get(id) ?? false;
     this.gone.delete(id);
-    this.gone.add(id);
-    if (this.gone.size > MAX_GONE) this.gone.delete([...this.gone][0]);
+    this.gone.set(id, hadEnded || hasEnded);
+    if (this.gone.size > MAX_GONE) this.gone.delete([...this.gone.keys()][0]);
   }
 
   private retract(id: string, runner: string, reason: string): void {
     const watched = this.watched.get(id);
     if (watched) watched.end = undefined;
+    const hadEnded = this.gone.get(id) ?? false;
+    this.gone.delete(id);
+    // Another host may have counted its end.
     this.options.onReturned(hashToUint32(id));
+    if (!hadEnded) return;
     this.options.log.write('runner_end_retracted', {runner, reason});
   }
 
