Unsettled runs keep no request bodies; runners that end silently on a part of a prompt are tested

Change: it keeps id, fingerprint and route. The variants of fatal_prompt_part have runners that end without a word: streams, whole answers, streams that may run once.

--- a/packages/gateway/src/calls/crash_attribution.ts
+++ b/packages/gateway/src/calls/crash_attribution.ts
@@ -31,6 +31,9 @@
   readonly silentRunners: SilentRunnerMonitor;
 }
 
+/** What is recorded of a call; its body is not kept with a run that stays unsettled. */
+type AttributedCall = Pick<IncomingCall, 'id' | 'fingerprint' | 'route'>;
+
 /** Time from the head of a response within which a part of its prompt may have crashed the runner, in ms. */
 const JUST_BEGUN_MS = 500;
 /** Most parts of a prompt in a log line. */
@@ -80,14 +83,15 @@
       this.recordAnswer(call);
     } else if (outcome.isTruncated) {
       const {hasHead, sinceHeadMs, firstOutputAt, isAlone} = attempt;
-      this.recordEvidence(call, runner, {
+      const evidence = {
         knownBy: RunnerEndEvidence.BROKEN,
         knownAfterMs: 0,
         hasHead,
         hasBodyBytes: firstOutputAt !== undefined,
         sinceHeadMs,
         isAlone,
-      });
+      };
+      this.recordEvidence(call, runner, evidence, listParts(call));
     } else if (outcome.reason === CONNECTION_REFUSED) {
       this.options.silentRunners.noteRefused(runner);
     } else if (attempt.isAdmitted && attempt.wasEndedByHost) {
@@ -97,12 +101,12 @@
 
   private recordAnswer(call: IncomingCall): void {
     const {quarantine, partQuarantine, silentRunners} = this.options;
-    const {fingerprint, prompt, workspace} = call;
+    const {fingerprint} = call;
     quarantine.recordAnswer(fingerprint);
     this.answeredCalls.add(call);
     const {hasUnsettledRuns} = silentRunners;
     if (partQuarantine.isEmpty && !hasUnsettledRuns) return;
-    const parts = fingerprintPromptParts(prompt, workspace);
+    const parts = listParts(call);
     partQuarantine.recordAnswer(parts);
     if (hasUnsettledRuns) silentRunners.recordAnswer(fingerprint, parts);
   }
@@ -117,19 +121,20 @@
     if (reason === AbortReason.HOST_SHUTDOWN) return;
     if (attempt.wasUnread || this.answeredCalls.has(call)) return;
     if (this.settledAttempts.has(attempt)) return;
-    const {id: request, fingerprint, prompt, workspace} = call;
+    const {id, fingerprint, route} = call;
     const {lastSignAt, requestSentAt = lastSignAt} = attempt;
     const evidence = toSilentEvidence(attempt);
+    const attributed = {id, fingerprint, route};
     this.options.silentRunners.add(runner, {
-      request,
+      request: id,
       fingerprint,
-      parts: fingerprintPromptParts(prompt, workspace),
+      parts: listParts(call),
       sentAt: requestSentAt,
       lastSignAt,
       endedAt: this.options.clock.now(),
       onRunnerEnded: (end, parts) =>
         this.recordEvidence(
-          call,
+          attributed,
           runner,
           {...evidence, ...toKnowledge(end, evidence.isAlone)},
           parts,
@@ -146,20 +151,19 @@
     if (this.answeredCalls.has(call)) return;
     this.settledAttempts.add(attempt);
     const evidence = toSilentEvidence(attempt);
-    this.recordEvidence(call, runner, {
-      ...evidence,
-      ...toKnowledge(end, evidence.isAlone),
-    });
+    this.recordEvidence(
+      call,
+      runner,
+      {...evidence, ...toKnowledge(end, evidence.isAlone)},
+      listParts(call),
+    );
   }
 
   private recordEvidence(
-    call: IncomingCall,
+    call: AttributedCall,
     runner: Runner,
     evidence: CrashEvidence,
-    parts: readonly string[] = fingerprintPromptParts(
-      call.prompt,
-      call.workspace,
-    ),
+    parts: readonly string[],
   ): void {
     this.recordCrash(call, runner, evidence);
     this.recordPartCrash(call, runner, evidence, parts);
@@ -167,7 +171,7 @@
 
   /** Counts a crash against the prompt's parts if the runner may just have begun a response on them. */
   private recordPartCrash(
-    {id: request, route}: IncomingCall,
+    {id: request, route}: AttributedCall,
     runner: Runner,
     {hasHead, sinceHeadMs, knownBy}: CrashEvidence,
     parts: readonly string[],
@@ -194,7 +198,7 @@
   }
 
   private recordCrash(
-    {fingerprint, id: request, route}: IncomingCall,
+    {fingerprint, id: request, route}: AttributedCall,
     runner: Runner,
     evidence: CrashEvidence,
   ): void {
@@ -225,6 +229,11 @@
   }
 }
 
+/** Fingerprints of the shared parts of a call's prompt. */
+function listParts({prompt, workspace}: IncomingCall): readonly string[] {
+  return fingerprintPromptParts(prompt, workspace);
+}
+
 function toSilentEvidence(attempt: Attempt) {
   return {
     hasHead: attempt.hasHead,
--- a/packages/gateway/src/calls/fatal_prompt_part_variants.test.ts
+++ b/packages/gateway/src/calls/fatal_prompt_part_variants.test.ts
@@ -27,6 +27,8 @@
 interface Variant {
   readonly kind?: CallKind;
   readonly sendsEvent?: boolean;
+  /** Whether runners end without closing their connections. */
+  readonly isSilent?: boolean;
   readonly closesConnections?: boolean;
   readonly fatalParts?: ReadonlyArray<readonly string[]>;
   readonly soundParts?: readonly string[];
@@ -48,6 +50,15 @@
   'streams break after an event': {sendsEvent: true},
   'answers are whole ones': {kind: CallKind.SAFE},
   'requests may run once': {kind: CallKind.UNSAFE},
+  'runners end without a word': {isSilent: true},
+  'runners end without a word, and answers are whole ones': {
+    isSilent: true,
+    kind: CallKind.SAFE,
+  },
+  'runners end without a word, and streams may run once': {
+    isSilent: true,
+    kind: CallKind.STREAM,
+  },
   'the part is the first one': {
     fatalParts: [['bad0', 'other0']],
     soundParts: ['shared0', 'other0'],
@@ -90,7 +101,9 @@
     ...variant
   }: Variant,
 ) {
-  const fixture = new GatewayFixture({hasFaultyLinks: true});
+  // Their proxies would accept connections to runners that are gone.
+  const hasFaultyLinks = variant.isSilent !== true;
+  const fixture = new GatewayFixture({hasFaultyLinks});
   context.after(() => fixture.stop());
   const targets = [{service: 'llm', weight: 1}];
   fixture.configure([{kind, attempts: 3, targets, timeLimitMs: 4_000}]);
@@ -100,7 +113,7 @@
     count: RUNNERS,
     service: 'llm',
     fatalBody: FATAL,
-    isStreamed: kind === CallKind.RESUMABLE,
+    isStreamed: kind === CallKind.RESUMABLE || kind === CallKind.STREAM,
     restartDelayMs: RESTART_DELAY_MS,
     noticeDelayMs: NOTICE_DELAY_MS,
   });
