Hold back each of several requests under which runners end

Cause: an end counted for one request only. Besides, when all runners were gone nothing confirmed their ends: hosts counted them when the runners were back, and the next copies met these first. And three certain ends held a request for ten minutes before other hosts had told of others there, so that streams that had just begun beside the cause were held too. Change: a request that three runners had when they ended, explained or not, is suspect until a whole answer: held back for 2 to 4 s after its last end, then tried one copy at a time, one host first, then twice as many each second. A trial that ends a runner counts against it: one is enough if nothing else may be the cause, two or four otherwise. Ends count for presence at once, with weight 0, and in full once confirmed. The long hold leaves out ends at which another suspect was, and is lifted within 5 s if other hosts report such ends. Its record taken out of the store within 10 s lifts it only. The test of all runners ending fails without the count at once.

--- a/packages/decisions/src/calls/quarantine.test.ts
+++ b/packages/decisions/src/calls/quarantine.test.ts
@@ -242,3 +242,82 @@
   }
   assert.deepEqual(quarantine.quarantinedFingerprints(), []);
 });
+
+/** Longest time from the last crash of a suspect request until the first host may try it. */
+const LONGEST_HOLD_MS = 4_000;
+
+void test('a request at three crashes that another one explains is tried one copy at a time, and cleared by an answer', () => {
+  const clock = new VirtualClock();
+  const quarantine = create(clock);
+  for (const start of [1, 2, 3]) {
+    quarantine.recordCrashes(POISON, [certain(start)]);
+    quarantine.recordCrashes('innocent', [uncertain(start)]);
+  }
+  const holdMs = quarantine.admit('innocent', 'first');
+  assert.ok(holdMs > 0 && holdMs <= LONGEST_HOLD_MS, `${holdMs}`);
+  assert.equal(quarantine.isQuarantined('innocent'), false);
+  clock.advance(holdMs);
+  assert.equal(quarantine.admit('innocent', 'trial'), 0);
+  assert.ok(quarantine.admit('innocent', 'next') > 0, 'a trial is under way');
+  quarantine.recordAnswer('innocent');
+  assert.equal(quarantine.admit('innocent', 'next'), 0);
+  assert.equal(quarantine.admit('innocent', 'one more'), 0);
+});
+
+void test('a request under which a runner crashes during its trial is quarantined, at hosts without the trial as well', () => {
+  const clock = new VirtualClock();
+  const [one, other] = [create(clock), create(clock)];
+  for (const start of [1, 2, 3]) {
+    one.recordCrashes(POISON, [certain(start)]);
+    one.recordCrashes('second', [uncertain(start)]);
+  }
+  clock.advance(LONGEST_HOLD_MS);
+  assert.equal(one.admit('second', 'trial'), 0);
+  other.mergeDigest(gossipFrom(one));
+  assert.ok(other.admit('second', 'copy') > 0, 'one host tries it');
+  one.recordCrashes('second', [uncertain(4)], 'trial');
+  other.mergeDigest(gossipFrom(one));
+  clock.advance(PROPAGATION_MS);
+  for (const host of [one, other]) {
+    host.review();
+    assert.ok(host.isQuarantined('second'));
+  }
+});
+
+void test('a trial that reached no runner makes room for the next one', () => {
+  const clock = new VirtualClock();
+  const quarantine = create(clock);
+  quarantine.recordCrashes(POISON, [1, 2, 3].map(uncertain));
+  clock.advance(LONGEST_HOLD_MS);
+  assert.equal(quarantine.admit(POISON, 'trial'), 0);
+  quarantine.cancelTrial(POISON, 'trial');
+  assert.equal(quarantine.admit(POISON, 'next'), 0);
+});
+
+void test('crashes that nothing confirms yet hold a request back, but never quarantine it', () => {
+  const clock = new VirtualClock();
+  const quarantine = create(clock);
+  const unconfirmed = (start: number) => ({start, weight: 0});
+  for (let start = 0; start < MANY_CRASHES; start++) {
+    quarantine.recordCrashes(POISON, [unconfirmed(start)]);
+    clock.advance(PROPAGATION_MS);
+    quarantine.review();
+  }
+  assert.ok(quarantine.remainingMs(POISON) > 0);
+  assert.equal(quarantine.isQuarantined(POISON), false);
+  clock.advance(LONGEST_HOLD_MS);
+  assert.equal(quarantine.remainingMs(POISON), 0);
+});
+
+void test('a quarantine is lifted for trials when another host reports a request that was at the same crashes', () => {
+  const clock = new VirtualClock();
+  const [one, other] = [create(clock), create(clock)];
+  one.recordCrashes('innocent', [1, 2, 3].map(certain));
+  assert.ok(one.isQuarantined('innocent'));
+  other.recordCrashes(POISON, [1, 2, 3, 4].map(certain));
+  one.mergeDigest(gossipFrom(other));
+  one.review();
+  assert.equal(one.isQuarantined('innocent'), false);
+  assert.ok(one.remainingMs('innocent') <= LONGEST_HOLD_MS);
+  assert.ok(one.remainingMs(POISON) > 0, 'it may be the cause as well');
+});
--- a/packages/gateway/src/host/host_state.ts
+++ b/packages/gateway/src/host/host_state.ts
@@ -2,6 +2,7 @@
   PartQuarantine,
   Quarantine,
   SessionVersions,
+  rankByHash,
 } from '@bayspool/decisions/calls';
 import type {RunnerRateLimit, RunnerEntry} from '@bayspool/decisions/calls';
 import {SilentRunnerMonitor} from '../calls/silent_runner_monitor.js';
@@ -262,7 +263,14 @@
         return {share, calls};
       },
     });
-    this.quarantine = new Quarantine({clock});
+    this.quarantine = new Quarantine({
+      clock,
+      rankOf: fingerprint => {
+        const live = this.hostDirectory.listLive().map(({name}) => name);
+        const rank = rankByHash(fingerprint, live).indexOf(settings.host);
+        return rank < 0 ? live.length : rank;
+      },
+    });
     this.partQuarantine = new PartQuarantine({clock});
     this.partQuarantine.onChange({
       onQuarantined: (part, ends) =>
