A stream whose runner ends before its head counts against its request

Cause: a runner that crashes on a prompt never sends the head of the stream, and a stream without a head counted as one that only waited: not at all. Such a request ended runner after runner. Parts of its prompt count if the runner had nothing else. The unit test said that a stream that only waited counts for nothing; no host can tell the two apart, and what protects one that only waited is that presence holds a request back for seconds only, until a trial clears it (fatal_request.test.ts, 'only queued').

--- a/packages/gateway/src/calls/crash_attribution.ts
+++ b/packages/gateway/src/calls/crash_attribution.ts
@@ -173,12 +173,12 @@
   private recordPartCrash(
     {id: request, route}: AttributedCall,
     runner: Runner,
-    {hasHead, sinceHeadMs, knownBy}: CrashEvidence,
+    {hasHead, isAlone, sinceHeadMs, knownBy}: CrashEvidence,
     parts: readonly string[],
   ): void {
     const {log, partQuarantine, reachability} = this.options;
     if (parts.length === 0) return;
-    if (isStreamed(route.kind) && !hasHead) return;
+    if (isStreamed(route.kind) && !hasHead && !isAlone) return;
     if (sinceHeadMs >= JUST_BEGUN_MS) return;
     reachability.whenConfirmed(runner, () => {
       const incarnationId = getIncarnationId(runner.entry);
