--- a/packages/decisions/src/calls/weigh_runner_crash.ts
+++ b/packages/decisions/src/calls/weigh_runner_crash.ts
@@ -21,9 +21,8 @@
 const CERTAIN_WEIGHT = 1;
 /**
  * Weight of a run that may have started, beside others: a response that is not streamed gives no
- * sign until it is done, and a stream none until its head, which a runner that crashes on the
- * prompt never sends. It takes ten such crashes to quarantine a request, and one that only waits is
- * answered before that.
+ * sign until it is done. It takes ten such crashes to quarantine a request, and one that only waits
+ * is answered before that.
  */
 const UNCERTAIN_WEIGHT = 0.3;
 /**
@@ -40,8 +39,9 @@
  */
 export function weighRunnerCrash(attempt: InterruptedAttempt): number {
   const {isStreamed, hasHead, hasBodyBytes, sinceHeadMs, isAlone} = attempt;
-  if (!hasHead) return isAlone ? CERTAIN_WEIGHT : UNCERTAIN_WEIGHT;
-  if (!isStreamed) return 0;
+  if (!isStreamed)
+    return hasHead ? 0 : isAlone ? CERTAIN_WEIGHT : UNCERTAIN_WEIGHT;
+  if (!hasHead) return 0;
   if (!hasBodyBytes) return CERTAIN_WEIGHT;
   return sinceHeadMs < EARLY_CRASH_MS ? UNCERTAIN_WEIGHT : 0;
 }
--- a/packages/gateway/src/calls/crash_attribution.ts
+++ b/packages/gateway/src/calls/crash_attribution.ts
@@ -173,12 +173,12 @@
   private recordPartCrash(
     {id: request, route}: AttributedCall,
     runner: Runner,
-    {hasHead, isAlone, sinceHeadMs, knownBy}: CrashEvidence,
+    {hasHead, sinceHeadMs, knownBy}: CrashEvidence,
     parts: readonly string[],
   ): void {
     const {log, partQuarantine, reachability} = this.options;
     if (parts.length === 0) return;
-    if (isStreamed(route.kind) && !hasHead && !isAlone) return;
+    if (isStreamed(route.kind) && !hasHead) return;
     if (sinceHeadMs >= JUST_BEGUN_MS) return;
     reachability.whenConfirmed(runner, () => {
       const incarnationId = getIncarnationId(runner.entry);
--- a/packages/gateway/src/testing/crashing_runners.ts
+++ b/packages/gateway/src/testing/crashing_runners.ts
@@ -14,8 +14,6 @@
   readonly fatalBody: string;
   /** Whether responses are streams, whose headers show that the request has started to run. */
   readonly isStreamed: boolean;
-  /** Whether a runner crashes before the head of a fatal stream. */
-  readonly endsBeforeHead?: boolean;
   /** Whether a fatal stream sends an event before the crash, beside its head. */
   readonly sendsEvent?: boolean;
   /** Whether sound responses have neither a length nor chunks, and end with their connection. */
@@ -71,11 +69,10 @@
     response: ServerResponse,
   ): void {
     const {fatalBody, isStreamed, sendsEvent, closesConnections} = this.options;
-    const sendsHead = isStreamed && !this.options.endsBeforeHead;
     this.receivedBodies.push(body);
     const head = {[names.requestId]: id, [names.signature]: runner.entry.id};
     if (body.startsWith(fatalBody)) {
-      if (sendsHead) response.writeHead(200, head).flushHeaders();
+      if (isStreamed) response.writeHead(200, head).flushHeaders();
       if (sendsEvent) response.write(STREAMED_BODY);
       setTimeout(() => void this.crash(runner, body), CRASH_DELAY_MS);
       return;
