--- a/packages/decisions/src/calls/index.ts
+++ b/packages/decisions/src/calls/index.ts
@@ -46,7 +46,6 @@
 export type {PartQuarantineDigest} from './part_quarantine_digest.js';
 export {Quarantine} from './quarantine.js';
 export {ReleaseReason} from './release_reason.js';
-export type {SuspicionReport} from './suspicion_report.js';
 export type {QuarantineDigest} from './quarantine_digest.js';
 export {rankByHash} from './rank_by_hash.js';
 export type {RetryCounts} from './retry_counts.js';
--- a/packages/decisions/src/calls/quarantine_digest.ts
+++ b/packages/decisions/src/calls/quarantine_digest.ts
@@ -6,6 +6,4 @@
   readonly ends: Readonly<Record<string, readonly RunnerCrash[]>>;
   /** Fingerprints of suspect requests that have been answered successfully since. */
   readonly answered: readonly string[];
-  /** Fingerprints of suspect requests that are on trial; hosts of an earlier version send none. */
-  readonly trials?: readonly string[];
 }
--- a/packages/decisions/src/calls/reweigh_recurrent_crashes.ts
+++ b/packages/decisions/src/calls/reweigh_recurrent_crashes.ts
@@ -36,8 +36,7 @@
     .filter(({start}) => !explained.has(start))
     .map(({start, weight, notedAt}) => {
       const isSettled = notedAt <= options.settledUntil;
-      const isConfirmed = weight > 0;
-      const isCause = isConfirmed && isSettled && isOnlyCause(options, start);
+      const isCause = isSettled && isOnlyCause(options, start);
       return {start, weight: isCause ? ONLY_CAUSE_WEIGHT : weight};
     });
 }
--- a/packages/decisions/src/calls/runner_crash.ts
+++ b/packages/decisions/src/calls/runner_crash.ts
@@ -2,11 +2,6 @@
 export interface RunnerCrash {
   /** Identifies one start of the runner, in 32 bits; a restarted runner may keep its id. */
   readonly start: number;
-  /**
-   * Strength of the evidence against the request, 0 to 1; see `weighRunnerCrash`. It is 0 while it is
-   * not known whether the runner crashed or only the host's links failed.
-   */
+  /** Strength of the evidence against the request, 0 to 1; see `weighRunnerCrash`. */
   readonly weight: number;
-  /** Whether the request was there on trial; hosts of an earlier version send none. */
-  readonly isTrial?: boolean;
 }
--- a/packages/decisions/src/calls/suspect_request.ts
+++ b/packages/decisions/src/calls/suspect_request.ts
@@ -1,4 +1,3 @@
-import type {RequestTrial} from './request_trial.js';
 import type {RunnerCrash} from './runner_crash.js';
 
 interface RecordedCrash extends RunnerCrash {
@@ -16,18 +15,8 @@
 export class SuspectRequest {
   /** When the request was quarantined, on this host's clock; undefined if it is not quarantined. */
   quarantinedAt: number | undefined;
-  /** Whether crashes that other hosts report later may still show another cause. */
-  isProvisional = false;
   /** When a crash was last added or reweighed; the request is gossiped for some time after that. */
   changedAt = -Infinity;
-  /** The trial of the request that this host awaits the outcome of; undefined if there is none. */
-  trial: RequestTrial | undefined;
-  /** When a trial at this host last found no runner, in ms. */
-  lastCancelledAt = -Infinity;
-  /** Until when a trial at another host is assumed to be under way, in ms on this host's clock. */
-  peerTrialUntil = -Infinity;
-  /** The crashes that count; undefined until they are asked for after a change. */
-  private counted: readonly RecordedCrash[] | undefined;
   private readonly recorded = new Map<number, RecordedCrash>();
   /** Crashes that no longer count; they are remembered because other hosts still gossip them. */
   private readonly discounted = new Set<number>();
@@ -36,21 +25,9 @@
 
   /** The crashes that count, without the discounted ones. */
   get crashes(): readonly RecordedCrash[] {
-    this.counted ??= [...this.recorded.values()].filter(
+    return [...this.recorded.values()].filter(
       ({start}) => !this.discounted.has(start),
     );
-    return this.counted;
-  }
-
-  /** Number of its crashes that ended a trial. */
-  get failedTrials(): number {
-    return this.crashes.filter(({isTrial, weight}) => isTrial && weight > 0)
-      .length;
-  }
-
-  /** When this host learned of the last of its crashes, in ms; -Infinity without any. */
-  get lastCrashAt(): number {
-    return Math.max(-Infinity, ...this.crashes.map(({notedAt}) => notedAt));
   }
 
   /** Total weight of its crashes. */
@@ -82,17 +59,12 @@
     return other.crashes.every(({start}) => starts.has(start));
   }
 
-  /** Adds a crash; of two reports of the same crash the heavier one counts, and whether any was of a trial. */
-  addCrash(crash: RunnerCrash, now: number): void {
-    const {start} = crash;
+  /** Adds a crash; of two reports of the same crash the heavier one counts. */
+  addCrash({start, weight}: RunnerCrash, now: number): void {
     const known = this.recorded.get(start);
-    const weight = Math.max(crash.weight, known?.weight ?? 0);
-    const isTrial = crash.isTrial || known?.isTrial || undefined;
-    if (known && known.weight === weight && known.isTrial === isTrial) return;
-    const notedAt = known?.notedAt ?? now;
-    this.recorded.set(start, {start, weight, isTrial, notedAt});
+    if (known && known.weight >= weight) return;
+    this.recorded.set(start, {start, weight, notedAt: known?.notedAt ?? now});
     this.changedAt = now;
-    this.counted = undefined;
     if (this.recorded.size > MAX_CRASHES)
       this.forget([...this.recorded.keys()][0]);
   }
@@ -112,16 +84,12 @@
   /** Discounts the crash of one runner start. */
   discountCrash(start: number): void {
     this.discounted.add(start);
-    this.counted = undefined;
   }
 
   /** Discounts all crashes recorded so far and ends the quarantine. */
   discountCrashes(): void {
     for (const start of this.recorded.keys()) this.discounted.add(start);
-    this.counted = undefined;
     this.quarantinedAt = undefined;
-    this.trial = undefined;
-    this.peerTrialUntil = -Infinity;
   }
 
   /**
@@ -136,7 +104,6 @@
   }
 
   private forget(start: number): void {
-    this.counted = undefined;
     this.recorded.delete(start);
     this.discounted.delete(start);
   }
--- a/packages/gateway/src/calls/call_forwarder.ts
+++ b/packages/gateway/src/calls/call_forwarder.ts
@@ -42,7 +42,7 @@
 import type {SilentRunnerMonitor} from './silent_runner_monitor.js';
 import {RetryPolicy} from './retry_policy.js';
 import {CrashAttribution} from './crash_attribution.js';
-import {admitCall} from '../quarantine/admit_call.js';
+import {findHold} from '../quarantine/find_hold.js';
 import {RunSuccession} from './run_succession.js';
 import {StartedResponseWait} from './started_response_wait.js';
 import {SuccessorPolicy} from './successor_policy.js';
@@ -174,7 +174,7 @@
     const model =
       route.models.length > 0 ? cascade.chooseFirstModel(route) : call.model;
     const progress = new CallProgress({call, model});
-    const hold = admitCall(call, this.options);
+    const hold = findHold(call, this.options);
     if (hold) return this.finisher.rejectQuarantined(progress, caller, hold);
     if (this.workEstimator.exceedsMemory(call, model))
       return this.finisher.reject(progress, caller, {reason: TOO_LARGE});
@@ -183,8 +183,6 @@
     } finally {
       // A reservation for an attempt that was never made would stay in use.
       progress.retryReservation?.release();
-      if (progress.sentCount === 0)
-        this.options.quarantine.cancelTrial(call.fingerprint, call.id);
     }
   }
 
--- a/packages/gateway/src/calls/crash_attribution.ts
+++ b/packages/gateway/src/calls/crash_attribution.ts
@@ -209,12 +209,11 @@
       isStreamed: isStreamed(route.kind),
     });
     if (weight === 0) return;
-    const start = hashToUint32(getIncarnationId(runner.entry));
-    const isOnTrial = quarantine.isOnTrial(fingerprint, request);
-    // If all runners crash, nothing confirms it until they are back, and then further copies are on their way.
-    quarantine.recordCrashes(fingerprint, [{start, weight: 0}], request);
     reachability.whenConfirmed(runner, () => {
-      quarantine.recordCrashes(fingerprint, [{start, weight}]);
+      const incarnationId = getIncarnationId(runner.entry);
+      quarantine.recordCrashes(fingerprint, [
+        {start: hashToUint32(incarnationId), weight},
+      ]);
       log.write('runner_end_counted', {
         request,
         fingerprint,
@@ -222,7 +221,6 @@
         weight,
         sum: roundToHundredths(quarantine.weightOf(fingerprint)),
         isAlone,
-        isOnTrial,
         sinceHeadMs: Math.round(sinceHeadMs),
         knownBy,
         knownAfterMs: Math.round(knownAfterMs),
--- a/packages/gateway/src/calls/retry_policy.ts
+++ b/packages/gateway/src/calls/retry_policy.ts
@@ -11,7 +11,6 @@
 import type {GatewayMetrics} from '../observability/gateway_metrics.js';
 import type {MembershipView} from '../peers/membership_view.js';
 import {findHold} from '../quarantine/find_hold.js';
-import {isRetryHeld} from '../quarantine/is_retry_held.js';
 import {OutcomeKind} from './outcome_kind.js';
 import type {AttemptOutcome} from './attempt_outcome.js';
 import type {CallProgress} from './call_progress.js';
@@ -149,7 +148,7 @@
     const {call} = progress;
     if (remainingMs < MIN_REMAINING_MS || progress.attemptCount >= MAX_ATTEMPTS)
       return false;
-    if (isRetryHeld(call, outcome.kind, this.options)) return false;
+    if (findHold(call, this.options)) return false;
     if (progress.attemptsLeft === 0) return false;
     if (outcome.kind === OutcomeKind.NOT_RUN) return true;
     if (outcome.kind === OutcomeKind.LOW_CONFIDENCE) return true;
--- a/packages/gateway/src/host/host_state.ts
+++ b/packages/gateway/src/host/host_state.ts
@@ -2,7 +2,6 @@
   PartQuarantine,
   Quarantine,
   SessionVersions,
-  rankByHash,
 } from '@bayspool/decisions/calls';
 import type {RunnerRateLimit, RunnerEntry} from '@bayspool/decisions/calls';
 import {SilentRunnerMonitor} from '../calls/silent_runner_monitor.js';
@@ -263,14 +262,7 @@
         return {share, calls};
       },
     });
-    this.quarantine = new Quarantine({
-      clock,
-      rankOf: fingerprint => {
-        const live = this.hostDirectory.listLive().map(({name}) => name);
-        const rank = rankByHash(fingerprint, live).indexOf(settings.host);
-        return rank < 0 ? live.length : rank;
-      },
-    });
+    this.quarantine = new Quarantine({clock});
     this.partQuarantine = new PartQuarantine({clock});
     this.partQuarantine.onChange({
       onQuarantined: (part, ends) =>
--- a/packages/gateway/src/observability/event_fields.ts
+++ b/packages/gateway/src/observability/event_fields.ts
@@ -211,8 +211,6 @@
     sum: number;
     /** Whether the runner had no other request, as far as this host knows. */
     isAlone: boolean;
-    /** Whether this call was the trial of a suspect request. */
-    isOnTrial: boolean;
     sinceHeadMs: number;
     /** How the end is known, see RunnerEndEvidence, and how long after the last sign of the runner. */
     knownBy: string;
@@ -244,21 +242,6 @@
   part_quarantined: {part: string; ends: number};
   part_released: {part: string; reason: string};
   request_quarantined: {fingerprint: string; ends: number; weight: number};
-  /** A request with enough ends is held back between trials: what counts against it, and the time until this host may try it. */
-  request_suspected: {
-    fingerprint: string;
-    ends: number;
-    weight: number;
-    /** Weight of the ends at which no quarantined request was present. */
-    unexplainedWeight: number;
-    failedTrials: number;
-    holdMs: number;
-  };
-  /** A quarantine is lifted for trials, as another request was at the same ends. */
-  quarantine_doubted: {fingerprint: string};
-  request_on_trial: {fingerprint: string; request: string};
-  /** A request that was held back between trials was answered. */
-  suspicion_cleared: {fingerprint: string; ends: number};
   request_released: {fingerprint: string; reason: string};
   quarantine_written: {fingerprint: string; isHeld: boolean};
   quarantine_write_failed: {
--- a/packages/gateway/src/observability/register_gauges.ts
+++ b/packages/gateway/src/observability/register_gauges.ts
@@ -146,11 +146,6 @@
     'Requests that are held back, as runners ended under them',
     () => quarantine.quarantinedFingerprints().length,
   );
-  metrics.registerGauge(
-    'suspected_requests',
-    'Requests that are held back between trials, as runners ended that had them',
-    () => quarantine.suspectedCount,
-  );
   metrics.registerGauge(
     'quarantined_prompt_parts',
     'Parts of prompts that are held back, as runners ended on them',
--- a/packages/gateway/src/quarantine/find_hold.ts
+++ b/packages/gateway/src/quarantine/find_hold.ts
@@ -14,12 +14,8 @@
   {quarantine, partQuarantine}: Options,
 ): QuarantineHold | undefined {
   const remainingMs = quarantine.remainingMs(fingerprint);
-  if (remainingMs > 0) {
-    const reason = quarantine.isQuarantined(fingerprint)
-      ? 'held back: runners end under this request'
-      : 'held back for seconds: runners ended that had this request';
-    return {reason, remainingMs};
-  }
+  if (remainingMs > 0)
+    return {reason: 'held back: runners end under this request', remainingMs};
   if (partQuarantine.isEmpty) return undefined;
   for (const part of fingerprintPromptParts(prompt, workspace)) {
     const partRemainingMs = partQuarantine.remainingMs(part);
--- a/packages/gateway/src/quarantine/merge_quarantine_digests.ts
+++ b/packages/gateway/src/quarantine/merge_quarantine_digests.ts
@@ -20,13 +20,11 @@
     for (const [fingerprint, list] of Object.entries(digest.ends))
       mergeCrashes(ends, fingerprint, list);
   const answered = new Set(digests.flatMap(digest => digest.answered));
-  const trials = new Set(digests.flatMap(digest => digest.trials ?? []));
   return {
     ends: Object.fromEntries(
       [...ends].map(([fingerprint, list]) => [fingerprint, [...list.values()]]),
     ),
     answered: [...answered].slice(0, MAX_FINGERPRINTS),
-    trials: [...trials].slice(0, MAX_FINGERPRINTS),
   };
 }
 
@@ -38,12 +36,8 @@
   if (!ends.has(fingerprint) && ends.size >= MAX_FINGERPRINTS) return;
   const crashes = ends.get(fingerprint) ?? new Map<number, RunnerCrash>();
   ends.set(fingerprint, crashes);
-  for (const {start, weight, isTrial} of list) {
-    const known = crashes.get(start);
-    crashes.set(start, {
-      start,
-      weight: Math.max(weight, known?.weight ?? 0),
-      isTrial: isTrial || known?.isTrial || undefined,
-    });
+  for (const end of list) {
+    const weight = crashes.get(end.start)?.weight ?? -Infinity;
+    if (end.weight > weight) crashes.set(end.start, end);
   }
 }
--- a/packages/gateway/src/quarantine/quarantine_synchronizer.ts
+++ b/packages/gateway/src/quarantine/quarantine_synchronizer.ts
@@ -1,13 +1,7 @@
-import {rankByHash} from '@bayspool/decisions/calls';
-import type {
-  Quarantine,
-  ReleaseReason,
-  RunnerCrash,
-  SuspicionReport,
-} from '@bayspool/decisions/calls';
+import {ReleaseReason, rankByHash} from '@bayspool/decisions/calls';
+import type {Quarantine, RunnerCrash} from '@bayspool/decisions/calls';
 import type {Clock, Timer} from '@bayspool/kernel';
 import type {EventLog} from '../observability/event_log.js';
-import {roundToHundredths} from '../observability/round_to_hundredths.js';
 import type {KeyedRecord} from '../records/keyed_record.js';
 import type {MirrorUpdate} from '../records/mirror_update.js';
 import {decodeEntry} from '../records/decode_entry.js';
@@ -46,19 +40,13 @@
   private isStopped = false;
 
   constructor(private readonly options: Options) {
-    const {log, mirror, quarantine} = options;
+    const {mirror, quarantine} = options;
     mirror.onUpdate(update => this.applyUpdate(update));
     quarantine.onChange({
       onQuarantined: (fingerprint, ends) =>
         this.recordQuarantined(fingerprint, ends),
       onReleased: (fingerprint, reason) =>
         this.recordReleased(fingerprint, reason),
-      onDoubted: fingerprint => this.recordDoubted(fingerprint),
-      onSuspected: report => this.logSuspected(report),
-      onTrial: (fingerprint, request) =>
-        log.write('request_on_trial', {fingerprint, request}),
-      onCleared: (fingerprint, ends) =>
-        log.write('suspicion_cleared', {fingerprint, ends}),
     });
   }
 
@@ -90,7 +78,7 @@
 
   private applyRemoval({key}: KeyedRecord): void {
     const {quarantine} = this.options;
-    quarantine.removeRecord(quarantineKey.fingerprintOf(key));
+    quarantine.release(quarantineKey.fingerprintOf(key), ReleaseReason.REMOVED);
   }
 
   private recordQuarantined(
@@ -107,29 +95,6 @@
     this.scheduleStaggeredWrite(fingerprint, value);
   }
 
-  private recordDoubted(fingerprint: string): void {
-    this.options.log.write('quarantine_doubted', {fingerprint});
-    this.scheduleStaggeredWrite(fingerprint, undefined);
-  }
-
-  private logSuspected({
-    fingerprint,
-    crashes,
-    weight,
-    unexplainedWeight,
-    failedTrials,
-    remainingMs,
-  }: SuspicionReport): void {
-    this.options.log.write('request_suspected', {
-      fingerprint,
-      ends: crashes,
-      weight: roundToHundredths(weight),
-      unexplainedWeight: roundToHundredths(unexplainedWeight),
-      failedTrials,
-      holdMs: Math.round(remainingMs),
-    });
-  }
-
   private recordReleased(fingerprint: string, reason: ReleaseReason): void {
     this.options.log.write('request_released', {fingerprint, reason});
     this.scheduleStaggeredWrite(fingerprint, undefined);
