--- a/packages/gateway/src/testing/faulty_dialer.ts
+++ b/packages/gateway/src/testing/faulty_dialer.ts
@@ -18,17 +18,23 @@
   private concerns: (address: string) => boolean = () => true;
   private readonly proxies = new Map<string, Promise<Server>>();
   private readonly links = new Map<Link, string>();
+  private isStopped = false;
 
   dial(address: string): Socket {
     const fault = this.faultAt(address);
-    if (fault === LinkFault.RESET || fault === LinkFault.REFUSED)
+    const isRefused = fault === LinkFault.RESET || fault === LinkFault.REFUSED;
+    // A proxy that is started now would not be stopped any more.
+    if (isRefused || this.isStopped)
       return connect({host: '127.0.0.1', port: CLOSED_PORT});
     const socket = new Socket();
     // A connect that gets no reply: the socket never connects.
     if (fault === LinkFault.HUNG) return socket;
     void this.startProxy(address).then(proxy => {
-      const {port} = proxy.address() as AddressInfo;
-      if (!socket.destroyed) socket.connect({host: '127.0.0.1', port});
+      if (socket.destroyed) return;
+      const {port} = (proxy.address() as AddressInfo | null) ?? {
+        port: CLOSED_PORT,
+      };
+      socket.connect({host: '127.0.0.1', port});
     });
     return socket;
   }
@@ -46,6 +52,7 @@
   }
 
   async stop(): Promise<void> {
+    this.isStopped = true;
     this.concerns = () => true;
     this.closeOpen();
     for (const proxy of this.proxies.values()) (await proxy).close();
