What a digest says of a held part counts only with ends that still count

Cause: a digest that was under way when a whole response cleared a part marked the part as settled; its next ends then held it back at once, before a deeper part with the same ends. Change: the mark needs ends that count, and goes with the last of them. Result: the new test of part_quarantine_restart.test.ts and the others pass.

--- a/packages/decisions/src/calls/part_quarantine.ts
+++ b/packages/decisions/src/calls/part_quarantine.ts
@@ -150,7 +150,9 @@
     )) {
       this.addCrashes(part, depth, starts);
       const suspect = this.suspects.get(part);
-      if (suspect && isQuarantined) suspect.isSettledElsewhere = true;
+      // Crashes from before a whole response say nothing of later ones.
+      if (suspect && isQuarantined && suspect.crashes.length > 0)
+        suspect.isSettledElsewhere = true;
     }
     this.review();
   }
--- a/packages/decisions/src/calls/part_quarantine_restart.test.ts
+++ b/packages/decisions/src/calls/part_quarantine_restart.test.ts
@@ -35,3 +35,17 @@
   restarted.mergeDigest({suspects: {}, answered: ['bad']});
   assert.equal(restarted.remainingMs('bad'), 0);
 });
+
+void test('a digest that is older than a whole response holds no part back at its next crashes', () => {
+  const {clock, digest} = createQuarantinedPart();
+  const host = new PartQuarantine({clock});
+  host.mergeDigest(digest);
+  host.recordAnswer(['shared', 'bad']);
+  host.mergeDigest(digest);
+  for (let start = CRASHES; start < 2 * CRASHES; start++)
+    host.recordCrash(['shared', 'worse'], start);
+  assert.equal(host.remainingMs('shared'), 0);
+  clock.advance(SETTLED_MS);
+  assert.equal(host.remainingMs('shared'), 0);
+  assert.ok(host.remainingMs('worse') > 0);
+});
--- a/packages/decisions/src/calls/suspect_part.ts
+++ b/packages/decisions/src/calls/suspect_part.ts
@@ -40,6 +40,7 @@
   clearCrash(start: number): void {
     this.counted.delete(start);
     this.cleared.add(start);
+    if (this.counted.size === 0) this.isSettledElsewhere = false;
   }
 
   /** Discounts all crashes so far and ends the quarantine. */
