A connection on which a request is being read is not idle, whenever its bytes came

Cause: the bytes read of a connection were noted when its response closed, so a part of the next request that arrived while the response was open counted as read before, and a stopping host closed the connection. A body that arrived behind an early answer kept it open instead. Change: they are noted when a request is whole; a connection with a request that isn't is not idle. closeIdle itself takes the two turns of the event loop in which it reads what has arrived. Found by review.

--- a/packages/gateway/src/calls/call_server.ts
+++ b/packages/gateway/src/calls/call_server.ts
@@ -116,7 +116,7 @@
   }
 
   /** Closes idle connections. @returns how many there were */
-  closeIdle(): number {
+  closeIdle(): Promise<number> {
     return this.connections.closeIdle();
   }
 
--- a/packages/gateway/src/lifecycle/graceful_shutdown.ts
+++ b/packages/gateway/src/lifecycle/graceful_shutdown.ts
@@ -1,4 +1,4 @@
-import {finishTurn, sleep} from '@bayspool/kernel';
+import {sleep} from '@bayspool/kernel';
 import type {Clock} from '@bayspool/kernel';
 import type {CallServer} from '../calls/call_server.js';
 import {AbortReason} from '../calls/abort_reason.js';
@@ -86,14 +86,13 @@
     log.write('process_stopped', {reason, cut, unsent, closed, forMs});
   }
 
-  /** Closes idle connections, judged by all that the kernel had received of them. @returns how many there were */
+  /** Closes idle connections. @returns how many there were */
   private async closeIdle(): Promise<number> {
-    // The first turn of the event loop may be one that had read its connections before this call.
-    for (let turn = 0; turn < 2; turn++) await finishTurn();
-    return this.options.callServers.reduce(
-      (sum, server) => sum + server.closeIdle(),
-      0,
+    const {callServers} = this.options;
+    const counts = await Promise.all(
+      callServers.map(server => server.closeIdle()),
     );
+    return counts.reduce((sum, count) => sum + count, 0);
   }
 
   /** Waits until the last responses, also those of aborted calls, have left this process. */
--- a/packages/kernel/src/net/server_connections.test.ts
+++ b/packages/kernel/src/net/server_connections.test.ts
@@ -2,7 +2,7 @@
 import assert from 'node:assert/strict';
 import {once} from 'node:events';
 import {createServer} from 'node:http';
-import type {RequestListener} from 'node:http';
+import type {RequestListener, ServerResponse} from 'node:http';
 import {connect} from 'node:net';
 import type {AddressInfo, Socket} from 'node:net';
 import {test} from 'node:test';
@@ -62,9 +62,9 @@
     (_request, response) => void response.end(Buffer.alloc(LARGE_BYTES)),
   );
   const socket = await open(REQUEST);
-  assert.equal(connections.closeIdle(), 0);
+  assert.equal(await connections.closeIdle(), 0);
   const read = readAll(socket);
-  const timer = setInterval(() => connections.closeIdle(), SETTLE_MS);
+  const timer = setInterval(() => void connections.closeIdle(), SETTLE_MS);
   context.after(() => clearInterval(timer));
   assert.ok((await read) > LARGE_BYTES);
 });
@@ -77,10 +77,10 @@
   const socket = await open(REQUEST);
   const ended = once(socket, 'close');
   socket.resume();
-  assert.equal(connections.closeIdle(), 1);
+  assert.equal(await connections.closeIdle(), 1);
   await ended;
   await sleep(0);
-  assert.equal(connections.closeIdle(), 0);
+  assert.equal(await connections.closeIdle(), 0);
 });
 
 void test('a request that is being read is answered', async context => {
@@ -93,7 +93,7 @@
   const second = await open(REQUEST);
   second.write(head);
   await sleep(SETTLE_MS);
-  assert.equal(connections.closeIdle(), 0);
+  assert.equal(await connections.closeIdle(), 0);
   for (const socket of [first, second]) {
     const [chunk] = (await Promise.all([
       once(socket, 'data'),
@@ -121,3 +121,36 @@
     ),
   ]);
 });
+
+void test('a request of which a part arrives while a response is open is answered', async context => {
+  const responses: ServerResponse[] = [];
+  const {connections, open} = await startServer(
+    context,
+    (_request, response) => void responses.push(response),
+  );
+  const socket = await open(REQUEST);
+  const [head, rest] = [REQUEST.slice(0, 10), REQUEST.slice(10)];
+  socket.write(head);
+  await sleep(SETTLE_MS);
+  responses[0].end('first');
+  await once(socket, 'data');
+  assert.equal(await connections.closeIdle(), 0);
+  socket.write(rest);
+  await sleep(SETTLE_MS);
+  responses[1].end('second');
+  const [chunk] = (await once(socket, 'data')) as [Buffer];
+  assert.match(String(chunk), /second/);
+});
+
+void test('a connection whose request was answered before its body had arrived is closed once the body has', async context => {
+  const {connections, open} = await startServer(
+    context,
+    (_request, response) => void response.end('ok'),
+  );
+  const head = 'POST / HTTP/1.1\r\nhost: a\r\ncontent-length: 4\r\n\r\n';
+  const socket = await open(`${head}ab`);
+  assert.equal(await connections.closeIdle(), 0);
+  socket.write('cd');
+  await sleep(SETTLE_MS);
+  assert.equal(await connections.closeIdle(), 1);
+});
--- a/packages/kernel/src/net/server_connections.ts
+++ b/packages/kernel/src/net/server_connections.ts
@@ -10,8 +10,10 @@
   openResponses: number;
   /** The response to the last request that was read; absent if the connection has carried none. */
   lastResponse?: ServerResponse;
-  /** Bytes read from the connection when its last response had left; more mean that a request is being read. */
+  /** Bytes read from the connection when its last request was whole; more mean that a request is being read. */
   bytesReadAtRest: number;
+  /** The last request, while its body has not arrived completely. */
+  incompleteRequest?: IncomingMessage;
 }
 
 /** Turns of the event loop without a new connection after which none waits to be accepted. */
@@ -61,11 +63,14 @@
   }
 
   /**
-   * Closes the connections that have carried a request, and on which no response is open and no request is being read.
+   * Closes the connections that have carried a request, and on which no response is open and no request is being read,
+   * judged by all that the kernel had received of them.
    *
    * @returns how many there were
    */
-  closeIdle(): number {
+  async closeIdle(): Promise<number> {
+    // The first turn of the event loop may be one that had read its connections before this call.
+    for (let turn = 0; turn < 2; turn++) await finishTurn();
     const idle = [...this.uses].filter(([socket, use]) => isIdle(socket, use));
     for (const [socket] of idle) socket.destroy();
     return idle.length;
@@ -80,23 +85,40 @@
     socket.once('close', () => this.uses.delete(socket));
   }
 
-  private addResponse({socket}: IncomingMessage, response: ServerResponse) {
+  private addResponse(request: IncomingMessage, response: ServerResponse) {
+    const {socket} = request;
     const use = this.uses.get(socket);
     if (!use) return;
     use.lastResponse = response;
     use.openResponses += 1;
+    noteRequestRead(request, use);
     // Emitted once the last byte was handed to the kernel.
     response.once('close', () => {
       use.openResponses -= 1;
-      use.bytesReadAtRest = socket.bytesRead;
     });
   }
 }
 
+/** Notes how many bytes were read when a request was whole: at once without a body, otherwise with the end of its body. */
+function noteRequestRead(request: IncomingMessage, use: ConnectionUse): void {
+  const {socket} = request;
+  const {bytesRead} = socket;
+  use.bytesReadAtRest = bytesRead;
+  process.nextTick(() => {
+    if (request.complete) return;
+    use.incompleteRequest = request;
+    request.once('end', () => {
+      use.incompleteRequest = undefined;
+      use.bytesReadAtRest = socket.bytesRead;
+    });
+  });
+}
+
 function isIdle(socket: Socket, use: ConnectionUse): boolean {
   return (
     use.lastResponse !== undefined &&
     use.openResponses === 0 &&
+    use.incompleteRequest === undefined &&
     socket.writableLength === 0 &&
     socket.bytesRead === use.bytesReadAtRest
   );
