The server of the daemon accepts what waits for it before it stops listening

Change: HttpServer accepts them first, for 2 s at most, and judges idle connections by all that has arrived. Found by review.

--- a/packages/daemon/src/http_server.ts
+++ b/packages/daemon/src/http_server.ts
@@ -1,9 +1,17 @@
 import {createServer, type Server} from 'node:http';
 import type {AddressInfo} from 'node:net';
-import {Problem, ProblemKind, ServerConnections} from '@bayspool/kernel';
 import type {RequestListener} from 'node:http';
+import {
+  Problem,
+  ProblemKind,
+  ServerConnections,
+  SystemClock,
+} from '@bayspool/kernel';
+import type {Clock} from '@bayspool/kernel';
 
 interface Options {
+  /** The clock of this process if absent. */
+  readonly clock?: Clock;
   readonly listener: RequestListener;
   /** Such as `127.0.0.1:8080`. */
   readonly endpoint: string;
@@ -19,6 +27,8 @@
 const KEEP_ALIVE_MS = 30_000;
 /** Interval between two checks for idle connections while the server stops, in ms. */
 const IDLE_CHECK_INTERVAL_MS = 50;
+/** Longest time for which a server that stops accepts the connections that wait for it, in ms. */
+const MAX_BACKLOG_MS = 2_000;
 
 /** An HTTP server with limits on header size, slow senders, idle time and connections. */
 export class HttpServer {
@@ -72,19 +82,24 @@
     });
   }
 
-  /** Accepts no new connections, closes those that are or become idle, and resolves when the last one has ended. */
-  stop(): Promise<void> {
+  /**
+   * Accepts no new connections but those that the kernel has established, closes those that are or become idle, and
+   * resolves when the last one has ended.
+   */
+  async stop(): Promise<void> {
+    const {clock = new SystemClock()} = this.options;
+    const {connections} = this;
+    await connections.acceptBacklog(clock, clock.now() + MAX_BACKLOG_MS);
+    const closed = new Promise<void>(resolve =>
+      connections.stopListening(resolve),
+    );
     const timer = setInterval(
-      () => this.connections.closeIdle(),
+      () => void connections.closeIdle(),
       IDLE_CHECK_INTERVAL_MS,
     );
-    return new Promise(resolve => {
-      this.connections.stopListening(() => {
-        clearInterval(timer);
-        resolve();
-      });
-      this.connections.closeIdle();
-    });
+    await connections.closeIdle();
+    await closed;
+    clearInterval(timer);
   }
 
   /** Closes all open connections. */
