The daemon leaves in good order on SIGHUP and SIGQUIT as well

Cause: it listened to SIGTERM and SIGINT only, so that another signal behind them, or alone, ended it at once with its open streams. Change: SIGHUP and SIGQUIT stop it as the others do. Result: the new test of leaving.test.ts, four signals in series, fails before and passes, as do the other four. Found by review.

--- a/packages/bench/src/e2e/leaving.test.ts
+++ b/packages/bench/src/e2e/leaving.test.ts
@@ -62,6 +62,19 @@
   }
 });
 
+void test('a host that gets a series of signals that end a process by default cuts no stream', async () => {
+  const [host] = fleet.hosts;
+  const streams = longStreams(host.callerAddress, 5);
+  await wait(300);
+  for (const signal of ['SIGHUP', 'SIGTERM', 'SIGINT', 'SIGQUIT'] as const) {
+    host.process!.signal(signal);
+    await wait(100);
+  }
+  await assertWhole(streams);
+  assert.equal(await host.process!.exited, 0);
+  await fleet.startHost(host);
+});
+
 void test('a host that the platform lists as leaving, and one that an operator drains, take no new work after the notice', async () => {
   const [listed, drained] = fleet.hosts;
   await got.put(`http://${fleet.platform.roster}/entries`, {
--- a/packages/daemon/src/main.ts
+++ b/packages/daemon/src/main.ts
@@ -6,6 +6,8 @@
 import {showHints} from './show_hints.js';
 
 const ExitCode = {FAILED: 1, SETTINGS: 2} as const;
+/** Signals on which the daemon leaves in good order; each of them ends a process by default. */
+const STOP_SIGNALS = ['SIGTERM', 'SIGINT', 'SIGHUP', 'SIGQUIT'] as const;
 
 const cli = meow(
   `
@@ -39,8 +41,7 @@
     process.exit(0);
   }
   const stopping = new AbortController();
-  process.on('SIGTERM', () => stopping.abort());
-  process.on('SIGINT', () => stopping.abort());
+  for (const signal of STOP_SIGNALS) process.on(signal, () => stopping.abort());
   if (cli.flags.hints) showHints();
   await runDaemon(kernel, stopping.signal);
   process.exit(0);
