The connects that ask whether a silent runner is there, in a class of their own

Cause: SilentRunnerMonitor held results and times of connects among its rules on runs, six fields of each watched runner. Change: ConnectHistory has them; no rule changed. Result: silent_runner_monitor.test.ts and silent_end.test.ts pass, 23 of 23.

--- a/packages/gateway/src/calls/silent_runner_monitor.ts
+++ b/packages/gateway/src/calls/silent_runner_monitor.ts
@@ -34,9 +34,6 @@
 const MIN_SILENT_MS = 200;
 /** Longest silence after a run that ended until its runner is asked by a connect, in ms. */
 const MAX_CONNECT_DELAY_MS = 1_000;
-/** Time from one connect to a runner to the next, in ms; it doubles with each up to the maximum. */
-const CONNECT_INTERVAL_MS = 1_000;
-const MAX_CONNECT_INTERVAL_MS = 8_000;
 /** Connects of this host that may be under way. */
 const MAX_CONNECTS = 8;
 /** Refused connects in a row after which runs that wait for the runner are ended. */
@@ -62,7 +59,8 @@
   /** Incarnations whose entry went or that count as ended, the oldest first, and whether they do at this host. */
   private readonly gone = new Map<string, boolean>();
   private timer: Timer | undefined;
-  private connects = 0;
+  /** Number of connects that are under way. */
+  private connectCount = 0;
   private isStopped = false;
 
   constructor(private readonly options: Options) {}
@@ -142,7 +140,7 @@
     if (isRestarted)
       return this.settleEnd(watched, RunnerEndEvidence.RESTARTED);
     watched.removedAt = this.options.clock.now();
-    watched.nextConnectAt = -Infinity;
+    watched.connects.scheduleAt(-Infinity);
   }
 
   /** Notes the entry of a runner that was not known, or not any more. */
@@ -211,10 +209,11 @@
   }
 
   private isOver(
-    {active, endedCount, isConnecting, end}: WatchedRunner,
+    {active, endedCount, connects, end}: WatchedRunner,
     now: number,
   ): boolean {
-    if (active.size > 0 || endedCount > 0 || isConnecting) return false;
+    if (active.size > 0 || endedCount > 0 || connects.isConnecting)
+      return false;
     return end === undefined || now - end.at >= RETURN_WATCH_MS;
   }
 
@@ -225,7 +224,10 @@
     for (const run of heard) this.logSettled(watched, run, RunSettlement.ALIVE);
     for (const run of watched.takeExpired(now))
       this.logSettled(watched, run, RunSettlement.UNKNOWN);
-    if (this.silentMsOf(watched) < MIN_SILENT_MS) this.resetConnects(watched);
+    if (this.silentMsOf(watched) < MIN_SILENT_MS) {
+      watched.isSuspected = false;
+      watched.connects.reset();
+    }
     const isHeardAgain = end !== undefined && watched.heardAt > end.at;
     if (!isHeardAgain || now - watched.heardAt < SUCCESSOR_DELAY_MS) return;
     if (isEndBySuccessor(end.evidence)) return;
@@ -233,14 +235,6 @@
     this.retract(id, runner.id, 'heard again');
   }
 
-  private resetConnects(watched: WatchedRunner): void {
-    watched.isSuspected = false;
-    watched.connects = 0;
-    watched.refusedConnects = 0;
-    watched.unansweredConnects = 0;
-    if (!watched.isConnecting) watched.nextConnectAt = -Infinity;
-  }
-
   private noteSilentRuns({active}: WatchedRunner, now: number): void {
     for (const run of active)
       if (run.isAdmitted && now - run.lastSignAt >= MIN_SILENT_MS)
@@ -259,9 +253,8 @@
   }
 
   private isConnectDue(watched: WatchedRunner, now: number): boolean {
-    const {runner, isConnecting, nextConnectAt, isSuspected, active} = watched;
-    if (isConnecting || now < nextConnectAt || this.connects >= MAX_CONNECTS)
-      return false;
+    const {runner, connects, isSuspected, active} = watched;
+    if (!connects.isDue(now) || this.connectCount >= MAX_CONNECTS) return false;
     if (watched.end && active.size === 0) return false;
     const silentMs = this.silentMsOf(watched);
     if (silentMs < MIN_SILENT_MS) return false;
@@ -275,46 +268,35 @@
 
   private async connect(watched: WatchedRunner): Promise<void> {
     const {clock, checkListener} = this.options;
-    const {address} = watched.runner.entry;
-    watched.isConnecting = true;
-    this.connects += 1;
+    const {connects, runner} = watched;
+    connects.recordStarted();
+    this.connectCount += 1;
     const startedAt = clock.now();
-    const state = await checkListener(address);
-    this.connects -= 1;
-    watched.isConnecting = false;
-    if (this.isStopped) return;
-    const intervalMs = CONNECT_INTERVAL_MS * 2 ** watched.connects;
-    watched.connects += 1;
-    watched.nextConnectAt =
-      clock.now() + Math.min(MAX_CONNECT_INTERVAL_MS, intervalMs);
-    if (watched.heardAt >= startedAt) return;
+    const state = await checkListener(runner.entry.address);
+    this.connectCount -= 1;
+    connects.recordEnded(clock.now());
+    if (this.isStopped || watched.heardAt >= startedAt) return;
     if (state === ListenerState.REFUSED) this.applyRefusal(watched);
-    else if (state === ListenerState.LISTENING) this.applyAccepted(watched);
+    else if (state === ListenerState.LISTENING)
+      connects.recordAccepted(clock.now());
     else this.applyUnanswered(watched);
   }
 
-  private applyAccepted(watched: WatchedRunner): void {
-    watched.listenedAt = this.options.clock.now();
-    watched.refusedConnects = 0;
-    watched.unansweredConnects = 0;
-  }
-
   private applyRefusal(watched: WatchedRunner): void {
-    const now = this.options.clock.now();
-    watched.refusedConnects += 1;
-    watched.unansweredConnects = 0;
-    if (watched.refusedConnects < REFUSALS_TO_END_RUNS)
-      watched.nextConnectAt = now + MIN_SILENT_MS;
+    const {connects} = watched;
+    connects.recordRefused();
+    if (connects.refusedCount < REFUSALS_TO_END_RUNS)
+      connects.scheduleAt(this.options.clock.now() + MIN_SILENT_MS);
     this.settleEnd(watched, RunnerEndEvidence.REFUSED);
     this.endWaitingRuns(watched);
   }
 
   /** No reply is weak evidence: it counts only with the entry gone as well, and while other runners of the place are heard of. */
   private applyUnanswered(watched: WatchedRunner): void {
-    const {removedAt, runner} = watched;
+    const {removedAt, runner, connects} = watched;
     if (removedAt === undefined) return;
-    watched.unansweredConnects += 1;
-    if (watched.unansweredConnects < UNANSWERED_TO_END) return;
+    connects.recordUnanswered();
+    if (connects.unansweredCount < UNANSWERED_TO_END) return;
     const isPlaceHeard = this.options
       .runners()
       .some(
@@ -356,20 +338,21 @@
   }
 
   private describeEnd(
-    {end, listenedAt}: WatchedRunner,
+    {end, connects}: WatchedRunner,
     lastSignAt: number,
   ): RunnerEnd {
     const {evidence, at} = end!;
     const knownAfterMs = Math.max(0, at - lastSignAt);
     // What accepted the connect may have been its successor.
-    const wasListening = !isEndBySuccessor(evidence) && listenedAt > lastSignAt;
+    const wasListening =
+      !isEndBySuccessor(evidence) && connects.acceptedAt > lastSignAt;
     return {evidence, knownAfterMs, wasListening};
   }
 
   /** Ends the runs that wait for a runner at which nothing listens. */
   private endWaitingRuns(watched: WatchedRunner): void {
-    const {runner, end, refusedConnects, active} = watched;
-    if (!end || refusedConnects < REFUSALS_TO_END_RUNS) return;
+    const {runner, end, connects, active} = watched;
+    if (!end || connects.refusedCount < REFUSALS_TO_END_RUNS) return;
     if (watched.heardAt > end.at || !watched.isQuiet) return;
     for (const run of [...active]) {
       if (!run.isAdmitted) continue;
--- a/packages/gateway/src/calls/watched_runner.ts
+++ b/packages/gateway/src/calls/watched_runner.ts
@@ -1,5 +1,6 @@
 import type {Runner} from '../runners/runner.js';
 import type {RunnerEndEvidence} from '../runners/runner_end_evidence.js';
+import {ConnectHistory} from './connect_history.js';
 import type {UnsettledRun} from './unsettled_run.js';
 import type {WatchedRun} from './watched_run.js';
 
@@ -24,15 +25,8 @@
   end: {readonly evidence: RunnerEndEvidence; readonly at: number} | undefined;
   /** When the entry of the runner went; undefined if it has not. */
   removedAt: number | undefined;
-  /** When a connect was last accepted at its address. */
-  listenedAt = -Infinity;
-  /** Connects in a row that were refused, or remained without a reply. */
-  refusedConnects = 0;
-  unansweredConnects = 0;
-  /** When it may next be asked by a connect, how often it was, and whether it is now. */
-  nextConnectAt = -Infinity;
-  connects = 0;
-  isConnecting = false;
+  /** The connects that ask whether it is still there. */
+  readonly connects = new ConnectHistory();
   private ended: EndedRun[] = [];
   /** The state that this host kept of the same incarnation before its entry went and came back. */
   private former: Runner | undefined;
