Lines on ended requests tell whether they arrived during the stop

Which requests a stopping host aborts could not be told from its log: a request that was open when the signal came and one that was taken behind it left the same request_cut. request_cut and request_failed have stoppingMs now, the time from the signal to the arrival. The times of a stop are in one place, StopSchedule, as more parts have to ask for them.

No decision changes.

--- a/packages/gateway/src/calls/call_finisher.ts
+++ b/packages/gateway/src/calls/call_finisher.ts
@@ -8,6 +8,7 @@
 import type {EventLog} from '../observability/event_log.js';
 import type {GatewayMetrics} from '../observability/gateway_metrics.js';
 import {roundToHundredths} from '../observability/round_to_hundredths.js';
+import type {StopSchedule} from '../lifecycle/stop_schedule.js';
 import type {Runner} from '../runners/runner.js';
 import type {RunnerReachability} from '../runners/runner_reachability.js';
 import type {AttemptOutcome} from './attempt_outcome.js';
@@ -27,6 +28,7 @@
   readonly log: EventLog;
   readonly metrics: GatewayMetrics;
   readonly reachability: RunnerReachability;
+  readonly stopSchedule: StopSchedule;
   /** Reserves capacity of a service for the retries of rejected calls. */
   readonly retryScheduleOf: (service: string) => RetrySchedule;
 }
@@ -133,7 +135,9 @@
       caller.abort();
       this.countEnded(call, 'cut', reason);
       const lastEvent = caller.lastEventId;
-      log.write('request_cut', {request, reason, attempts, lastEvent, forMs});
+      const stoppingMs = this.computeStoppingMs(call);
+      const cut = {request, reason, attempts, lastEvent, stoppingMs, forMs};
+      log.write('request_cut', cut);
       return;
     }
     const failure = progress.lastErrorResponse;
@@ -162,10 +166,17 @@
       runnersSilentMs: silentMs && Math.round(silentMs),
       retryAfterMs,
       ...toRetryFields(retryTime),
+      stoppingMs: this.computeStoppingMs(call),
       forMs: Math.round(clock.now() - call.acceptedAt),
     });
   }
 
+  /** Time from the start of the shutdown to a call's arrival, in ms; undefined if it arrived before. */
+  private computeStoppingMs({acceptedAt}: IncomingCall): number | undefined {
+    const ms = this.options.stopSchedule.computeStoppingMs(acceptedAt);
+    return ms === undefined ? undefined : Math.round(ms);
+  }
+
   /** Counts a request that ended; a relayed call is counted by the host whose caller sent it. */
   private countEnded(
     {route: {name: route, kind}, relayOrigin}: IncomingCall,
--- a/packages/gateway/src/calls/call_forwarder.ts
+++ b/packages/gateway/src/calls/call_forwarder.ts
@@ -12,6 +12,7 @@
 import type {Clock, ConnectionReads, RandomSource} from '@bayspool/kernel';
 import type {RunnerDirectory} from '../discovery/runner_directory.js';
 import type {MembershipView} from '../peers/membership_view.js';
+import type {StopSchedule} from '../lifecycle/stop_schedule.js';
 import type {EventLog} from '../observability/event_log.js';
 import type {GatewayMetrics} from '../observability/gateway_metrics.js';
 import type {RolloutRegistry} from '../rollouts/rollout_registry.js';
@@ -58,6 +59,7 @@
   readonly headerNames: HeaderNames;
   /** How old this host's knowledge of its callers' connections is. */
   readonly connectionReads: ConnectionReads;
+  readonly stopSchedule: StopSchedule;
   readonly directory: RunnerDirectory;
   readonly candidates: CallCandidates;
   readonly rollouts: RolloutRegistry;
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -9,6 +9,7 @@
 import {HeldBytes} from './calls/held_bytes.js';
 import type {GatewaySettings} from './gateway_settings.js';
 import {GracefulShutdown} from './lifecycle/graceful_shutdown.js';
+import {StopSchedule} from './lifecycle/stop_schedule.js';
 import {MetricsServer} from './lifecycle/metrics_server.js';
 import {ReadinessServer} from './lifecycle/readiness_server.js';
 import {StallDetector} from './lifecycle/stall_detector.js';
@@ -53,6 +54,7 @@
   private readonly relayHosts: RelayHostRegistry;
   private readonly readinessServer: ReadinessServer;
   private readonly metricsServer: MetricsServer;
+  private readonly stopSchedule: StopSchedule;
   private readonly gracefulShutdown: GracefulShutdown;
   private readonly hostRegistration: HostRegistration;
   private startup: Promise<void> = Promise.resolve();
@@ -69,6 +71,7 @@
       metrics: this.metrics,
       currentSettings: () => this.settings,
     });
+    this.stopSchedule = new StopSchedule({clock});
     this.eventLoopLag = new EventLoopLag({clock});
     this.heldBytes = new HeldBytes({
       clock,
@@ -106,6 +109,7 @@
       clock,
       log,
       callServers: this.callServers,
+      schedule: this.stopSchedule,
       // Whoever called `start` is told of its failure.
       startup: () => this.startup.catch(() => undefined),
       graceMs: () => this.settings.graceMs,
@@ -367,6 +371,7 @@
       rates,
       metrics: this.metrics,
       connectionReads: this.connectionReads,
+      stopSchedule: this.stopSchedule,
       headerNames,
       directory,
       gate: runnerGate,
--- a/packages/gateway/src/lifecycle/graceful_shutdown.ts
+++ b/packages/gateway/src/lifecycle/graceful_shutdown.ts
@@ -3,11 +3,13 @@
 import type {CallServer} from '../calls/call_server.js';
 import {AbortReason} from '../calls/abort_reason.js';
 import type {EventLog} from '../observability/event_log.js';
+import type {StopSchedule} from './stop_schedule.js';
 
 interface Options {
   readonly clock: Clock;
   readonly log: EventLog;
   readonly callServers: readonly CallServer[];
+  readonly schedule: StopSchedule;
   /** Settles when the start is over that may be under way. */
   readonly startup: () => Promise<void>;
   /** Grace period until the process is killed, in ms. */
@@ -18,23 +20,18 @@
 const BALANCER_REACTION_MS = 2_300;
 /** Longest time for which connections that wait are accepted before a host stops listening, in ms: a host that is short of the processor needs it. */
 const MAX_BACKLOG_MS = 2_000;
-/** Margin before the end of the grace period, in ms, for the last responses to reach their callers. */
-const FINAL_RESPONSE_MARGIN_MS = 700;
-/** Time before the end of the grace period at which the process ends, whatever is open, in ms: the last log lines are written then. */
-const EXIT_MARGIN_MS = 400;
 /** Interval between two checks whether all calls have ended, in ms. */
 const POLL_INTERVAL_MS = 50;
 
 /** Shuts a host down: it reports not ready immediately, then closes idle connections, then finishes running calls. */
 export class GracefulShutdown {
-  private isStarted = false;
   private isClosingConnections = false;
 
   constructor(private readonly options: Options) {}
 
   /** Whether shutdown has started: the host is not ready, and connections are closed after their responses. */
   get hasStarted(): boolean {
-    return this.isStarted;
+    return this.options.schedule.hasStarted;
   }
 
   /** Whether new connections are no longer accepted: callers have had time to turn to other hosts. */
@@ -52,27 +49,28 @@
 
   /** Resolves when no call is open any more, or shortly before the grace period ends. */
   async run(reason: string): Promise<void> {
-    const {clock, log, callServers} = this.options;
+    const {clock, log, callServers, schedule} = this.options;
     const graceMs = this.options.graceMs();
-    const startedAt = clock.now();
-    this.isStarted = true;
+    schedule.start(graceMs);
     log.write('process_stopping', {
       reason,
       open: this.openCalls,
       graceMs,
     });
-    const until = startedAt + graceMs - FINAL_RESPONSE_MARGIN_MS;
     await this.options.startup();
     // Nobody can have sent anything to a host that was stopped before it listened.
     if (callServers.some(({isListening}) => isListening))
       await sleep(clock, Math.min(BALANCER_REACTION_MS, graceMs / 2));
     this.isClosingConnections = true;
-    const backlogUntil = Math.min(clock.now() + MAX_BACKLOG_MS, until);
+    const backlogUntil = Math.min(
+      clock.now() + MAX_BACKLOG_MS,
+      schedule.abortAt,
+    );
     await Promise.all(
       callServers.map(server => server.stopListening(backlogUntil)),
     );
     let closed = await this.closeIdle();
-    while (this.openCalls > 0 && clock.now() < until) {
+    while (this.openCalls > 0 && schedule.leftMs > 0) {
       await sleep(clock, POLL_INTERVAL_MS);
       closed += await this.closeIdle();
     }
@@ -80,8 +78,8 @@
       (sum, server) => sum + server.abortAll(AbortReason.HOST_SHUTDOWN),
       0,
     );
-    await this.waitForResponses(startedAt + graceMs - EXIT_MARGIN_MS);
-    const forMs = Math.round(clock.now() - startedAt);
+    await this.waitForResponses(schedule.exitAt);
+    const forMs = Math.round(clock.now() - schedule.startAt);
     const unsent = this.openCalls;
     log.write('process_stopped', {reason, cut, unsent, closed, forMs});
   }
--- a/packages/gateway/src/observability/event_fields.ts
+++ b/packages/gateway/src/observability/event_fields.ts
@@ -369,6 +369,8 @@
     retryPromisedMs?: number;
     /** Spare capacity that is expected, in ms of slot time per ms. */
     retrySparePerMs?: number;
+    /** Time from the start of the shutdown to the arrival of the request; absent if it arrived before. */
+    stoppingMs?: number;
     forMs: number;
   };
   /** A started response waits for a runner that may take it. */
@@ -383,6 +385,8 @@
     reason: string;
     attempts: number;
     lastEvent?: number;
+    /** Time from the start of the shutdown to the arrival of the request; absent if it arrived before. */
+    stoppingMs?: number;
     forMs: number;
   };
   caller_left: {
