A stopping host begins no call that it would have to abort

Cause: nothing compared the time that is left with the time that such a request takes. A host that stops began whatever it read, also retries, further runs beside silent ones, larger models and relayed calls. Now hosts learn how long calls of a route and length take to the end of their responses (DurationEstimator), and StopAdmission refuses a call as soon as it is known that it would not end before open calls are aborted: when its head is read, while its body comes, while it waits for capacity, and before each further attempt. A call that ends in time, or whose own time limit ends before, is served. A call of unknown length is served until callers have had time to turn elsewhere. A response that has begun goes on as far as it comes. Lines: stop_refused, process_stopped refused; metric bayspool_stop_refusals_total.

--- /dev/null
+++ b/packages/decisions/src/capacity/duration_estimator.ts
@@ -0,0 +1,62 @@
+import {LogStatistics} from './log_statistics.js';
+
+/** What is known of a call's length before it is sent. */
+interface CallLength {
+  readonly route: string;
+  /** Output tokens that its caller expects, or else the most that it asked for; undefined if it stated neither. */
+  readonly outputTokens?: number;
+}
+
+interface EndedCall extends CallLength {
+  /** Time from the complete request to the end of its response, in ms. */
+  readonly durationMs: number;
+}
+
+interface RouteDurations {
+  readonly total: LogStatistics;
+  /** By output token, of the calls that state a number of these. */
+  readonly perToken: LogStatistics;
+}
+
+/** Standard deviations above the mean: of durations alike, one in 40 exceeds the estimate. */
+const DEVIATIONS = 2;
+/** Routes that are kept; the configuration has fewer, those beyond are of earlier versions of it. */
+const MAX_ROUTES = 500;
+
+/** Estimates how long calls take to the end of their responses, by route and length, from those that ended. */
+export class DurationEstimator {
+  private readonly byRoute = new Map<string, RouteDurations>();
+
+  /** Learns from a call that was answered completely. */
+  record({route, outputTokens, durationMs}: EndedCall): void {
+    const {total, perToken} = this.durationsOf(route);
+    const ms = Math.max(1, durationMs);
+    total.add(ms);
+    if (outputTokens !== undefined) perToken.add(ms / outputTokens);
+  }
+
+  /** Time that few calls of this route and length exceed, in ms; undefined until one has ended. */
+  estimateMs({route, outputTokens}: CallLength): number | undefined {
+    const known = this.byRoute.get(route);
+    if (!known) return undefined;
+    const {total, perToken} = known;
+    // The length as stated says little where callers ask for far more than they get.
+    const isLengthUseful = perToken.variance < total.variance;
+    if (outputTokens === undefined || !isLengthUseful)
+      return total.estimateUpperBound(DEVIATIONS);
+    const perTokenMs = perToken.estimateUpperBound(DEVIATIONS);
+    return perTokenMs === undefined ? undefined : perTokenMs * outputTokens;
+  }
+
+  private durationsOf(route: string): RouteDurations {
+    const known = this.byRoute.get(route);
+    if (known) return known;
+    if (this.byRoute.size >= MAX_ROUTES) this.byRoute.clear();
+    const created = {
+      total: new LogStatistics(),
+      perToken: new LogStatistics(),
+    };
+    this.byRoute.set(route, created);
+    return created;
+  }
+}
--- a/packages/decisions/src/capacity/index.ts
+++ b/packages/decisions/src/capacity/index.ts
@@ -1,6 +1,7 @@
 /** Estimates of what runners can take and what calls need: pure functions and classes without I/O. */
 export {computePrefillTokens} from './compute_prefill_tokens.js';
 export type {CallWork} from './call_work.js';
+export {DurationEstimator} from './duration_estimator.js';
 export {estimateServiceCapacity} from './estimate_service_capacity.js';
 export {forecastRunning} from './forecast_running.js';
 export type {RunnerCapacity} from './runner_capacity.js';
--- a/packages/gateway/src/calls/attempt.test.ts
+++ b/packages/gateway/src/calls/attempt.test.ts
@@ -47,6 +47,7 @@
     fingerprint: '0',
     priority: 1,
     acceptedAt: clock.now(),
+    completedAt: clock.now(),
     deadlineAt: clock.now() + 1_000,
   };
 }
--- a/packages/gateway/src/calls/call_admission.ts
+++ b/packages/gateway/src/calls/call_admission.ts
@@ -5,6 +5,8 @@
 } from '@bayspool/decisions/admission';
 import type {WorkEstimator} from '@bayspool/decisions/capacity';
 import type {Clock} from '@bayspool/kernel';
+import type {StopAdmission} from '../lifecycle/stop_admission.js';
+import {StopPhase} from '../lifecycle/stop_phase.js';
 import type {EventLog} from '../observability/event_log.js';
 import type {GatewayMetrics} from '../observability/gateway_metrics.js';
 import {roundToHundredths} from '../observability/round_to_hundredths.js';
@@ -22,6 +24,7 @@
   readonly candidates: CallCandidates;
   readonly work: WorkEstimator;
   readonly rates: PrefillRates;
+  readonly stopAdmission: StopAdmission;
   readonly overloadControlOf: (service: string) => OverloadControl;
   /** The next less urgent priority among the routes of a service; Infinity if there is none. */
   readonly nextPriorityOf: (service: string, priority: number) => number;
@@ -61,14 +64,26 @@
     progress.workMs = workMs;
     if (startedByVersion !== undefined || this.hasOtherLimits(call))
       return undefined;
-    const {overloadControlOf} = this.options;
+    const {overloadControlOf, stopAdmission} = this.options;
     const {priority, workspace, acceptedAt, deadlineAt, route} = call;
     const targetAt = acceptedAt + route.latencyTargetMs;
     const control = overloadControlOf(call.service);
+    const stop = new AbortController();
+    let stopRejection: CallRejection | undefined;
+    const stopWatching = stopAdmission.watch(
+      call,
+      StopPhase.ADMISSION,
+      rejection => {
+        stopRejection = rejection;
+        stop.abort();
+      },
+    );
     const decision = await control.request(
       {priority, workspace, targetAt, deadlineAt, workMs},
-      signal,
+      AbortSignal.any([signal, stop.signal]),
     );
+    stopWatching();
+    if (stopRejection) return stopRejection;
     if (control.isShort && model !== undefined)
       progress.enginePriority = this.refine(call, targetAt, workMs);
     this.record(call, workMs, decision);
--- a/packages/gateway/src/calls/call_finisher.test.ts
+++ b/packages/gateway/src/calls/call_finisher.test.ts
@@ -5,6 +5,7 @@
 import {SeededRandom, VirtualClock} from '@bayspool/kernel';
 import {EventLog} from '../observability/event_log.js';
 import {GatewayMetrics} from '../observability/gateway_metrics.js';
+import {DurationEstimator} from '@bayspool/decisions/capacity';
 import {StopSchedule} from '../lifecycle/stop_schedule.js';
 import type {RunnerReachability} from '../runners/runner_reachability.js';
 import {CallFinisher} from './call_finisher.js';
@@ -43,6 +44,7 @@
     metrics,
     reachability: {silentMs: undefined} as RunnerReachability,
     stopSchedule: new StopSchedule({clock}),
+    durations: new DurationEstimator(),
     retryScheduleOf: () => schedule,
   });
   const reject = (rejection: CallRejection) => {
--- a/packages/gateway/src/calls/call_finisher.ts
+++ b/packages/gateway/src/calls/call_finisher.ts
@@ -3,6 +3,7 @@
   RetrySchedule,
   RetryTime,
 } from '@bayspool/decisions/admission';
+import type {DurationEstimator} from '@bayspool/decisions/capacity';
 import type {Clock, RandomSource} from '@bayspool/kernel';
 import type {EventFields} from '../observability/event_fields.js';
 import type {EventLog} from '../observability/event_log.js';
@@ -29,6 +30,8 @@
   readonly metrics: GatewayMetrics;
   readonly reachability: RunnerReachability;
   readonly stopSchedule: StopSchedule;
+  /** Learns from answered calls how long such calls take. */
+  readonly durations: DurationEstimator;
   /** Reserves capacity of a service for the retries of rejected calls. */
   readonly retryScheduleOf: (service: string) => RetrySchedule;
 }
@@ -55,6 +58,7 @@
     const firstByteAt = caller.firstByteAt ?? clock.now();
     const forMs = clock.now() - call.acceptedAt;
     this.countEnded(call, 'answered');
+    if (!caller.isContinued) this.recordDuration(call);
     if (!call.relayOrigin) {
       const firstByteMs = firstByteAt - call.acceptedAt;
       metrics.firstByteSeconds.observe({route}, firstByteMs / 1000);
@@ -177,6 +181,15 @@
     return ms === undefined ? undefined : Math.round(ms);
   }
 
+  private recordDuration({route, prompt, completedAt}: IncomingCall): void {
+    const {clock, durations} = this.options;
+    durations.record({
+      route: route.name,
+      outputTokens: prompt?.lengthHint ?? prompt?.maxOutputTokens,
+      durationMs: clock.now() - completedAt,
+    });
+  }
+
   /** Counts a request that ended; a relayed call is counted by the host whose caller sent it. */
   private countEnded(
     {route: {name: route, kind}, relayOrigin}: IncomingCall,
@@ -190,16 +203,19 @@
 
   private createLocalResponse(
     progress: CallProgress,
-    {reason, minRetryMs, admission}: CallRejection,
+    {reason, minRetryMs, retryAfterMs, admission}: CallRejection,
   ): LocalResponse {
+    if (!progress.mayHaveRun && retryAfterMs !== undefined)
+      return {status: STATUS.UNAVAILABLE, reason, retryAfterMs};
     if (!progress.mayHaveRun) {
       const {random} = this.options;
       const retryTime = admission && this.reserveRetry(progress, admission);
       const afterMs = retryTime
         ? Math.max(retryTime.afterMs, minRetryMs ?? 0)
         : chooseRetryAfterMs(random, minRetryMs);
-      const retryAfterMs = Math.round(afterMs);
-      return {status: STATUS.UNAVAILABLE, reason, retryAfterMs, retryTime};
+      const roundedMs = Math.round(afterMs);
+      const retry = {retryAfterMs: roundedMs, retryTime};
+      return {status: STATUS.UNAVAILABLE, reason, ...retry};
     }
     const status =
       reason === AbortReason.TIME_LIMIT
--- a/packages/gateway/src/calls/call_forwarder.ts
+++ b/packages/gateway/src/calls/call_forwarder.ts
@@ -8,10 +8,15 @@
   PriorityAdmission,
 } from '@bayspool/decisions/calls';
 import type {OverloadControl} from '@bayspool/decisions/admission';
-import type {WorkEstimator} from '@bayspool/decisions/capacity';
+import type {
+  DurationEstimator,
+  WorkEstimator,
+} from '@bayspool/decisions/capacity';
 import type {Clock, ConnectionReads, RandomSource} from '@bayspool/kernel';
 import type {RunnerDirectory} from '../discovery/runner_directory.js';
 import type {MembershipView} from '../peers/membership_view.js';
+import type {StopAdmission} from '../lifecycle/stop_admission.js';
+import {StopPhase} from '../lifecycle/stop_phase.js';
 import type {StopSchedule} from '../lifecycle/stop_schedule.js';
 import type {EventLog} from '../observability/event_log.js';
 import type {GatewayMetrics} from '../observability/gateway_metrics.js';
@@ -60,6 +65,9 @@
   /** How old this host's knowledge of its callers' connections is. */
   readonly connectionReads: ConnectionReads;
   readonly stopSchedule: StopSchedule;
+  readonly stopAdmission: StopAdmission;
+  /** How long calls take to the end of their responses. */
+  readonly durations: DurationEstimator;
   readonly directory: RunnerDirectory;
   readonly candidates: CallCandidates;
   readonly rollouts: RolloutRegistry;
@@ -117,7 +125,8 @@
 
   constructor(private readonly options: Options) {
     const {clock, log, metrics, retryBudgetOf} = options;
-    const {cascade, quarantine, partQuarantine, membership} = options;
+    const {cascade, quarantine, partQuarantine, membership, stopAdmission} =
+      options;
     this.workEstimator = new CallWorkEstimator(options);
     const {workEstimator} = this;
     this.router = new AttemptRouter({...options, workEstimator});
@@ -132,6 +141,7 @@
       partQuarantine,
       retryBudgetOf,
       membership,
+      stopAdmission,
     });
     this.escalationPolicy = new EscalationPolicy({
       ...options,
@@ -194,6 +204,9 @@
     signal: AbortSignal,
   ): Promise<void> {
     for (;;) {
+      const unfinishable = this.findStopRejection(progress, caller);
+      if (unfinishable)
+        return this.finisher.reject(progress, caller, unfinishable);
       const relayHost = this.relay.choose(progress);
       if (relayHost) {
         const {relay} = this;
@@ -297,6 +310,15 @@
     });
   }
 
+  /** Returns why a call is not sent now, as this host stops; a started response goes on as far as it comes. */
+  private findStopRejection(
+    {call}: CallProgress,
+    {hasStarted}: CallerResponse,
+  ): CallRejection | undefined {
+    if (hasStarted) return undefined;
+    return this.options.stopAdmission.findRejection(call, StopPhase.ATTEMPT);
+  }
+
   /** Counts a call when this host is first to send it to a runner; another host may have counted it in the retry budget. */
   private countCall(progress: CallProgress): void {
     const {retryBudgetOf, priorityAdmissionOf} = this.options;
--- a/packages/gateway/src/calls/call_server.ts
+++ b/packages/gateway/src/calls/call_server.ts
@@ -11,9 +11,12 @@
   Timer,
 } from '@bayspool/kernel';
 import type {ActiveConfiguration} from '../discovery/active_configuration.js';
+import type {StopAdmission} from '../lifecycle/stop_admission.js';
+import {StopPhase} from '../lifecycle/stop_phase.js';
 import type {EventLog} from '../observability/event_log.js';
 import type {GatewayMetrics} from '../observability/gateway_metrics.js';
-import type {ValidatedRequest} from './validated_request.js';
+import type {CallHead} from './call_head.js';
+import type {CallRejection} from './call_rejection.js';
 import {CallerResponse} from './caller_response.js';
 import {AbortReason} from './abort_reason.js';
 import type {CallForwarder} from './call_forwarder.js';
@@ -26,6 +29,7 @@
 import type {RelayAdmission} from '../relay/relay_admission.js';
 import {readRelayOrigin} from '../relay/read_relay_origin.js';
 import {readBody} from './read_body.js';
+import {readCallHead} from './read_call_head.js';
 import {readNumberHeader} from './read_number_header.js';
 import {RequestValidator} from './request_validator.js';
 import {createCall} from './create_call.js';
@@ -41,6 +45,7 @@
   readonly headerNames: HeaderNames;
   readonly configuration: ActiveConfiguration;
   readonly forwarder: CallForwarder;
+  readonly stopAdmission: StopAdmission;
   readonly heldBytes: HeldBytes;
   /** How old this host's knowledge of its connections is. */
   readonly connectionReads: ConnectionReads;
@@ -212,7 +217,8 @@
     controller: AbortController,
     held: CallHolding,
   ): Promise<void> {
-    const {clock, headerNames, relayAdmission, connectionReads} = this.options;
+    const {clock, headerNames, relayAdmission, connectionReads, stopAdmission} =
+      this.options;
     const acceptedAt = clock.now();
     const caller = new CallerResponse({
       clock,
@@ -238,27 +244,34 @@
     const validated = this.validator.validate(request);
     if (!('route' in validated))
       return this.rejecter.rejectInvalid(request, caller, validated);
-    const {priority} = validated.route;
-    const full = held.takeBody(request, this.maxBodyBytes, priority);
+    const {route} = validated;
+    const head = readCallHead({request, route, headerNames, acceptedAt});
+    const unfinishable = stopAdmission.findRejection(head, StopPhase.HEAD);
+    if (unfinishable)
+      return this.rejecter.rejectStopping(request, caller, unfinishable);
+    const full = held.takeBody(request, this.maxBodyBytes, route.priority);
     if (full) return this.rejecter.rejectFull(request, caller);
     const wasComplete = request.complete;
-    const body = await this.readBody(request, validated, controller, held);
+    const body = await this.readBody(request, head, controller, held);
     // The end of the connection is read behind the body.
     if (!wasComplete) await connectionReads.refresh();
     if (body === 'broken')
       return this.recorder.recordIncompleteBody(request, acceptedAt);
     if (hasLeft(caller, controller.signal))
       return this.recorder.recordLeft(request, acceptedAt);
+    if (typeof body === 'object' && 'reason' in body)
+      return this.rejecter.rejectStopping(request, caller, body);
     if (body === 'late')
       return this.rejecter.rejectIncompleteBody(request, response, caller);
     if (body === 'too-large')
       return this.rejecter.rejectLargeBody(request, caller);
     const call = createCall({
       request,
+      head,
       body,
       validated,
       headerNames,
-      acceptedAt,
+      completedAt: clock.now(),
       relayOrigin: relayAdmission && readRelayOrigin(request),
     });
     this.recorder.recordAccepted(call);
@@ -270,19 +283,33 @@
     return current?.limits.bodyBytes ?? DEFAULT_MAX_BODY_BYTES;
   }
 
-  /** Reads the body within the configured size limit and the time limit of the route. */
+  /**
+   * Reads the body within the configured size limit and the time limit of the route, and while the call can still be
+   * served if the host stops.
+   */
   private async readBody(
     request: IncomingMessage,
-    {route}: ValidatedRequest,
+    head: CallHead,
     controller: AbortController,
     held: CallHolding,
-  ): ReturnType<typeof readBody> {
+  ): Promise<Awaited<ReturnType<typeof readBody>> | CallRejection> {
     const maxBytes = this.maxBodyBytes;
-    const timer = this.abortAfter(route.timeLimitMs, controller);
-    const {signal} = controller;
+    const timer = this.abortAfter(head.route.timeLimitMs, controller);
+    const stop = new AbortController();
+    let rejection: CallRejection | undefined;
+    const stopWatching = this.options.stopAdmission.watch(
+      head,
+      StopPhase.BODY,
+      found => {
+        rejection = found;
+        stop.abort();
+      },
+    );
+    const signal = AbortSignal.any([controller.signal, stop.signal]);
     const body = await readBody({request, maxBytes, signal, ...held.body});
     timer.cancel();
-    return body;
+    stopWatching();
+    return rejection ?? body;
   }
 
   private async forward(
--- a/packages/gateway/src/calls/caller_response.ts
+++ b/packages/gateway/src/calls/caller_response.ts
@@ -66,6 +66,11 @@
     return this.lastId;
   }
 
+  /** Whether the caller has received the beginning in an earlier response. */
+  get isContinued(): boolean {
+    return this.options.lastEventId !== undefined;
+  }
+
   /** Number of events sent in this response. */
   get eventCount(): number {
     return this.sentEvents;
--- a/packages/gateway/src/calls/create_call.ts
+++ b/packages/gateway/src/calls/create_call.ts
@@ -5,40 +5,35 @@
   fingerprintRequest,
 } from '@bayspool/decisions/calls';
 import type {RelayOrigin} from '../relay/relay_origin.js';
+import type {CallHead} from './call_head.js';
 import type {ValidatedRequest} from './validated_request.js';
 import type {HeaderNames} from './header_names.js';
 import type {IncomingCall} from './incoming_call.js';
-import {readNumberHeader} from './read_number_header.js';
-import {readPrompt} from './read_prompt.js';
 
 interface Options {
   readonly request: IncomingMessage;
+  readonly head: CallHead;
   readonly body: Buffer;
   readonly validated: ValidatedRequest;
   readonly headerNames: HeaderNames;
-  /** When the request arrived, on this host's clock. */
-  readonly acceptedAt: number;
+  /** When the request was complete, on this host's clock. */
+  readonly completedAt: number;
   /** What the relaying host states of the call, if there is one. */
   readonly relayOrigin?: RelayOrigin;
 }
 
-/** Part of a caller's deadline reserved for the transit of the response, in ms. */
-const RESPONSE_TRANSIT_MS = 10;
-
 /** Creates the call for a validated request. */
 export function createCall({
   request,
+  head,
   body,
   validated,
   headerNames,
-  acceptedAt,
+  completedAt,
   relayOrigin,
 }: Options): IncomingCall {
   const {route, keyOwner} = validated;
   const {headers} = request;
-  const id = String(headers[headerNames.requestId]);
-  const deadlineMs =
-    readNumberHeader(request, headerNames.deadline) ?? Infinity;
   const session = headers[headerNames.session];
   const model = headers[headerNames.model];
   const sessionId = typeof session === 'string' ? session : undefined;
@@ -46,32 +41,19 @@
   const {hostName} = route;
   const workspace = keyOwner?.workspace;
   return {
-    id,
+    ...head,
     method,
     path,
     fingerprint: fingerprintRequest({method, hostName, path, workspace, body}),
     rawHeaders: request.rawHeaders,
     body,
-    route,
-    service: chooseService(route, sessionId ?? id),
+    service: chooseService(route, sessionId ?? head.id),
     workspace,
     regions: intersectRegions(route.regions, keyOwner?.regions),
     priority: keyOwner?.priority ?? route.priority,
-    acceptedAt,
-    deadlineAt:
-      acceptedAt +
-      Math.min(deadlineMs - RESPONSE_TRANSIT_MS, route.timeLimitMs),
-    prompt: readPrompt(
-      singleValue(headers[headerNames.promptSize]),
-      singleValue(headers[headerNames.promptParts]),
-      singleValue(headers[headerNames.lengthHint]),
-    ),
+    completedAt,
     session: sessionId,
     model: typeof model === 'string' ? model : undefined,
     relayOrigin,
   };
 }
-
-function singleValue(value: string | string[] | undefined): string | undefined {
-  return typeof value === 'string' ? value : undefined;
-}
--- a/packages/gateway/src/calls/incoming_call.ts
+++ b/packages/gateway/src/calls/incoming_call.ts
@@ -1,16 +1,14 @@
-import type {CallRoute, Prompt} from '@bayspool/decisions/calls';
 import type {RelayOrigin} from '../relay/relay_origin.js';
+import type {CallHead} from './call_head.js';
 
 /** A validated request with its complete body and its route. */
-export interface IncomingCall {
-  readonly id: string;
+export interface IncomingCall extends CallHead {
   readonly method: string;
   /** The request target, unchanged. */
   readonly path: string;
   /** Alternating names and values, as received. */
   readonly rawHeaders: readonly string[];
   readonly body: Buffer;
-  readonly route: CallRoute;
   readonly service: string;
   /**
    * Identifies the content of the request and its sender; the same each time it is sent, see
@@ -22,10 +20,8 @@
   readonly regions?: readonly string[];
   /** 0 is the most urgent. */
   readonly priority: number;
-  /** On this host's clock, as is `deadlineAt`. */
-  readonly acceptedAt: number;
-  readonly deadlineAt: number;
-  readonly prompt?: Prompt;
+  /** When the request was complete, on this host's clock. */
+  readonly completedAt: number;
   readonly session?: string;
   /** Model named by the caller, if the route doesn't choose one itself. */
   readonly model?: string;
--- a/packages/gateway/src/calls/request_rejecter.ts
+++ b/packages/gateway/src/calls/request_rejecter.ts
@@ -2,6 +2,7 @@
 import type {RandomSource} from '@bayspool/kernel';
 import type {RelayAdmission} from '../relay/relay_admission.js';
 import {RELAY_REFUSED} from '../relay/relay_refused.js';
+import type {CallRejection} from './call_rejection.js';
 import type {CallerResponse} from './caller_response.js';
 import {chooseRetryAfterMs} from './choose_retry_after_ms.js';
 import type {LocalResponse} from './local_response.js';
@@ -43,6 +44,16 @@
     this.reject(request, caller, this.toRejection(rejection));
   }
 
+  /** Rejects a call that would not end before this host stops. */
+  rejectStopping(
+    request: IncomingMessage,
+    caller: CallerResponse,
+    {reason, retryAfterMs}: CallRejection,
+  ): void {
+    const rejection = {status: UNAVAILABLE, reason, retryAfterMs};
+    this.rejectInvalid(request, caller, rejection);
+  }
+
   /** Rejects a call for which this host has no memory. */
   rejectFull(request: IncomingMessage, caller: CallerResponse): void {
     const retryAfterMs = Math.round(chooseRetryAfterMs(this.options.random));
--- a/packages/gateway/src/calls/retry_policy.ts
+++ b/packages/gateway/src/calls/retry_policy.ts
@@ -9,6 +9,7 @@
 import type {Clock} from '@bayspool/kernel';
 import type {EventLog} from '../observability/event_log.js';
 import type {GatewayMetrics} from '../observability/gateway_metrics.js';
+import type {StopAdmission} from '../lifecycle/stop_admission.js';
 import type {MembershipView} from '../peers/membership_view.js';
 import {findHold} from '../quarantine/find_hold.js';
 import {OutcomeKind} from './outcome_kind.js';
@@ -27,6 +28,7 @@
   /** Retry budget of a service. */
   readonly retryBudgetOf: (service: string) => SharedRetryBudget;
   readonly membership: MembershipView;
+  readonly stopAdmission: StopAdmission;
 }
 
 /** Remaining time below which another attempt can't produce a response, in ms. */
@@ -99,7 +101,8 @@
   ): SuccessorRefusal | undefined {
     const {call} = progress;
     const remainingMs = call.deadlineAt - this.options.clock.now();
-    if (remainingMs < MIN_REMAINING_MS) return SuccessorRefusal.NO_TIME_LEFT;
+    if (remainingMs < MIN_REMAINING_MS || !this.canEnd(progress))
+      return SuccessorRefusal.NO_TIME_LEFT;
     if (progress.attemptsLeft === 0 || progress.attemptCount >= MAX_ATTEMPTS)
       return SuccessorRefusal.NO_ATTEMPT_LEFT;
     if (findHold(call, this.options)) return SuccessorRefusal.QUARANTINED;
@@ -148,13 +151,19 @@
     const {call} = progress;
     if (remainingMs < MIN_REMAINING_MS || progress.attemptCount >= MAX_ATTEMPTS)
       return false;
-    if (findHold(call, this.options)) return false;
+    if (findHold(call, this.options) || !this.canEnd(progress)) return false;
     if (progress.attemptsLeft === 0) return false;
     if (outcome.kind === OutcomeKind.NOT_RUN) return true;
     if (outcome.kind === OutcomeKind.LOW_CONFIDENCE) return true;
     return isRetryable(call.route.kind);
   }
 
+  /** Whether another attempt ends before this host stops; a started response goes on as far as it comes. */
+  private canEnd({call, startedByVersion}: CallProgress): boolean {
+    const isStarted = startedByVersion !== undefined;
+    return isStarted || this.options.stopAdmission.canEnd(call);
+  }
+
   /** Whether a small model's response may be dropped in favour of one from the largest model. */
   canEscalate(progress: CallProgress): boolean {
     const {clock, retryBudgetOf} = this.options;
@@ -162,6 +171,7 @@
     if (call.route.kind !== CallKind.RESUMABLE) return false;
     if (progress.attemptsLeft <= 1) return false;
     if (call.deadlineAt - clock.now() < MIN_REMAINING_MS) return false;
+    if (!this.canEnd(progress)) return false;
     return (
       retryBudgetOf(call.service).remaining >= 1 + BUDGET_KEPT_FOR_FAILURES
     );
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -1,6 +1,6 @@
 import {isDeepStrictEqual} from 'node:util';
 import {ModelCascade} from '@bayspool/decisions/calls';
-import {WorkEstimator} from '@bayspool/decisions/capacity';
+import {DurationEstimator, WorkEstimator} from '@bayspool/decisions/capacity';
 import {ConnectionReads} from '@bayspool/kernel';
 import type {Timer} from '@bayspool/kernel';
 import {CallCandidates} from './calls/call_candidates.js';
@@ -9,6 +9,7 @@
 import {HeldBytes} from './calls/held_bytes.js';
 import type {GatewaySettings} from './gateway_settings.js';
 import {GracefulShutdown} from './lifecycle/graceful_shutdown.js';
+import {StopAdmission} from './lifecycle/stop_admission.js';
 import {StopSchedule} from './lifecycle/stop_schedule.js';
 import {MetricsServer} from './lifecycle/metrics_server.js';
 import {ReadinessServer} from './lifecycle/readiness_server.js';
@@ -55,6 +56,9 @@
   private readonly readinessServer: ReadinessServer;
   private readonly metricsServer: MetricsServer;
   private readonly stopSchedule: StopSchedule;
+  /** How long calls take to the end of their responses. */
+  private readonly durations = new DurationEstimator();
+  private readonly stopAdmission: StopAdmission;
   private readonly gracefulShutdown: GracefulShutdown;
   private readonly hostRegistration: HostRegistration;
   private startup: Promise<void> = Promise.resolve();
@@ -72,6 +76,13 @@
       currentSettings: () => this.settings,
     });
     this.stopSchedule = new StopSchedule({clock});
+    this.stopAdmission = new StopAdmission({
+      ...options,
+      metrics: this.metrics,
+      schedule: this.stopSchedule,
+      durations: this.durations,
+      isClosing: () => this.gracefulShutdown.isClosing,
+    });
     this.eventLoopLag = new EventLoopLag({clock});
     this.heldBytes = new HeldBytes({
       clock,
@@ -110,6 +121,7 @@
       log,
       callServers: this.callServers,
       schedule: this.stopSchedule,
+      stopAdmission: this.stopAdmission,
       // Whoever called `start` is told of its failure.
       startup: () => this.startup.catch(() => undefined),
       graceMs: () => this.settings.graceMs,
@@ -322,6 +334,7 @@
       forwarder,
       heldBytes: this.heldBytes,
       connectionReads: this.connectionReads,
+      stopAdmission: this.stopAdmission,
       relayAdmission,
       port,
       ip: settings.ip,
@@ -372,6 +385,8 @@
       metrics: this.metrics,
       connectionReads: this.connectionReads,
       stopSchedule: this.stopSchedule,
+      stopAdmission: this.stopAdmission,
+      durations: this.durations,
       headerNames,
       directory,
       gate: runnerGate,
--- a/packages/gateway/src/lifecycle/graceful_shutdown.ts
+++ b/packages/gateway/src/lifecycle/graceful_shutdown.ts
@@ -3,6 +3,7 @@
 import type {CallServer} from '../calls/call_server.js';
 import {AbortReason} from '../calls/abort_reason.js';
 import type {EventLog} from '../observability/event_log.js';
+import type {StopAdmission} from './stop_admission.js';
 import type {StopSchedule} from './stop_schedule.js';
 
 interface Options {
@@ -10,6 +11,7 @@
   readonly log: EventLog;
   readonly callServers: readonly CallServer[];
   readonly schedule: StopSchedule;
+  readonly stopAdmission: StopAdmission;
   /** Settles when the start is over that may be under way. */
   readonly startup: () => Promise<void>;
   /** Grace period until the process is killed, in ms. */
@@ -49,7 +51,7 @@
 
   /** Resolves when no call is open any more, or shortly before the grace period ends. */
   async run(reason: string): Promise<void> {
-    const {clock, log, callServers, schedule} = this.options;
+    const {clock, log, callServers, schedule, stopAdmission} = this.options;
     const graceMs = this.options.graceMs();
     schedule.start(graceMs);
     log.write('process_stopping', {
@@ -57,6 +59,7 @@
       open: this.openCalls,
       graceMs,
     });
+    this.reviewRepeatedly();
     await this.options.startup();
     // Nobody can have sent anything to a host that was stopped before it listened.
     if (callServers.some(({isListening}) => isListening))
@@ -81,7 +84,23 @@
     await this.waitForResponses(schedule.exitAt);
     const forMs = Math.round(clock.now() - schedule.startAt);
     const unsent = this.openCalls;
-    log.write('process_stopped', {reason, cut, unsent, closed, forMs});
+    const refused = stopAdmission.refusedCount;
+    log.write('process_stopped', {
+      reason,
+      refused,
+      cut,
+      unsent,
+      closed,
+      forMs,
+    });
+  }
+
+  /** Refuses calls that wait, once they would not end any more. */
+  private reviewRepeatedly(): void {
+    const {clock, schedule, stopAdmission} = this.options;
+    if (schedule.leftMs <= 0) return;
+    stopAdmission.review();
+    clock.after(POLL_INTERVAL_MS, () => this.reviewRepeatedly());
   }
 
   /** Closes idle connections. @returns how many there were */
--- a/packages/gateway/src/observability/event_fields.ts
+++ b/packages/gateway/src/observability/event_fields.ts
@@ -23,8 +23,25 @@
     omittedLines?: number;
   };
   process_stopping: {reason: string; open: number; graceMs: number};
+  /** A call that a stopping host does not begin, as it would have to abort it. */
+  stop_refused: {
+    request: string;
+    route: string;
+    /** How far the call had come, see StopPhase. */
+    phase: string;
+    /** Time to the end of the response that few calls of its route and length exceed; absent if none has ended here. */
+    needMs?: number;
+    /** Time until open calls are aborted. */
+    leftMs: number;
+    /** Time since the shutdown began. */
+    stoppingMs: number;
+    /** Time since the request arrived. */
+    ageMs: number;
+  };
   process_stopped: {
     reason: string;
+    /** Calls that were refused because they would not have ended in time. */
+    refused: number;
     /** Calls that were aborted at the end of the grace period. */
     cut: number;
     /** Calls whose responses had not left the process when it ended. */
--- a/packages/gateway/src/observability/event_log.ts
+++ b/packages/gateway/src/observability/event_log.ts
@@ -26,6 +26,7 @@
   'answer_weighed',
   'request_answered',
   'caller_left',
+  'stop_refused',
 ]);
 /**
  * Default limit of sampled lines per second: four a request at 100 requests a second, which is about eight times the
--- a/packages/gateway/src/observability/gateway_metrics.ts
+++ b/packages/gateway/src/observability/gateway_metrics.ts
@@ -73,6 +73,11 @@
     'Connections opened to runners',
     ['service'],
   );
+  readonly stopRefusals = this.counter(
+    'stop_refusals_total',
+    'Calls refused because they would not end before this host stops, by how far they had come',
+    ['route', 'phase'],
+  );
   readonly unreadResponses = this.counter(
     'unread_responses_total',
     'Responses given up because their callers took nothing of them for too long',
