The grace period is counted from before the signal if the host stood still then

The delay of the last check of the event loop, if that was a moment ago, bounds how long the signal waited; process_stopping has it as lateMs.

Tests: stall_detector, stop_admission (both fail to compile before, as nothing told).

--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -122,6 +122,7 @@
       callServers: this.callServers,
       schedule: this.stopSchedule,
       stopAdmission: this.stopAdmission,
+      lateMs: () => this.stallDetector.lateMs,
       // Whoever called `start` is told of its failure.
       startup: () => this.startup.catch(() => undefined),
       graceMs: () => this.settings.graceMs,
--- a/packages/gateway/src/lifecycle/stall_detector.test.ts
+++ b/packages/gateway/src/lifecycle/stall_detector.test.ts
@@ -97,3 +97,13 @@
   const events = lines.map(line => (JSON.parse(line) as {event: string}).event);
   assert.deepEqual(events, ['stood_still']);
 });
+
+void test('a process that stood still knows how late it may handle a signal, and one that runs is not late', () => {
+  const {detector, clock, stall} = createStallableProcess();
+  assert.equal(detector.lateMs, 0);
+  stall(700);
+  clock.advance(1);
+  assert.ok(detector.lateMs >= 600, `${detector.lateMs} ms`);
+  clock.advance(2 * NORMAL_WORK_MS);
+  assert.equal(detector.lateMs, 0);
+});
--- a/packages/gateway/src/lifecycle/stall_detector.ts
+++ b/packages/gateway/src/lifecycle/stall_detector.ts
@@ -19,6 +19,8 @@
 const CHECK_INTERVAL_MS = 100;
 /** Delay of a check that counts as a stall, in ms: longer than other work of this process takes. */
 const STALL_THRESHOLD_MS = 200;
+/** How long after a delayed check events are still handled that came during the delay, in ms. */
+const DELAY_KEPT_MS = 100;
 /** Time after a stall within which the backlog is read, in ms: clients may retry new connections for a second. */
 const BACKLOG_DRAIN_MS = 2_000;
 
@@ -30,12 +32,20 @@
   private lastCheckAt: number;
   /** Stalls whose backlog may not be fully read yet. */
   private recentStalls: Stall[] = [];
+  /** Longest delay of a check of the last moments, and the time of that check. */
+  private worstDelay = {forMs: 0, at: -Infinity};
   private timer: Timer | undefined;
 
   constructor(private readonly options: Options) {
     this.lastCheckAt = options.clock.now();
   }
 
+  /** How long an event may have waited that is handled now, in ms. */
+  get lateMs(): number {
+    this.check();
+    return this.isDelayRecent ? this.worstDelay.forMs : 0;
+  }
+
   /** Whether a request that is read now may have been sent before the active configuration was published. */
   mayPredateConfiguration(): boolean {
     this.check();
@@ -70,6 +80,8 @@
     const fromAt = this.lastCheckAt;
     const forMs = now - fromAt - CHECK_INTERVAL_MS;
     this.lastCheckAt = now;
+    if (forMs > this.worstDelay.forMs || !this.isDelayRecent)
+      this.worstDelay = {forMs: Math.max(0, forMs), at: now};
     // Runs for each request with a key, and mostly there is no stall.
     if (this.recentStalls.length > 0) this.removeExpired(now);
     if (forMs < STALL_THRESHOLD_MS) return;
@@ -77,6 +89,10 @@
     log.write('stood_still', {forMs: Math.round(forMs)});
   }
 
+  private get isDelayRecent(): boolean {
+    return this.options.clock.now() - this.worstDelay.at < DELAY_KEPT_MS;
+  }
+
   private removeExpired(now: number): void {
     this.recentStalls = this.recentStalls.filter(
       ({untilAt}) => now - untilAt < BACKLOG_DRAIN_MS,
--- a/packages/gateway/src/lifecycle/stop_admission.test.ts
+++ b/packages/gateway/src/lifecycle/stop_admission.test.ts
@@ -126,3 +126,10 @@
   clock.advance(7_000);
   admission.review();
 });
+
+void test('the time for which a signal waited is taken off the time that is left', () => {
+  const {clock} = createScene();
+  const schedule = new StopSchedule({clock});
+  schedule.start(GRACE_MS, 300);
+  assert.equal(schedule.leftMs, ABORT_MS - 300);
+});
--- a/packages/gateway/src/lifecycle/stop_schedule.ts
+++ b/packages/gateway/src/lifecycle/stop_schedule.ts
@@ -46,9 +46,14 @@
     return at < this.startedAt ? undefined : at - this.startedAt;
   }
 
-  /** Begins the shutdown, for which there is this much time, in ms. */
-  start(graceMs: number): void {
-    this.startedAt = this.options.clock.now();
+  /**
+   * Begins the shutdown.
+   *
+   * @param graceMs time from the signal to the end of the process at the latest, in ms
+   * @param lateMs how late the signal may have been handled, in ms
+   */
+  start(graceMs: number, lateMs = 0): void {
+    this.startedAt = this.options.clock.now() - lateMs;
     this.graceMs = graceMs;
   }
 }
--- a/packages/gateway/src/observability/event_fields.ts
+++ b/packages/gateway/src/observability/event_fields.ts
@@ -22,7 +22,13 @@
     /** Lines that were left out before this one. */
     omittedLines?: number;
   };
-  process_stopping: {reason: string; open: number; graceMs: number};
+  process_stopping: {
+    reason: string;
+    open: number;
+    graceMs: number;
+    /** How late the signal may have been handled; the grace period is counted from before that. */
+    lateMs: number;
+  };
   /** A call that a stopping host does not begin, as it would have to abort it. */
   stop_refused: {
     request: string;
