--- a/packages/gateway/src/lifecycle/stop_admission.ts
+++ b/packages/gateway/src/lifecycle/stop_admission.ts
@@ -14,8 +14,6 @@
   readonly metrics: GatewayMetrics;
   readonly schedule: StopSchedule;
   readonly durations: DurationEstimator;
-  /** Whether callers have had time to turn to other hosts. */
-  readonly isClosing: () => boolean;
 }
 
 /** A call that waits to be sent to a runner. */
@@ -27,6 +25,8 @@
 
 /** Why a call is refused that the stop would abort. */
 const REASON = 'host is stopping before the response could end';
+/** Part of its time limit that a call is taken to need until one of its route has ended. */
+const UNKNOWN_NEED_SHARE = 0.25;
 /** Maximum of the random time after which a caller should turn to another host, in ms: it spreads their connections. */
 const MAX_RETRY_AFTER_MS = 50;
 
@@ -90,12 +90,9 @@
 
   /** Time that a call may need, in ms: to the end of its response, or of its time limit if that is earlier. */
   private estimateNeedMs(call: CallHead): number {
-    const {clock, isClosing} = this.options;
-    const limitMs = call.deadlineAt - clock.now();
+    const limitMs = call.deadlineAt - this.options.clock.now();
     const expectedMs = this.estimateDurationMs(call);
-    // Until callers can know that they have to turn elsewhere, a call of unknown length is served.
-    if (expectedMs === undefined) return isClosing() ? limitMs : 0;
-    return Math.min(limitMs, expectedMs);
+    return Math.min(limitMs, expectedMs ?? limitMs * UNKNOWN_NEED_SHARE);
   }
 
   private estimateDurationMs({route, prompt}: CallHead): number | undefined {
