Waits of a call end when the host that stops could no longer serve it, at little cost otherwise

A call that waits for a connection to a runner was sent however late that came; it is asked once more right before it is sent.

--- a/packages/gateway/src/calls/attempt_runner.ts
+++ b/packages/gateway/src/calls/attempt_runner.ts
@@ -21,6 +21,7 @@
 import type {HeaderNames} from './header_names.js';
 import type {RequestHeaders} from './request_headers.js';
 import type {RetryPolicy} from './retry_policy.js';
+import {SuccessorRefusal} from './successor_refusal.js';
 
 interface Options {
   readonly clock: Clock;
@@ -219,18 +220,20 @@
   }
 
   /**
-   * Checks rate limit and retry budget right before a request is sent.
+   * Checks the time until this host stops, rate limit and retry budget right before a request is sent.
    *
    * @returns why it must not be sent; undefined if it may, in which case it is counted as sent
    */
   private admit(
-    {call, workMs}: CallProgress,
+    progress: CallProgress,
     runner: Runner,
     reservation: RetryReservation | undefined,
   ): string | undefined {
     const {gate, retryPolicy, priorityAdmissionOf, overloadControlOf} =
       this.options;
+    const {call, workMs} = progress;
     const {service, priority} = call;
+    if (!retryPolicy.canEnd(progress)) return SuccessorRefusal.NO_TIME_LEFT;
     const rejection =
       gate.admit(runner) ?? retryPolicy.spendReservation(reservation);
     if (rejection !== undefined) return rejection;
--- a/packages/gateway/src/calls/call_admission.ts
+++ b/packages/gateway/src/calls/call_admission.ts
@@ -64,26 +64,12 @@
     progress.workMs = workMs;
     if (startedByVersion !== undefined || this.hasOtherLimits(call))
       return undefined;
-    const {overloadControlOf, stopAdmission} = this.options;
-    const {priority, workspace, acceptedAt, deadlineAt, route} = call;
+    const {overloadControlOf} = this.options;
+    const {acceptedAt, route} = call;
     const targetAt = acceptedAt + route.latencyTargetMs;
     const control = overloadControlOf(call.service);
-    const stop = new AbortController();
-    let stopRejection: CallRejection | undefined;
-    const stopWatching = stopAdmission.watch(
-      call,
-      StopPhase.ADMISSION,
-      rejection => {
-        stopRejection = rejection;
-        stop.abort();
-      },
-    );
-    const decision = await control.request(
-      {priority, workspace, targetAt, deadlineAt, workMs},
-      AbortSignal.any([signal, stop.signal]),
-    );
-    stopWatching();
-    if (stopRejection) return stopRejection;
+    const decision = await this.request(control, call, workMs, signal);
+    if (!('isSent' in decision)) return decision;
     if (control.isShort && model !== undefined)
       progress.enginePriority = this.refine(call, targetAt, workMs);
     this.record(call, workMs, decision);
@@ -91,6 +77,26 @@
     return {reason: decision.reason, admission: {...decision, workMs}};
   }
 
+  /** Asks for a decision; while it waits, a stop of this host may come before it. */
+  private async request(
+    control: OverloadControl,
+    call: IncomingCall,
+    workMs: number,
+    signal: AbortSignal,
+  ): Promise<AdmissionDecision | CallRejection> {
+    const {priority, workspace, acceptedAt, deadlineAt, route} = call;
+    const targetAt = acceptedAt + route.latencyTargetMs;
+    const request = {priority, workspace, targetAt, deadlineAt, workMs};
+    // No call waits then, and the guard costs more than the decision.
+    if (!control.isShort) return control.request(request, signal);
+    return this.options.stopAdmission.guard(
+      call,
+      StopPhase.ADMISSION,
+      signal,
+      waitSignal => control.request(request, waitSignal),
+    );
+  }
+
   /** Whether no runner is known, or runners state limits, by which other rules admit calls. */
   private hasOtherLimits(call: IncomingCall): boolean {
     const runners = this.options.candidates.listFor(call);
--- a/packages/gateway/src/calls/call_server.ts
+++ b/packages/gateway/src/calls/call_server.ts
@@ -294,22 +294,19 @@
     held: CallHolding,
   ): Promise<Awaited<ReturnType<typeof readBody>> | CallRejection> {
     const maxBytes = this.maxBodyBytes;
+    const {signal} = controller;
+    if (request.complete)
+      return readBody({request, maxBytes, signal, ...held.body});
     const timer = this.abortAfter(head.route.timeLimitMs, controller);
-    const stop = new AbortController();
-    let rejection: CallRejection | undefined;
-    const stopWatching = this.options.stopAdmission.watch(
+    const body = await this.options.stopAdmission.guard(
       head,
       StopPhase.BODY,
-      found => {
-        rejection = found;
-        stop.abort();
-      },
+      signal,
+      waitSignal =>
+        readBody({request, maxBytes, signal: waitSignal, ...held.body}),
     );
-    const signal = AbortSignal.any([controller.signal, stop.signal]);
-    const body = await readBody({request, maxBytes, signal, ...held.body});
     timer.cancel();
-    stopWatching();
-    return rejection ?? body;
+    return body;
   }
 
   private async forward(
--- a/packages/gateway/src/calls/retry_policy.ts
+++ b/packages/gateway/src/calls/retry_policy.ts
@@ -45,6 +45,12 @@
 export class RetryPolicy {
   constructor(private readonly options: Options) {}
 
+  /** Whether an attempt that is sent now ends before this host stops; a started response goes on as far as it comes. */
+  canEnd({call, startedByVersion}: CallProgress): boolean {
+    const isStarted = startedByVersion !== undefined;
+    return isStarted || this.options.stopAdmission.canEnd(call);
+  }
+
   /** Decides whether the call is retried after this outcome, and reserves retry budget for it. */
   decideRetry(progress: CallProgress, outcome: AttemptOutcome): boolean {
     const {clock, log, metrics, retryBudgetOf, membership} = this.options;
@@ -158,12 +164,6 @@
     return isRetryable(call.route.kind);
   }
 
-  /** Whether another attempt ends before this host stops; a started response goes on as far as it comes. */
-  private canEnd({call, startedByVersion}: CallProgress): boolean {
-    const isStarted = startedByVersion !== undefined;
-    return isStarted || this.options.stopAdmission.canEnd(call);
-  }
-
   /** Whether a small model's response may be dropped in favour of one from the largest model. */
   canEscalate(progress: CallProgress): boolean {
     const {clock, retryBudgetOf} = this.options;
--- a/packages/gateway/src/lifecycle/stop_admission.test.ts
+++ b/packages/gateway/src/lifecycle/stop_admission.test.ts
@@ -4,7 +4,6 @@
 import {DurationEstimator} from '@bayspool/decisions/capacity';
 import {SeededRandom, VirtualClock} from '@bayspool/kernel';
 import type {CallHead} from '../calls/call_head.js';
-import type {CallRejection} from '../calls/call_rejection.js';
 import {EventLog} from '../observability/event_log.js';
 import {GatewayMetrics} from '../observability/gateway_metrics.js';
 import {StopAdmission} from './stop_admission.js';
@@ -92,33 +91,47 @@
   assert.ok(find(createCall(25_000)));
 });
 
-void test('a call that waits is refused once, as soon as it would no longer end', () => {
+/** Waits until a signal is aborted. */
+function waitForAbort(signal: AbortSignal): Promise<void> {
+  return new Promise(resolve =>
+    signal.addEventListener('abort', () => resolve(), {once: true}),
+  );
+}
+
+void test('a call that waits is refused as soon as it would no longer end', async () => {
   const {clock, admission, start, learn, createCall} = createScene();
   learn(1_000);
-  const rejections: CallRejection[] = [];
-  admission.watch(createCall(), StopPhase.BODY, rejection =>
-    rejections.push(rejection),
-  );
+  const {signal} = new AbortController();
+  let endedAt = Infinity;
+  const guarded = admission
+    .guard(createCall(), StopPhase.BODY, signal, waitForAbort)
+    .finally(() => (endedAt = clock.now()));
   start();
-  clock.advance(6_000);
-  admission.review();
-  assert.equal(rejections.length, 0);
-  clock.advance(500);
-  admission.review();
-  admission.review();
-  assert.equal(rejections.length, 1);
+  const startedAt = clock.now();
+  for (let step = 0; step < 80; step++) {
+    admission.review();
+    await clock.advanceSettled(100);
+  }
+  assert.ok((await guarded)?.retryAfterMs !== undefined);
+  assert.ok(endedAt - startedAt >= 6_000, `${endedAt - startedAt} ms`);
+  assert.ok(endedAt - startedAt <= 6_600, `${endedAt - startedAt} ms`);
 });
 
-void test('a call that no longer waits is not refused', () => {
-  const {clock, admission, start, learn, createCall} = createScene();
+void test('a call whose wait has ended is not refused by a later review', async () => {
+  const {clock, admission, start, learn, createCall, lines} = createScene();
   learn(1_000);
-  const stopWatching = admission.watch(createCall(), StopPhase.BODY, () =>
-    assert.fail('it is not watched any more'),
+  const {signal} = new AbortController();
+  const result = await admission.guard(
+    createCall(),
+    StopPhase.ADMISSION,
+    signal,
+    () => Promise.resolve('sent'),
   );
+  assert.equal(result, 'sent');
   start();
-  stopWatching();
   clock.advance(7_000);
   admission.review();
+  assert.deepEqual(lines, []);
 });
 
 void test('the time for which a signal waited is taken off the time that is left', () => {
--- a/packages/gateway/src/lifecycle/stop_admission.ts
+++ b/packages/gateway/src/lifecycle/stop_admission.ts
@@ -62,19 +62,31 @@
   }
 
   /**
-   * Watches a call that waits to be begun.
+   * Lets a call wait, and ends its wait if the call would no longer end.
    *
-   * @param onRefused called once, at a review that finds that the call would no longer end
-   * @returns a function that ends the watch
+   * @param wait waits until the given signal is aborted, at most
+   * @returns what the wait returned, or why the call is refused
    */
-  watch(
+  async guard<T>(
     call: CallHead,
     phase: StopPhase,
-    onRefused: (rejection: CallRejection) => void,
-  ): () => void {
+    signal: AbortSignal,
+    wait: (signal: AbortSignal) => Promise<T>,
+  ): Promise<T | CallRejection> {
+    const controller = new AbortController();
+    let rejection: CallRejection | undefined;
+    const onRefused = (found: CallRejection) => {
+      rejection = found;
+      controller.abort();
+    };
     const waiting = {call, phase, onRefused};
     this.waiting.add(waiting);
-    return () => void this.waiting.delete(waiting);
+    try {
+      const result = await wait(AbortSignal.any([signal, controller.signal]));
+      return rejection ?? result;
+    } finally {
+      this.waiting.delete(waiting);
+    }
   }
 
   /** Decides anew about all calls that wait; to be called repeatedly while the host stops. */
