How sure a stopping host is that a call ends depends on whether callers can turn elsewhere

Now one deviation while callers are sent here, three later, and durations are taken to vary by a fifth at least.

--- a/packages/decisions/src/capacity/duration_estimator.ts
+++ b/packages/decisions/src/capacity/duration_estimator.ts
@@ -18,8 +18,6 @@
   readonly perToken: LogStatistics;
 }
 
-/** Standard deviations above the mean: of durations alike, one in 40 exceeds the estimate. */
-const DEVIATIONS = 2;
 /** Routes that are kept; the configuration has fewer, those beyond are of earlier versions of it. */
 const MAX_ROUTES = 500;
 
@@ -35,16 +33,23 @@
     if (outputTokens !== undefined) perToken.add(ms / outputTokens);
   }
 
-  /** Time that few calls of this route and length exceed, in ms; undefined until one has ended. */
-  estimateMs({route, outputTokens}: CallLength): number | undefined {
+  /**
+   * Time that a call of this route and length is not expected to exceed, in ms; undefined until one has ended.
+   *
+   * @param deviations how sure that is, in standard deviations: one call in 6 exceeds it at 1, one in 740 at 3
+   */
+  estimateMs(
+    {route, outputTokens}: CallLength,
+    deviations: number,
+  ): number | undefined {
     const known = this.byRoute.get(route);
     if (!known) return undefined;
     const {total, perToken} = known;
     // The length as stated says little where callers ask for far more than they get.
     const isLengthUseful = perToken.variance < total.variance;
     if (outputTokens === undefined || !isLengthUseful)
-      return total.estimateUpperBound(DEVIATIONS);
-    const perTokenMs = perToken.estimateUpperBound(DEVIATIONS);
+      return total.estimateUpperBound(deviations);
+    const perTokenMs = perToken.estimateUpperBound(deviations);
     return perTokenMs === undefined ? undefined : perTokenMs * outputTokens;
   }
 
--- a/packages/decisions/src/capacity/log_statistics.ts
+++ b/packages/decisions/src/capacity/log_statistics.ts
@@ -2,6 +2,8 @@
 const MIN_SAMPLE_WEIGHT = 0.05;
 /** Variance that is assumed before the second sample: about that of an exponential distribution. */
 const INITIAL_VARIANCE = 1;
+/** Least variance of what comes next: it may differ from all samples, as when runners become slower. */
+const MIN_VARIANCE = 0.04;
 
 /** Running mean and variance of the logarithm of positive samples; recent ones weigh more. */
 export class LogStatistics {
@@ -29,6 +31,7 @@
   /** Value that lies a number of standard deviations above the geometric mean; undefined without samples. */
   estimateUpperBound(deviations: number): number | undefined {
     if (this.samples === 0) return undefined;
-    return Math.exp(this.mean + deviations * Math.sqrt(this.currentVariance));
+    const variance = Math.max(MIN_VARIANCE, this.currentVariance);
+    return Math.exp(this.mean + deviations * Math.sqrt(variance));
   }
 }
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -81,6 +81,7 @@
       metrics: this.metrics,
       schedule: this.stopSchedule,
       durations: this.durations,
+      isClosing: () => this.gracefulShutdown.isClosing,
     });
     this.eventLoopLag = new EventLoopLag({clock});
     this.heldBytes = new HeldBytes({
--- a/packages/gateway/src/lifecycle/stop_admission.ts
+++ b/packages/gateway/src/lifecycle/stop_admission.ts
@@ -14,6 +14,8 @@
   readonly metrics: GatewayMetrics;
   readonly schedule: StopSchedule;
   readonly durations: DurationEstimator;
+  /** Whether callers have had time to turn to other hosts. */
+  readonly isClosing: () => boolean;
 }
 
 /** A call that waits to be sent to a runner. */
@@ -25,7 +27,13 @@
 
 /** Why a call is refused that the stop would abort. */
 const REASON = 'host is stopping before the response could end';
-/** Part of its time limit that a call is taken to need until one of its route has ended. */
+/**
+ * How sure a host is that a call ends, in standard deviations. While callers are still sent here, a refused one may meet
+ * the next host that stops; later it finds another host at once.
+ */
+const OPEN_DEVIATIONS = 1;
+const CLOSING_DEVIATIONS = 3;
+/** Part of its time limit that a call is taken to need until one of its route has ended, once callers are no longer sent here. */
 const UNKNOWN_NEED_SHARE = 0.25;
 /** Maximum of the random time after which a caller should turn to another host, in ms: it spreads their connections. */
 const MAX_RETRY_AFTER_MS = 50;
@@ -102,15 +110,18 @@
 
   /** Time that a call may need, in ms: to the end of its response, or of its time limit if that is earlier. */
   private estimateNeedMs(call: CallHead): number {
-    const limitMs = call.deadlineAt - this.options.clock.now();
-    const expectedMs = this.estimateDurationMs(call);
-    return Math.min(limitMs, expectedMs ?? limitMs * UNKNOWN_NEED_SHARE);
+    const {clock, isClosing} = this.options;
+    const limitMs = call.deadlineAt - clock.now();
+    const unknownMs = isClosing() ? limitMs * UNKNOWN_NEED_SHARE : 0;
+    return Math.min(limitMs, this.estimateDurationMs(call) ?? unknownMs);
   }
 
   private estimateDurationMs({route, prompt}: CallHead): number | undefined {
     const outputTokens = prompt?.lengthHint ?? prompt?.maxOutputTokens;
-    const {durations} = this.options;
-    return durations.estimateMs({route: route.name, outputTokens});
+    const {durations, isClosing} = this.options;
+    const deviations = isClosing() ? CLOSING_DEVIATIONS : OPEN_DEVIATIONS;
+    const length = {route: route.name, outputTokens};
+    return durations.estimateMs(length, deviations);
   }
 
   private recordRefused(call: CallHead, phase: StopPhase): void {
