--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -1,11 +1,9 @@
 import {isDeepStrictEqual} from 'node:util';
-import {ModelCascade} from '@bayspool/decisions/calls';
-import {DurationEstimator, WorkEstimator} from '@bayspool/decisions/capacity';
+import {DurationEstimator} from '@bayspool/decisions/capacity';
 import {ConnectionReads} from '@bayspool/kernel';
 import type {Timer} from '@bayspool/kernel';
-import {CallCandidates} from './calls/call_candidates.js';
 import {CallServer} from './calls/call_server.js';
-import {CallForwarder} from './calls/call_forwarder.js';
+import type {CallForwarder} from './calls/call_forwarder.js';
 import {HeldBytes} from './calls/held_bytes.js';
 import type {GatewaySettings} from './gateway_settings.js';
 import {GracefulShutdown} from './lifecycle/graceful_shutdown.js';
@@ -16,6 +14,7 @@
 import {StallDetector} from './lifecycle/stall_detector.js';
 import {GatewayMetrics} from './observability/gateway_metrics.js';
 import {EventLoopLag} from './observability/event_loop_lag.js';
+import {createCallForwarder} from './host/create_call_forwarder.js';
 import {StateSynchronizer} from './host/state_synchronizer.js';
 import type {GatewayOptions} from './host/gateway_options.js';
 import {HostRegistration} from './host/host_registration.js';
@@ -25,9 +24,6 @@
 import {RelayAdmission} from './relay/relay_admission.js';
 import {RelayHostRegistry} from './relay/relay_host_registry.js';
 import {RolloutController} from './rollouts/rollout_controller.js';
-import {RunnerSubset} from './runners/runner_subset.js';
-import {PrefillRates} from './runners/prefill_rates.js';
-import {RunnerChooser} from './runners/runner_chooser.js';
 
 /** Margin below the bound on withdrawn keys, in ms, for network latency and late timers. */
 const KEY_BOUND_MARGIN_MS = 400;
@@ -112,7 +108,16 @@
       random: options.random,
       regionOf: settings.regionOf,
     });
-    const forwarder = this.createCallForwarder();
+    const forwarder = createCallForwarder({
+      ...options,
+      state: this.state,
+      metrics: this.metrics,
+      connectionReads: this.connectionReads,
+      stopSchedule: this.stopSchedule,
+      stopAdmission: this.stopAdmission,
+      durations: this.durations,
+      relayHosts: this.relayHosts,
+    });
     this.callServer = this.createCallServer(forwarder, settings.callerPort);
     if (settings.relayPort !== undefined)
       this.relayServer = this.createRelayServer(forwarder, settings.relayPort);
@@ -347,84 +352,6 @@
     });
   }
 
-  private createCallForwarder(): CallForwarder {
-    const {clock, random, log, headerNames, settings} = this.options;
-    const {
-      directory,
-      runnerGate,
-      reachability,
-      serviceLimits,
-      runnerLoads,
-      prefixes,
-      quarantine,
-      partQuarantine,
-    } = this.state;
-    const {rollouts, hostDirectory, membership, sessions, admissions} =
-      this.state;
-    const subset = new RunnerSubset({
-      clock,
-      host: settings.host,
-      hostsOf: place => hostDirectory.listRegisteredIn(place),
-    });
-    const rates = new PrefillRates({
-      costFactorOf: model => serviceLimits.costFactorOf(model),
-    });
-    const work = new WorkEstimator();
-    const memoryTokensOf = (service: string) =>
-      serviceLimits.memoryTokensOf(service);
-    return new CallForwarder({
-      work,
-      memoryTokensOf,
-      clock,
-      random,
-      log,
-      sessions,
-      prefixes,
-      quarantine,
-      partQuarantine,
-      rates,
-      metrics: this.metrics,
-      connectionReads: this.connectionReads,
-      stopSchedule: this.stopSchedule,
-      stopAdmission: this.stopAdmission,
-      durations: this.durations,
-      headerNames,
-      directory,
-      gate: runnerGate,
-      reachability,
-      silentRunners: this.state.silentRunners,
-      host: settings.host,
-      relayHosts: this.relayHosts,
-      candidates: new CallCandidates({
-        directory,
-        regionOf: settings.regionOf,
-      }),
-      rollouts,
-      chooser: new RunnerChooser({
-        random,
-        rates,
-        work,
-        prefixes,
-        memoryTokensOf,
-        place: settings.place,
-        hosts: () => hostDirectory.liveCount,
-        isInSubset: runner => subset.includes(runner),
-        lostPlaces: () => hostDirectory.findLostPlaces(),
-      }),
-      cascade: new ModelCascade(),
-      retryBudgetOf: service => serviceLimits.retryBudgetOf(service),
-      membership,
-      priorityAdmissionOf: service =>
-        serviceLimits.priorityAdmissionOf(service),
-      retryScheduleOf: service => serviceLimits.retryScheduleOf(service),
-      overloadControlOf: service => admissions.controlOf(service),
-      nextPriorityOf: (service, priority) =>
-        serviceLimits.nextPriorityOf(service, priority),
-      loadsAgeMs: () => runnerLoads.ageMs,
-      latencyTargetOf: service => serviceLimits.latencyTargetOf(service),
-    });
-  }
-
   private runMaintenance(): void {
     const {clock, log} = this.options;
     const {configuration, directory, quarantine, partQuarantine} = this.state;
