--- a/packages/decisions/src/capacity/log_statistics.ts
+++ b/packages/decisions/src/capacity/log_statistics.ts
@@ -11,6 +11,11 @@
   private mean = 0;
   private currentVariance = INITIAL_VARIANCE;
 
+  /** Number of samples. */
+  get count(): number {
+    return this.samples;
+  }
+
   /** Variance of the logarithm. */
   get variance(): number {
     return this.currentVariance;
--- a/packages/gateway/src/calls/call_finisher.ts
+++ b/packages/gateway/src/calls/call_finisher.ts
@@ -10,6 +10,7 @@
 import type {GatewayMetrics} from '../observability/gateway_metrics.js';
 import {roundToHundredths} from '../observability/round_to_hundredths.js';
 import type {StopSchedule} from '../lifecycle/stop_schedule.js';
+import {RELAY_REFUSED} from '../relay/relay_refused.js';
 import type {Runner} from '../runners/runner.js';
 import type {RunnerReachability} from '../runners/runner_reachability.js';
 import type {AttemptOutcome} from './attempt_outcome.js';
@@ -58,7 +59,7 @@
     const firstByteAt = caller.firstByteAt ?? clock.now();
     const forMs = clock.now() - call.acceptedAt;
     this.countEnded(call, 'answered');
-    if (!caller.isContinued) this.recordDuration(call);
+    if (!caller.isContinued && !caller.wasReadSlowly) this.recordDuration(call);
     if (!call.relayOrigin) {
       const firstByteMs = firstByteAt - call.acceptedAt;
       metrics.firstByteSeconds.observe({route}, firstByteMs / 1000);
@@ -205,8 +206,12 @@
     progress: CallProgress,
     {reason, minRetryMs, retryAfterMs, admission}: CallRejection,
   ): LocalResponse {
-    if (!progress.mayHaveRun && retryAfterMs !== undefined)
-      return {status: STATUS.UNAVAILABLE, reason, retryAfterMs};
+    if (!progress.mayHaveRun && retryAfterMs !== undefined) {
+      // The host that relayed the call asks the next one.
+      const isRelayed = progress.call.relayOrigin !== undefined;
+      const status = isRelayed ? RELAY_REFUSED : STATUS.UNAVAILABLE;
+      return {status, reason, retryAfterMs};
+    }
     if (!progress.mayHaveRun) {
       const {random} = this.options;
       const retryTime = admission && this.reserveRetry(progress, admission);
--- a/packages/gateway/src/calls/call_forwarder.ts
+++ b/packages/gateway/src/calls/call_forwarder.ts
@@ -252,6 +252,10 @@
           String(signal.reason),
         );
       if (!(await this.awaitRetry(progress, outcome, caller, signal))) {
+        const stopping = progress.mayHaveRun
+          ? undefined
+          : this.findStopRejection(progress, caller);
+        if (stopping) return this.finisher.reject(progress, caller, stopping);
         const {minRetryMs} = this.router.explainRejection(progress);
         const reason = signal.aborted ? String(signal.reason) : outcome.reason;
         return this.finisher.finishUnanswered(
--- a/packages/gateway/src/calls/caller_response.ts
+++ b/packages/gateway/src/calls/caller_response.ts
@@ -40,6 +40,7 @@
   private isCloseDelimited = false;
   private lastEventAt: number | undefined;
   private longestPause = 0;
+  private hasHeldUp = false;
 
   constructor(private readonly options: Options) {
     this.response = options.response;
@@ -66,6 +67,11 @@
     return this.lastId;
   }
 
+  /** Whether the caller read so slowly that its response had to wait for it. */
+  get wasReadSlowly(): boolean {
+    return this.hasHeldUp;
+  }
+
   /** Whether the caller has received the beginning in an earlier response. */
   get isContinued(): boolean {
     return this.options.lastEventId !== undefined;
@@ -151,6 +157,7 @@
 
   /** Calls the action once, when the send buffer has drained. */
   onDrain(action: () => void): void {
+    this.hasHeldUp = true;
     this.response.once('drain', action);
   }
 
--- a/packages/gateway/src/lifecycle/graceful_shutdown.ts
+++ b/packages/gateway/src/lifecycle/graceful_shutdown.ts
@@ -1,5 +1,5 @@
 import {sleep} from '@bayspool/kernel';
-import type {Clock} from '@bayspool/kernel';
+import type {Clock, Timer} from '@bayspool/kernel';
 import type {CallServer} from '../calls/call_server.js';
 import {AbortReason} from '../calls/abort_reason.js';
 import type {EventLog} from '../observability/event_log.js';
@@ -30,6 +30,7 @@
 /** Shuts a host down: it reports not ready immediately, then closes idle connections, then finishes running calls. */
 export class GracefulShutdown {
   private isClosingConnections = false;
+  private reviewTimer: Timer | undefined;
 
   constructor(private readonly options: Options) {}
 
@@ -81,6 +82,7 @@
       await sleep(clock, POLL_INTERVAL_MS);
       closed += await this.closeIdle();
     }
+    this.reviewTimer?.cancel();
     const cut = callServers.reduce(
       (sum, server) => sum + server.abortAll(AbortReason.HOST_SHUTDOWN),
       0,
@@ -104,7 +106,9 @@
     const {clock, schedule, stopAdmission} = this.options;
     if (schedule.leftMs <= 0) return;
     stopAdmission.review();
-    clock.after(POLL_INTERVAL_MS, () => this.reviewRepeatedly());
+    this.reviewTimer = clock.after(POLL_INTERVAL_MS, () =>
+      this.reviewRepeatedly(),
+    );
   }
 
   /** Closes idle connections. @returns how many there were */
--- a/packages/gateway/src/lifecycle/stop_admission.ts
+++ b/packages/gateway/src/lifecycle/stop_admission.ts
@@ -27,14 +27,8 @@
 
 /** Why a call is refused that the stop would abort. */
 const REASON = 'host is stopping before the response could end';
-/**
- * How sure a host is that a call ends, in standard deviations. While callers are still sent here, a refused one may meet
- * the next host that stops; later it finds another host at once.
- */
-const OPEN_DEVIATIONS = 1;
-const CLOSING_DEVIATIONS = 3;
-/** Part of its time limit that a call is taken to need until one of its route has ended, once callers are no longer sent here. */
-const UNKNOWN_NEED_SHARE = 0.25;
+/** Part of its time limit that a call is taken to need, once callers are no longer sent here, until enough of its route have ended. */
+const UNKNOWN_NEED_SHARE = 0.5;
 /** Maximum of the random time after which a caller should turn to another host, in ms: it spreads their connections. */
 const MAX_RETRY_AFTER_MS = 50;
 
@@ -119,9 +113,11 @@
   private estimateDurationMs({route, prompt}: CallHead): number | undefined {
     const outputTokens = prompt?.lengthHint ?? prompt?.maxOutputTokens;
     const {durations, isClosing} = this.options;
-    const deviations = isClosing() ? CLOSING_DEVIATIONS : OPEN_DEVIATIONS;
     const length = {route: route.name, outputTokens};
-    return durations.estimateMs(length, deviations);
+    // While callers are still sent here, a refused one may meet the next host that stops; later it finds another at once.
+    return isClosing()
+      ? durations.estimateLongMs(length)
+      : durations.estimateUsualMs(length);
   }
 
   private recordRefused(call: CallHead, phase: StopPhase): void {
--- a/packages/gateway/src/lifecycle/stop_schedule.ts
+++ b/packages/gateway/src/lifecycle/stop_schedule.ts
@@ -9,6 +9,9 @@
 /** Time before the end of the grace period at which the process ends, whatever is open, in ms: the last log lines are written then. */
 const EXIT_MARGIN_MS = 400;
 
+/** Part of the grace period, at its end, in which calls may be aborted. */
+const MAX_LATE_SHARE = 1 / 6;
+
 /** The times of a host's shutdown, on its clock. */
 export class StopSchedule {
   private startedAt = Infinity;
@@ -50,10 +53,13 @@
    * Begins the shutdown.
    *
    * @param graceMs time from the signal to the end of the process at the latest, in ms
-   * @param lateMs how late the signal may have been handled, in ms
+   * @param lateMs how late the signal may have been handled, in ms: an upper bound, which is used as far as open calls
+   *   have the larger part of the grace period all the same
    */
   start(graceMs: number, lateMs = 0): void {
-    this.startedAt = this.options.clock.now() - lateMs;
+    const maxLateMs = graceMs * MAX_LATE_SHARE - FINAL_RESPONSE_MARGIN_MS;
+    const usedMs = Math.min(lateMs, Math.max(0, maxLateMs));
+    this.startedAt = this.options.clock.now() - usedMs;
     this.graceMs = graceMs;
   }
 }
--- a/packages/gateway/src/relay/call_relay.ts
+++ b/packages/gateway/src/relay/call_relay.ts
@@ -11,6 +11,7 @@
 import {OutcomeKind} from '../calls/outcome_kind.js';
 import {RunEnd} from '../calls/run_end.js';
 import type {RetryPolicy} from '../calls/retry_policy.js';
+import {SuccessorRefusal} from '../calls/successor_refusal.js';
 import type {EventLog} from '../observability/event_log.js';
 import type {GatewayMetrics} from '../observability/gateway_metrics.js';
 import type {RunnerReachability} from '../runners/runner_reachability.js';
@@ -206,7 +207,10 @@
       signal,
       choice: {...choice, runner: relayHost.endpoint, reason: 'relay'},
       headerBuilder: new RelayHeaderBuilder({headerNames, origin}),
-      admit: () => retryPolicy.spendReservation(reservation),
+      admit: () =>
+        retryPolicy.canEnd(progress)
+          ? retryPolicy.spendReservation(reservation)
+          : SuccessorRefusal.NO_TIME_LEFT,
       // The other host has decided whether the response is used.
       acceptsConfidence: () => true,
       claimDelivery: () => true,
