A delaying way of the stand-ins closes behind what is on its way

What was seen: nobody got the end of a response through FaultProxy with a delay if the far side closed its connection behind it: bytes that wait for their delay were dropped, as a close was passed on at once. A test of delays between callers and hosts would have taken that for a loss of the host's. Cause: close of either side destroyed the other one immediately. Now it follows with the same delay, behind the bytes. Without a delay nothing changes.

--- a/packages/standins/src/faults/fault_proxy.ts
+++ b/packages/standins/src/faults/fault_proxy.ts
@@ -91,12 +91,12 @@
     const far = connect(port, host);
     const pair = {near, far, source};
     this.pairs.add(pair);
-    far.on('error', () => near.destroy());
+    far.on('error', () => this.close(near));
     near.on('close', () => {
-      far.destroy();
+      this.close(far);
       this.pairs.delete(pair);
     });
-    far.on('close', () => near.destroy());
+    far.on('close', () => this.close(near));
     near.on('data', data =>
       this.forward(data, far, source, FaultMode.DROP_REQUESTS),
     );
@@ -122,6 +122,12 @@
     setTimeout(() => !to.destroyed && to.write(data), this.delayMs);
   }
 
+  /** Closes one side behind what is still on its way to it. */
+  private close(side: Socket): void {
+    if (this.delayMs === 0) side.destroy();
+    else setTimeout(() => side.destroySoon(), this.delayMs);
+  }
+
   private modeFor(source: string): FaultMode {
     return this.concerns(source) ? this.mode : FaultMode.PASS;
   }
