A host that has just started does not take its short calls, which end first, for all

Cause: of the calls of a process that is 3 to 5 s old the short ones have ended. Its estimates were 1.3 to 3.2 s (7 to 20 calls ended), of streams that take up to 6 s; 2 to 8 open ones were older than the mean of the ended ones. With three deviations the same lines still give 3.2, 1.7 and 1.7 s for three of the five, with 3.2, 4.3 and 4.0 s left. Now calls that are open longer than the mean of the ended ones count with twice their time so far, once callers turn elsewhere and if they are more than a fifth of the calls that ended; fewer may be exceptions (late_attempts.test.ts holds that one long call does not stop short ones). A process that has served many is not affected.

--- a/packages/decisions/src/capacity/duration_estimator.test.ts
+++ b/packages/decisions/src/capacity/duration_estimator.test.ts
@@ -79,3 +79,39 @@
     estimator.record({route: 'r', durationMs: 1_000});
   assert.ok(estimator.estimateMs({route: 'r'}, 3)! > 1_500);
 });
+
+void test('a process that has just started does not take its short calls, which end first, for all', () => {
+  const random = new SeededRandom(4);
+  const estimator = new DurationEstimator();
+  const now = 4_000;
+  for (let call = 0; call < 40; call++) {
+    const since = random.next() * now;
+    const durationMs = draw(random, 2_000, 3);
+    const end = estimator.begin({route: 'r', since});
+    if (since + durationMs > now) continue;
+    end();
+    estimator.record({route: 'r', durationMs});
+  }
+  const estimateMs = estimator.estimateMs({route: 'r', now}, DEVIATIONS)!;
+  assert.ok(estimateMs > 6_000, `${estimateMs} ms`);
+});
+
+void test('the long ones among open calls do not make a process that has served many take all for longer', () => {
+  const random = new SeededRandom(5);
+  const estimator = new DurationEstimator();
+  for (let call = 0; call < CALLS; call++)
+    estimator.record({route: 'r', durationMs: draw(random, 1_000, 3)});
+  const endedMs = estimator.estimateMs({route: 'r'}, DEVIATIONS)!;
+  for (let call = 0; call < CALLS / 50; call++)
+    estimator.begin({route: 'r', since: 0});
+  const now = 2_000;
+  const estimateMs = estimator.estimateMs({route: 'r', now}, DEVIATIONS)!;
+  assert.ok(estimateMs < 1.2 * endedMs, `${estimateMs} after ${endedMs} ms`);
+});
+
+void test('nothing is claimed of a route whose calls are all open', () => {
+  const estimator = new DurationEstimator();
+  estimator.begin({route: 'r', since: 0});
+  const estimateMs = estimator.estimateMs({route: 'r', now: 1_000}, DEVIATIONS);
+  assert.equal(estimateMs, undefined);
+});
--- a/packages/decisions/src/capacity/duration_estimator.ts
+++ b/packages/decisions/src/capacity/duration_estimator.ts
@@ -7,6 +7,16 @@
   readonly outputTokens?: number;
 }
 
+interface OpenCall extends CallLength {
+  /** When its request was complete, in ms. */
+  readonly since: number;
+}
+
+interface ExpectedCall extends CallLength {
+  /** The present time on the clock of the open calls; these do not count if it is left out. */
+  readonly now?: number;
+}
+
 interface EndedCall extends CallLength {
   /** Time from the complete request to the end of its response, in ms. */
   readonly durationMs: number;
@@ -16,15 +26,26 @@
   readonly total: LogStatistics;
   /** By output token, of the calls that state a number of these. */
   readonly perToken: LogStatistics;
+  readonly open: Set<OpenCall>;
 }
 
 /** Routes that are kept; the configuration has fewer, those beyond are of earlier versions of it. */
 const MAX_ROUTES = 500;
 
-/** Estimates how long calls take to the end of their responses, by route and length, from those that ended. */
+/**
+ * Estimates how long calls take to the end of their responses, by route and length, from those that ended, and from open
+ * ones that already take longer: of the calls of a process that has just started, the short ones end first.
+ */
 export class DurationEstimator {
   private readonly byRoute = new Map<string, RouteDurations>();
 
+  /** Notes that a call is open. @returns a function that ends that */
+  begin(call: OpenCall): () => void {
+    const {open} = this.durationsOf(call.route);
+    open.add(call);
+    return () => void open.delete(call);
+  }
+
   /** Learns from a call that was answered completely. */
   record({route, outputTokens, durationMs}: EndedCall): void {
     const {total, perToken} = this.durationsOf(route);
@@ -39,12 +60,21 @@
    * @param deviations how sure that is, in standard deviations: one call in 6 exceeds it at 1, one in 740 at 3
    */
   estimateMs(
-    {route, outputTokens}: CallLength,
+    {route, outputTokens, now = -Infinity}: ExpectedCall,
     deviations: number,
   ): number | undefined {
     const known = this.byRoute.get(route);
     if (!known) return undefined;
-    const {total, perToken} = known;
+    const open = [...known.open].map(({since, outputTokens: tokens}) => ({
+      ageMs: now - since,
+      tokens,
+    }));
+    const total = known.total.extend(open.map(({ageMs}) => ageMs));
+    const perToken = known.perToken.extend(
+      open.flatMap(({ageMs, tokens}) =>
+        tokens === undefined ? [] : [ageMs / tokens],
+      ),
+    );
     // The length as stated says little where callers ask for far more than they get.
     const isLengthUseful = perToken.variance < total.variance;
     if (outputTokens === undefined || !isLengthUseful)
@@ -60,6 +90,7 @@
     const created = {
       total: new LogStatistics(),
       perToken: new LogStatistics(),
+      open: new Set<OpenCall>(),
     };
     this.byRoute.set(route, created);
     return created;
--- a/packages/decisions/src/capacity/log_statistics.ts
+++ b/packages/decisions/src/capacity/log_statistics.ts
@@ -4,6 +4,10 @@
 const INITIAL_VARIANCE = 1;
 /** Least variance of what comes next: it may differ from all samples, as when runners become slower. */
 const MIN_VARIANCE = 0.04;
+/** Value that a growing sample reaches over its value so far: it is seen at any time of its course. */
+const GROWTH = 2;
+/** Part of all samples up to which growing ones that are larger count as exceptions. */
+const EXCEPTION_SHARE = 0.2;
 
 /** Running mean and variance of the logarithm of positive samples; recent ones weigh more. */
 export class LogStatistics {
@@ -18,8 +22,12 @@
 
   /** Adds a sample over 0. */
   add(sample: number): void {
+    this.addWeighted(sample, MIN_SAMPLE_WEIGHT);
+  }
+
+  private addWeighted(sample: number, minWeight: number): void {
     this.samples += 1;
-    const weight = Math.max(MIN_SAMPLE_WEIGHT, 1 / this.samples);
+    const weight = Math.max(minWeight, 1 / this.samples);
     const error = Math.log(sample) - this.mean;
     this.mean += weight * error;
     // The first error is that of the initial mean.
@@ -28,6 +36,20 @@
         weight * (error * error * (1 - weight) - this.currentVariance);
   }
 
+  /**
+   * Returns a copy with samples that still grow. Only those over the mean tell something, if they are no exceptions; they
+   * weigh as one each of all samples so far.
+   */
+  extend(growing: readonly number[]): LogStatistics {
+    const center = Math.exp(this.mean);
+    const larger = growing.filter(sample => sample > center);
+    if (this.samples === 0 || larger.length <= EXCEPTION_SHARE * this.samples)
+      return this;
+    const copy = Object.assign(new LogStatistics(), this);
+    for (const sample of larger) copy.addWeighted(sample * GROWTH, 0);
+    return copy;
+  }
+
   /** Value that lies a number of standard deviations above the geometric mean; undefined without samples. */
   estimateUpperBound(deviations: number): number | undefined {
     if (this.samples === 0) return undefined;
--- a/packages/gateway/src/calls/call_forwarder.ts
+++ b/packages/gateway/src/calls/call_forwarder.ts
@@ -190,14 +190,29 @@
     if (hold) return this.finisher.rejectQuarantined(progress, caller, hold);
     if (this.workEstimator.exceedsMemory(call, model))
       return this.finisher.reject(progress, caller, {reason: TOO_LARGE});
+    const endDuration = this.beginDuration(call);
     try {
       await this.attemptUntilEnded(progress, caller, signal);
     } finally {
+      endDuration();
       // A reservation for an attempt that was never made would stay in use.
       progress.retryReservation?.release();
     }
   }
 
+  /** Notes how long a call takes while it is open. @returns a function that ends that */
+  private beginDuration({
+    route,
+    prompt,
+    completedAt,
+  }: IncomingCall): () => void {
+    return this.options.durations.begin({
+      route: route.name,
+      outputTokens: prompt?.lengthHint ?? prompt?.maxOutputTokens,
+      since: completedAt,
+    });
+  }
+
   private async attemptUntilEnded(
     progress: CallProgress,
     caller: CallerResponse,
--- a/packages/gateway/src/lifecycle/stop_admission.test.ts
+++ b/packages/gateway/src/lifecycle/stop_admission.test.ts
@@ -167,3 +167,16 @@
   schedule.start(GRACE_MS, 300);
   assert.equal(schedule.leftMs, ABORT_MS - 300);
 });
+
+void test('a call is refused by a host that has served only short ones so far, while as many long ones are open', () => {
+  const {clock, durations, start, close, find, createCall} = createScene();
+  start();
+  for (let call = 0; call < 5; call++) {
+    durations.record({route: 'r', durationMs: 600 + 100 * call});
+    durations.begin({route: 'r', since: clock.now()});
+  }
+  clock.advance(3_500);
+  assert.equal(find(createCall()), undefined);
+  close();
+  assert.ok(find(createCall()));
+});
--- a/packages/gateway/src/lifecycle/stop_admission.ts
+++ b/packages/gateway/src/lifecycle/stop_admission.ts
@@ -118,10 +118,11 @@
 
   private estimateDurationMs({route, prompt}: CallHead): number | undefined {
     const outputTokens = prompt?.lengthHint ?? prompt?.maxOutputTokens;
-    const {durations, isClosing} = this.options;
-    const deviations = isClosing() ? CLOSING_DEVIATIONS : OPEN_DEVIATIONS;
-    const length = {route: route.name, outputTokens};
-    return durations.estimateMs(length, deviations);
+    const {clock, durations, isClosing} = this.options;
+    const expected = {route: route.name, outputTokens};
+    if (!isClosing()) return durations.estimateMs(expected, OPEN_DEVIATIONS);
+    const now = clock.now();
+    return durations.estimateMs({...expected, now}, CLOSING_DEVIATIONS);
   }
 
   private recordRefused(call: CallHead, phase: StopPhase): void {
