A connection that closes behind a response is read on until its caller closes it

Callers that still sent (a body behind a 408 or a refusal of a stopping host, requests behind a response with `connection: close`) had their connection reset: Node closes it as soon as the response was handed to the kernel, and the kernel resets a connection that is closed with unread bytes or receives more, and drops what it had still to send.

Malformed requests, whose connections stayed as long as the caller liked, and the daemon's door end the same way. A body that is given up is no longer collected.

--- a/packages/daemon/src/http_server.ts
+++ b/packages/daemon/src/http_server.ts
@@ -1,5 +1,5 @@
 import {createServer, type Server} from 'node:http';
-import type {AddressInfo} from 'node:net';
+import type {AddressInfo, Socket} from 'node:net';
 import type {RequestListener} from 'node:http';
 import {
   Problem,
@@ -34,8 +34,11 @@
 export class HttpServer {
   private readonly server: Server;
   private readonly connections: ServerConnections;
+  private readonly clock: Clock;
 
   constructor(private readonly options: Options) {
+    const {clock = new SystemClock()} = options;
+    this.clock = clock;
     this.server = createServer(
       {
         headersTimeout: options.headersTimeoutMs,
@@ -47,7 +50,7 @@
       options.listener,
     );
     this.server.maxConnections = options.maxConnections;
-    this.connections = new ServerConnections(this.server);
+    this.connections = new ServerConnections({clock, server: this.server});
   }
 
   /** Sets the handler for requests that could not be parsed. */
@@ -58,11 +61,16 @@
     ) => void,
   ): void {
     this.server.on('clientError', (error: NodeJS.ErrnoException, socket) => {
-      if (error.code === 'ECONNRESET' || !socket.writable) {
+      // Bytes behind the response that closes a connection are no requests.
+      if (!socket.writable) return;
+      if (error.code === 'ECONNRESET') {
         socket.destroy();
         return;
       }
-      handle(error, text => socket.end(text));
+      handle(error, text => {
+        socket.end(text);
+        this.connections.closeBehindResponse(socket as Socket);
+      });
     });
   }
 
@@ -87,9 +95,8 @@
    * resolves when the last one has ended.
    */
   async stop(): Promise<void> {
-    const {clock = new SystemClock()} = this.options;
-    const {connections} = this;
-    await connections.acceptBacklog(clock, clock.now() + MAX_BACKLOG_MS);
+    const {clock, connections} = this;
+    await connections.acceptBacklog(clock.now() + MAX_BACKLOG_MS);
     const closed = new Promise<void>(resolve =>
       connections.stopListening(resolve),
     );
--- a/packages/gateway/src/calls/call_server.ts
+++ b/packages/gateway/src/calls/call_server.ts
@@ -90,7 +90,8 @@
       {maxHeaderSize: MAX_HEADER_BYTES, noDelay: true},
       (request, response) => this.accept(request, response),
     );
-    this.connections = new ServerConnections(this.server);
+    const {clock} = options;
+    this.connections = new ServerConnections({clock, server: this.server});
     this.server.requestTimeout = 0;
     this.server.on('clientError', (error, socket) =>
       this.rejectMalformed(error, socket as Socket),
@@ -116,7 +117,7 @@
 
   /** Accepts the connections that the kernel has established, at most until a time on the clock, and no others. */
   async stopListening(until: number): Promise<void> {
-    await this.connections.acceptBacklog(this.options.clock, until);
+    await this.connections.acceptBacklog(until);
     this.connections.stopListening();
   }
 
@@ -170,6 +171,7 @@
     socket.end(
       `HTTP/1.1 ${status}\r\nconnection: close\r\ncontent-length: 0\r\n\r\n`,
     );
+    this.connections.closeBehindResponse(socket);
     this.recorder.recordMalformed(
       Number(status.slice(0, 3)),
       error.code ?? error.message,
@@ -179,8 +181,10 @@
   private accept(request: IncomingMessage, response: ServerResponse): void {
     // The connection closes after a response to an earlier request. This one does not run, so the caller can safely
     // resend it.
-    if (this.closingConnections.has(request.socket))
+    if (this.closingConnections.has(request.socket)) {
+      request.resume();
       return this.recorder.recordIgnored(request);
+    }
     response.once('finish', () => this.closeIfShuttingDown(response));
     const controller = new AbortController();
     this.openResponses.set(response, controller);
--- a/packages/gateway/src/calls/read_body.ts
+++ b/packages/gateway/src/calls/read_body.ts
@@ -27,13 +27,19 @@
 }: Options): Promise<Buffer | BodyFailure> {
   return new Promise(resolve => {
     const body = new ByteCollector();
-    request.on('data', (chunk: Buffer) => {
-      if (body.length + chunk.length > maxBytes) return resolve('too-large');
+    const collect = (chunk: Buffer) => {
+      if (body.length + chunk.length > maxBytes) return fail('too-large');
       body.add(chunk);
       if (body.length <= declaredBytes) return;
       held.set(body.length);
       held.pauseNearBound(request);
-    });
+    };
+    // What still arrives of a body that is given up is not collected.
+    const fail = (failure: BodyFailure) => {
+      request.removeListener('data', collect);
+      resolve(failure);
+    };
+    request.on('data', collect);
     request.once('end', () => {
       held.stopGrowing();
       resolve(body.take());
@@ -42,7 +48,7 @@
     request.once('error', () => resolve('broken'));
     const abort = () => {
       const hasLeft = signal.reason === AbortReason.CALLER_DISCONNECTED;
-      resolve(hasLeft ? 'broken' : 'late');
+      fail(hasLeft ? 'broken' : 'late');
     };
     if (signal.aborted) return abort();
     signal.addEventListener('abort', abort, {once: true});
--- a/packages/gateway/src/calls/request_rejecter.ts
+++ b/packages/gateway/src/calls/request_rejecter.ts
@@ -71,8 +71,8 @@
   }
 
   /**
-   * Rejects a body that did not arrive in time, and closes the connection instead of waiting for
-   * the rest.
+   * Rejects a body that did not arrive in time, and closes the connection behind the response instead of waiting for the
+   * rest.
    */
   rejectIncompleteBody(
     request: IncomingMessage,
@@ -80,7 +80,6 @@
     caller: CallerResponse,
   ): void {
     response.shouldKeepAlive = false;
-    response.once('finish', () => request.destroy());
     this.reject(request, caller, {
       status: REQUEST_TIMEOUT,
       reason: 'body not received within the time limit of the route',
--- a/packages/kernel/src/net/server_connections.test.ts
+++ b/packages/kernel/src/net/server_connections.test.ts
@@ -8,6 +8,7 @@
 import {test} from 'node:test';
 import type {TestContext} from 'node:test';
 import {setTimeout as sleep} from 'node:timers/promises';
+import {SystemClock} from '../clock/system_clock.js';
 import {ServerConnections} from './server_connections.js';
 
 /** More than the buffers of the kernel hold, in bytes. */
@@ -26,7 +27,7 @@
 ) {
   const options = {headersTimeout, connectionsCheckingInterval: 50};
   const server = createServer(options, listener);
-  const connections = new ServerConnections(server);
+  const connections = new ServerConnections({clock: new SystemClock(), server});
   server.listen(0, '127.0.0.1');
   await once(server, 'listening');
   context.after(() => {
--- a/packages/kernel/src/net/server_connections.ts
+++ b/packages/kernel/src/net/server_connections.ts
@@ -3,6 +3,13 @@
 import type {Socket} from 'node:net';
 import type {Clock} from '../clock/clock.js';
 import {finishTurn} from './finish_turn.js';
+import {LingeringConnections} from './lingering_connections.js';
+import {readReceived} from './read_received.js';
+
+interface Options {
+  readonly clock: Clock;
+  readonly server: Server;
+}
 
 /** How a connection is used. */
 interface ConnectionUse {
@@ -14,41 +21,67 @@
   bytesReadAtRest: number;
   /** The last request, while its body has not arrived completely. */
   incompleteRequest?: IncomingMessage;
+  /** Number of requests that were read behind the response that closes the connection, after it was sent. */
+  requestsBehindEnd: number;
 }
 
 /** Turns of the event loop without a new connection after which none waits to be accepted. */
 const QUIET_TURNS = 2;
+/** Largest number of requests that are read from a connection behind its last response; each takes memory. */
+const MAX_REQUESTS_BEHIND_END = 100;
 
 /**
- * Closes the idle connections of an HTTP server. To Node.js itself a connection is idle once its response was ended,
- * also while a part of it waits for a slow reader; here it is idle once the response has left this process.
+ * Closes the connections of an HTTP server: idle ones, and those that end with a response. To Node.js itself a
+ * connection is idle once its response was ended, also while a part of it waits for a slow reader; here it is idle once
+ * the response has left this process.
  */
 export class ServerConnections {
   private readonly uses = new Map<Socket, ConnectionUse>();
   /** Number of connections accepted since the start. */
   private accepted = 0;
 
-  constructor(private readonly server: Server) {
+  private readonly lingering: LingeringConnections;
+
+  constructor(private readonly options: Options) {
+    const {server} = options;
+    this.lingering = new LingeringConnections(options);
     server.on('connection', (socket: Socket) => this.add(socket));
     server.prependListener('request', (request, response) =>
       this.addResponse(request, response),
     );
   }
 
+  /** Number of connections that ended with a response, and that their callers had not closed in time. */
+  get unclosedCount(): number {
+    return this.lingering.expiredCount;
+  }
+
+  /** Whether a connection is open that ended with a response, and that its caller may still close. */
+  get hasLingering(): boolean {
+    return this.lingering.size > 0;
+  }
+
+  /** Closes a connection behind what was written to it; what its caller still sends is read and discarded. */
+  closeBehindResponse(socket: Socket): void {
+    this.uses.get(socket)?.incompleteRequest?.resume();
+    this.lingering.add(socket);
+  }
+
   /**
    * Accepts no new connections; those that are open stay, with their time limits in force. Calls `onClosed` when the
    * last one has ended.
    */
   stopListening(onClosed?: () => void): void {
     // The method of the HTTP server would also close idle connections, and end the checks for late headers.
-    NetServer.prototype.close.call(this.server, onClosed);
+    NetServer.prototype.close.call(this.options.server, onClosed);
   }
 
   /**
    * Accepts the connections that the kernel has established for this server; it would reset them once the server stops
    * listening. The event loop accepts only one in a turn. Goes on until none is left, or until a time on the clock.
    */
-  async acceptBacklog(clock: Clock, until: number): Promise<void> {
+  async acceptBacklog(until: number): Promise<void> {
+    const {clock} = this.options;
     let quietTurns = 0;
     while (quietTurns < QUIET_TURNS && clock.now() < until) {
       const {accepted} = this;
@@ -69,8 +102,7 @@
    * @returns how many there were
    */
   async closeIdle(): Promise<number> {
-    // The first turn of the event loop may be one that had read its connections before this call.
-    for (let turn = 0; turn < 2; turn++) await finishTurn();
+    await readReceived();
     const idle = [...this.uses].filter(([socket, use]) => isIdle(socket, use));
     for (const [socket] of idle) socket.destroy();
     return idle.length;
@@ -81,14 +113,18 @@
     this.uses.set(socket, {
       openResponses: 0,
       bytesReadAtRest: 0,
+      requestsBehindEnd: 0,
     });
     socket.once('close', () => this.uses.delete(socket));
+    // The HTTP server calls it when a response has left that closes its connection.
+    socket.destroySoon = () => this.closeBehindResponse(socket);
   }
 
   private addResponse(request: IncomingMessage, response: ServerResponse) {
     const {socket} = request;
     const use = this.uses.get(socket);
     if (!use) return;
+    if (this.lingering.has(socket)) this.noteRequestBehindEnd(socket, use);
     use.lastResponse = response;
     use.openResponses += 1;
     noteRequestRead(request, use);
@@ -97,6 +133,11 @@
       use.openResponses -= 1;
     });
   }
+
+  private noteRequestBehindEnd(socket: Socket, use: ConnectionUse): void {
+    use.requestsBehindEnd += 1;
+    if (use.requestsBehindEnd > MAX_REQUESTS_BEHIND_END) socket.destroy();
+  }
 }
 
 /** Notes how many bytes were read when a request was whole: at once without a body, otherwise with the end of its body. */
