--- a/packages/gateway/src/calls/call_server.ts
+++ b/packages/gateway/src/calls/call_server.ts
@@ -90,7 +90,8 @@
       {maxHeaderSize: MAX_HEADER_BYTES, noDelay: true},
       (request, response) => this.accept(request, response),
     );
-    this.connections = new ServerConnections(this.server);
+    const {clock} = options;
+    this.connections = new ServerConnections({clock, server: this.server});
     this.server.requestTimeout = 0;
     this.server.on('clientError', (error, socket) =>
       this.rejectMalformed(error, socket as Socket),
@@ -116,13 +117,33 @@
 
   /** Accepts the connections that the kernel has established, at most until a time on the clock, and no others. */
   async stopListening(until: number): Promise<void> {
-    await this.connections.acceptBacklog(this.options.clock, until);
+    await this.connections.acceptBacklog(until);
     this.connections.stopListening();
   }
 
-  /** Closes idle connections. @returns how many there were */
-  closeIdle(): Promise<number> {
-    return this.connections.closeIdle();
+  /** Whether a request may be on its way, or a caller may still close its connection; as of the last call of {@link closeQuiet}. */
+  get hasActiveConnections(): boolean {
+    return this.connections.hasActive;
+  }
+
+  /** Whether a connection is open that ended with a response, and that its caller may still close. */
+  get hasLingeringConnections(): boolean {
+    return this.connections.hasLingering;
+  }
+
+  /** Number of connections of which a part of a request was read, and not the rest. */
+  get incompleteRequests(): number {
+    return this.connections.incompleteCount;
+  }
+
+  /** Number of connections that ended with a response, and that their callers had not closed in time, since the start. */
+  get unclosedConnections(): number {
+    return this.connections.unclosedCount;
+  }
+
+  /** Closes connections that are idle and quiet. @returns how many there were */
+  closeQuiet(): Promise<number> {
+    return this.connections.closeQuiet();
   }
 
   /** Aborts all open calls. @returns how many there were */
@@ -140,14 +161,6 @@
     closeServer(this.server);
   }
 
-  /**
-   * Closes the connection after a response whose headers were sent before shutdown began, so
-   * without `connection: close`; one that other responses still have to take stays open.
-   */
-  private closeIfShuttingDown(response: ServerResponse): void {
-    if (this.shouldCloseAfter(response)) response.req.socket.destroySoon();
-  }
-
   /** Whether a connection is closed after this response: requests behind it that are being served get theirs first. */
   private shouldCloseAfter(response: ServerResponse): boolean {
     if (!this.options.isClosing() || !this.connections.isLast(response))
@@ -170,6 +183,7 @@
     socket.end(
       `HTTP/1.1 ${status}\r\nconnection: close\r\ncontent-length: 0\r\n\r\n`,
     );
+    this.connections.closeBehindResponse(socket);
     this.recorder.recordMalformed(
       Number(status.slice(0, 3)),
       error.code ?? error.message,
@@ -179,9 +193,10 @@
   private accept(request: IncomingMessage, response: ServerResponse): void {
     // The connection closes after a response to an earlier request. This one does not run, so the caller can safely
     // resend it.
-    if (this.closingConnections.has(request.socket))
+    if (this.closingConnections.has(request.socket)) {
+      request.resume();
       return this.recorder.recordIgnored(request);
-    response.once('finish', () => this.closeIfShuttingDown(response));
+    }
     const controller = new AbortController();
     this.openResponses.set(response, controller);
     response.once('close', () => this.openResponses.delete(response));
--- a/packages/kernel/src/net/server_connections.ts
+++ b/packages/kernel/src/net/server_connections.ts
@@ -3,6 +3,15 @@
 import type {Socket} from 'node:net';
 import type {Clock} from '../clock/clock.js';
 import {finishTurn} from './finish_turn.js';
+import {LingeringConnections} from './lingering_connections.js';
+import {readReceived} from './read_received.js';
+
+interface Options {
+  readonly clock: Clock;
+  readonly server: Server;
+  /** Time without a byte in or out after which an idle connection is closed, in ms. */
+  readonly quietMs?: number;
+}
 
 /** How a connection is used. */
 interface ConnectionUse {
@@ -14,41 +23,73 @@
   bytesReadAtRest: number;
   /** The last request, while its body has not arrived completely. */
   incompleteRequest?: IncomingMessage;
+  /** Number of requests that were read behind the response that closes the connection, after it was sent. */
+  requestsBehindEnd: number;
+  /** When it was accepted, or when the last byte came in or went out, on the clock. */
+  activeAt: number;
+  /** Number of bytes that had been read then. */
+  bytesReadThen: number;
 }
 
 /** Turns of the event loop without a new connection after which none waits to be accepted. */
 const QUIET_TURNS = 2;
+/** Time within which the next request of a caller that had none on its way is expected to have been read, in ms. */
+const DEFAULT_QUIET_MS = 1_000;
+/** Largest number of requests that are read from a connection behind its last response; each takes memory. */
+const MAX_REQUESTS_BEHIND_END = 100;
 
 /**
- * Closes the idle connections of an HTTP server. To Node.js itself a connection is idle once its response was ended,
- * also while a part of it waits for a slow reader; here it is idle once the response has left this process.
+ * Closes the connections of an HTTP server: idle ones, and those that end with a response. To Node.js itself a
+ * connection is idle once its response was ended, also while a part of it waits for a slow reader; here it is idle once
+ * the response has left this process.
  */
 export class ServerConnections {
   private readonly uses = new Map<Socket, ConnectionUse>();
   /** Number of connections accepted since the start. */
   private accepted = 0;
 
-  constructor(private readonly server: Server) {
+  private readonly lingering: LingeringConnections;
+
+  constructor(private readonly options: Options) {
+    const {server} = options;
+    this.lingering = new LingeringConnections(options);
     server.on('connection', (socket: Socket) => this.add(socket));
     server.prependListener('request', (request, response) =>
       this.addResponse(request, response),
     );
   }
 
+  /** Number of connections that ended with a response, and that their callers had not closed in time. */
+  get unclosedCount(): number {
+    return this.lingering.expiredCount;
+  }
+
+  /** Whether a connection is open that ended with a response, and that its caller may still close. */
+  get hasLingering(): boolean {
+    return this.lingering.size > 0;
+  }
+
+  /** Closes a connection behind what was written to it; what its caller still sends is read and discarded. */
+  closeBehindResponse(socket: Socket): void {
+    this.uses.get(socket)?.incompleteRequest?.resume();
+    this.lingering.add(socket);
+  }
+
   /**
    * Accepts no new connections; those that are open stay, with their time limits in force. Calls `onClosed` when the
    * last one has ended.
    */
   stopListening(onClosed?: () => void): void {
     // The method of the HTTP server would also close idle connections, and end the checks for late headers.
-    NetServer.prototype.close.call(this.server, onClosed);
+    NetServer.prototype.close.call(this.options.server, onClosed);
   }
 
   /**
    * Accepts the connections that the kernel has established for this server; it would reset them once the server stops
    * listening. The event loop accepts only one in a turn. Goes on until none is left, or until a time on the clock.
    */
-  async acceptBacklog(clock: Clock, until: number): Promise<void> {
+  async acceptBacklog(until: number): Promise<void> {
+    const {clock} = this.options;
     let quietTurns = 0;
     while (quietTurns < QUIET_TURNS && clock.now() < until) {
       const {accepted} = this;
@@ -63,17 +104,52 @@
   }
 
   /**
-   * Closes the connections that have carried a request, and on which no response is open and no request is being read,
-   * judged by all that the kernel had received of them.
+   * Closes the connections that have carried a request, that are idle and that have been quiet for a time: a caller that
+   * does not expect the close may just have sent its next request. Judged by all that the kernel had received of them.
    *
    * @returns how many there were
    */
-  async closeIdle(): Promise<number> {
-    // The first turn of the event loop may be one that had read its connections before this call.
-    for (let turn = 0; turn < 2; turn++) await finishTurn();
-    const idle = [...this.uses].filter(([socket, use]) => isIdle(socket, use));
-    for (const [socket] of idle) socket.destroy();
-    return idle.length;
+  async closeQuiet(): Promise<number> {
+    await readReceived();
+    this.noteBytesRead();
+    const quiet = [...this.uses].filter(
+      ([socket, use]) => isIdle(socket, use) && !this.isActive(use),
+    );
+    for (const [socket] of quiet) socket.destroy();
+    return quiet.length;
+  }
+
+  /**
+   * Whether a request may be on its way, or a caller may still close its connection; as of the last call of
+   * {@link closeQuiet}.
+   */
+  get hasActive(): boolean {
+    return (
+      this.hasLingering ||
+      [...this.uses.values()].some(use => this.isActive(use))
+    );
+  }
+
+  /** Number of connections of which a part of a request was read, and not the rest. */
+  get incompleteCount(): number {
+    return [...this.uses].filter(([socket, use]) => isBeingRead(socket, use))
+      .length;
+  }
+
+  private isActive({activeAt}: ConnectionUse): boolean {
+    const {clock, quietMs = DEFAULT_QUIET_MS} = this.options;
+    return clock.now() - activeAt < quietMs;
+  }
+
+  private noteActive(socket: Socket, use: ConnectionUse): void {
+    use.activeAt = this.options.clock.now();
+    use.bytesReadThen = socket.bytesRead;
+  }
+
+  /** Notes bytes that have not completed a request. */
+  private noteBytesRead(): void {
+    for (const [socket, use] of this.uses)
+      if (socket.bytesRead !== use.bytesReadThen) this.noteActive(socket, use);
   }
 
   private add(socket: Socket): void {
@@ -81,22 +157,35 @@
     this.uses.set(socket, {
       openResponses: 0,
       bytesReadAtRest: 0,
+      requestsBehindEnd: 0,
+      activeAt: this.options.clock.now(),
+      bytesReadThen: 0,
     });
     socket.once('close', () => this.uses.delete(socket));
+    // The HTTP server calls it when a response has left that closes its connection.
+    socket.destroySoon = () => this.closeBehindResponse(socket);
   }
 
   private addResponse(request: IncomingMessage, response: ServerResponse) {
     const {socket} = request;
     const use = this.uses.get(socket);
     if (!use) return;
+    if (this.lingering.has(socket)) this.noteRequestBehindEnd(socket, use);
     use.lastResponse = response;
     use.openResponses += 1;
+    this.noteActive(socket, use);
     noteRequestRead(request, use);
     // Emitted once the last byte was handed to the kernel.
     response.once('close', () => {
       use.openResponses -= 1;
+      this.noteActive(socket, use);
     });
   }
+
+  private noteRequestBehindEnd(socket: Socket, use: ConnectionUse): void {
+    use.requestsBehindEnd += 1;
+    if (use.requestsBehindEnd > MAX_REQUESTS_BEHIND_END) socket.destroy();
+  }
 }
 
 /** Notes how many bytes were read when a request was whole: at once without a body, otherwise with the end of its body. */
@@ -118,8 +207,14 @@
   return (
     use.lastResponse !== undefined &&
     use.openResponses === 0 &&
-    use.incompleteRequest === undefined &&
     socket.writableLength === 0 &&
-    socket.bytesRead === use.bytesReadAtRest
+    !isBeingRead(socket, use)
+  );
+}
+
+function isBeingRead(socket: Socket, use: ConnectionUse): boolean {
+  return (
+    use.incompleteRequest !== undefined ||
+    socket.bytesRead !== use.bytesReadAtRest
   );
 }
