A stopping host closes a connection unannounced only once it has been quiet for a second

Callers on kept connections lost the request that they sent behind a stream whose head had left before SIGTERM: the host closed the connection right behind the stream, with the request on its way or unread. So it did with idle connections when it stopped listening, and it ended with new connections whose first request was on its way.

Such a connection is read on now: the next request is served or refused, with `connection: close`. It is closed once no byte came or went for 1 s, after two turns of the event loop. The host does not end within 1 s of its last accepted connection or byte, nor while a caller may still close a connection that ended with a response, and never later than StopSchedule says. `process_stopped` tells `closed` (quiet), `unclosed` and `incomplete`.

--- a/packages/daemon/src/http_server.ts
+++ b/packages/daemon/src/http_server.ts
@@ -91,8 +91,8 @@
   }
 
   /**
-   * Accepts no new connections but those that the kernel has established, closes those that are or become idle, and
-   * resolves when the last one has ended.
+   * Accepts no new connections but those that the kernel has established, closes those that are or become idle once
+   * they are quiet, and resolves when the last one has ended.
    */
   async stop(): Promise<void> {
     const {clock, connections} = this;
@@ -101,10 +101,10 @@
       connections.stopListening(resolve),
     );
     const timer = setInterval(
-      () => void connections.closeIdle(),
+      () => void connections.closeQuiet(),
       IDLE_CHECK_INTERVAL_MS,
     );
-    await connections.closeIdle();
+    await connections.closeQuiet();
     await closed;
     clearInterval(timer);
   }
--- a/packages/gateway/src/lifecycle/graceful_shutdown.ts
+++ b/packages/gateway/src/lifecycle/graceful_shutdown.ts
@@ -27,7 +27,7 @@
 /** Interval between two checks whether all calls have ended, in ms. */
 const POLL_INTERVAL_MS = 50;
 
-/** Shuts a host down: it reports not ready immediately, then closes idle connections, then finishes running calls. */
+/** Shuts a host down: it reports not ready immediately, then closes quiet connections, then finishes running calls. */
 export class GracefulShutdown {
   private isClosingConnections = false;
 
@@ -45,17 +45,15 @@
 
   /** Number of calls that have no complete response yet. */
   get openCalls(): number {
-    return this.options.callServers.reduce(
-      (sum, {openCalls}) => sum + openCalls,
-      0,
-    );
+    return this.sum(({openCalls}) => openCalls);
   }
 
-  /** Resolves when no call is open any more, or shortly before the grace period ends. */
+  /** Resolves when no call is open any more and none is on its way, or shortly before the grace period ends. */
   async run(reason: string): Promise<void> {
     const {clock, log, callServers, schedule, stopAdmission} = this.options;
     const graceMs = this.options.graceMs();
     const lateMs = this.options.lateMs();
+    const unclosedBefore = this.sum(server => server.unclosedConnections);
     schedule.start(graceMs, lateMs);
     log.write('process_stopping', {
       reason,
@@ -76,15 +74,13 @@
     await Promise.all(
       callServers.map(server => server.stopListening(backlogUntil)),
     );
-    let closed = await this.closeIdle();
-    while (this.openCalls > 0 && schedule.leftMs > 0) {
+    let closed = await this.closeQuiet();
+    while (this.mayReceiveRequests && schedule.leftMs > 0) {
       await sleep(clock, POLL_INTERVAL_MS);
-      closed += await this.closeIdle();
+      closed += await this.closeQuiet();
     }
-    const cut = callServers.reduce(
-      (sum, server) => sum + server.abortAll(AbortReason.HOST_SHUTDOWN),
-      0,
-    );
+    const incomplete = this.sum(server => server.incompleteRequests);
+    const cut = this.sum(server => server.abortAll(AbortReason.HOST_SHUTDOWN));
     await this.waitForResponses(schedule.exitAt);
     const forMs = Math.round(clock.now() - schedule.startAt);
     const unsent = this.openCalls;
@@ -95,6 +91,8 @@
       cut,
       unsent,
       closed,
+      unclosed: this.sum(server => server.unclosedConnections) - unclosedBefore,
+      incomplete,
       forMs,
     });
   }
@@ -107,19 +105,38 @@
     clock.after(POLL_INTERVAL_MS, () => this.reviewRepeatedly());
   }
 
-  /** Closes idle connections. @returns how many there were */
-  private async closeIdle(): Promise<number> {
+  /** Whether a call is open, or a request may be on its way. */
+  private get mayReceiveRequests(): boolean {
+    const {callServers} = this.options;
+    return (
+      this.openCalls > 0 ||
+      callServers.some(({hasActiveConnections}) => hasActiveConnections)
+    );
+  }
+
+  /** Closes connections that are idle and quiet. @returns how many there were */
+  private async closeQuiet(): Promise<number> {
     const {callServers} = this.options;
     const counts = await Promise.all(
-      callServers.map(server => server.closeIdle()),
+      callServers.map(server => server.closeQuiet()),
     );
     return counts.reduce((sum, count) => sum + count, 0);
   }
 
-  /** Waits until the last responses, also those of aborted calls, have left this process. */
+  private sum(count: (server: CallServer) => number): number {
+    return this.options.callServers.reduce(
+      (sum, server) => sum + count(server),
+      0,
+    );
+  }
+
+  /** Waits until the last responses, also those of aborted calls, have left this process, and callers have closed their connections. */
   private async waitForResponses(until: number): Promise<void> {
-    const {clock} = this.options;
+    const {clock, callServers} = this.options;
+    const isWaiting = () =>
+      this.openCalls > 0 ||
+      callServers.some(server => server.hasLingeringConnections);
     do await sleep(clock, POLL_INTERVAL_MS);
-    while (this.openCalls > 0 && clock.now() < until);
+    while (isWaiting() && clock.now() < until);
   }
 }
--- a/packages/gateway/src/observability/event_fields.ts
+++ b/packages/gateway/src/observability/event_fields.ts
@@ -52,8 +52,12 @@
     cut: number;
     /** Calls whose responses had not left the process when it ended. */
     unsent: number;
-    /** Idle connections that were closed. */
+    /** Idle connections that were closed unannounced, once they had been quiet for a time. */
     closed: number;
+    /** Connections that ended with a response, and that their callers had not closed in time. */
+    unclosed: number;
+    /** Connections of which a part of a request was read when the host ended. */
+    incomplete: number;
     forMs: number;
   };
   settings_reloaded: {reason: string; changed: string};
--- a/packages/kernel/src/net/server_connections.ts
+++ b/packages/kernel/src/net/server_connections.ts
@@ -9,6 +9,8 @@
 interface Options {
   readonly clock: Clock;
   readonly server: Server;
+  /** Time without a byte in or out after which an idle connection is closed, in ms. */
+  readonly quietMs?: number;
 }
 
 /** How a connection is used. */
@@ -23,10 +25,16 @@
   incompleteRequest?: IncomingMessage;
   /** Number of requests that were read behind the response that closes the connection, after it was sent. */
   requestsBehindEnd: number;
+  /** When it was accepted, or when the last byte came in or went out, on the clock. */
+  activeAt: number;
+  /** Number of bytes that had been read then. */
+  bytesReadThen: number;
 }
 
 /** Turns of the event loop without a new connection after which none waits to be accepted. */
 const QUIET_TURNS = 2;
+/** Time within which the next request of a caller that had none on its way is expected to have been read, in ms. */
+const DEFAULT_QUIET_MS = 1_000;
 /** Largest number of requests that are read from a connection behind its last response; each takes memory. */
 const MAX_REQUESTS_BEHIND_END = 100;
 
@@ -96,16 +104,52 @@
   }
 
   /**
-   * Closes the connections that have carried a request, and on which no response is open and no request is being read,
-   * judged by all that the kernel had received of them.
+   * Closes the connections that have carried a request, that are idle and that have been quiet for a time: a caller that
+   * does not expect the close may just have sent its next request. Judged by all that the kernel had received of them.
    *
    * @returns how many there were
    */
-  async closeIdle(): Promise<number> {
+  async closeQuiet(): Promise<number> {
     await readReceived();
-    const idle = [...this.uses].filter(([socket, use]) => isIdle(socket, use));
-    for (const [socket] of idle) socket.destroy();
-    return idle.length;
+    this.noteBytesRead();
+    const quiet = [...this.uses].filter(
+      ([socket, use]) => isIdle(socket, use) && !this.isActive(use),
+    );
+    for (const [socket] of quiet) socket.destroy();
+    return quiet.length;
+  }
+
+  /**
+   * Whether a request may be on its way, or a caller may still close its connection; as of the last call of
+   * {@link closeQuiet}.
+   */
+  get hasActive(): boolean {
+    return (
+      this.hasLingering ||
+      [...this.uses.values()].some(use => this.isActive(use))
+    );
+  }
+
+  /** Number of connections of which a part of a request was read, and not the rest. */
+  get incompleteCount(): number {
+    return [...this.uses].filter(([socket, use]) => isBeingRead(socket, use))
+      .length;
+  }
+
+  private isActive({activeAt}: ConnectionUse): boolean {
+    const {clock, quietMs = DEFAULT_QUIET_MS} = this.options;
+    return clock.now() - activeAt < quietMs;
+  }
+
+  private noteActive(socket: Socket, use: ConnectionUse): void {
+    use.activeAt = this.options.clock.now();
+    use.bytesReadThen = socket.bytesRead;
+  }
+
+  /** Notes bytes that have not completed a request. */
+  private noteBytesRead(): void {
+    for (const [socket, use] of this.uses)
+      if (socket.bytesRead !== use.bytesReadThen) this.noteActive(socket, use);
   }
 
   private add(socket: Socket): void {
@@ -114,6 +158,8 @@
       openResponses: 0,
       bytesReadAtRest: 0,
       requestsBehindEnd: 0,
+      activeAt: this.options.clock.now(),
+      bytesReadThen: 0,
     });
     socket.once('close', () => this.uses.delete(socket));
     // The HTTP server calls it when a response has left that closes its connection.
@@ -127,10 +173,12 @@
     if (this.lingering.has(socket)) this.noteRequestBehindEnd(socket, use);
     use.lastResponse = response;
     use.openResponses += 1;
+    this.noteActive(socket, use);
     noteRequestRead(request, use);
     // Emitted once the last byte was handed to the kernel.
     response.once('close', () => {
       use.openResponses -= 1;
+      this.noteActive(socket, use);
     });
   }
 
@@ -159,8 +207,14 @@
   return (
     use.lastResponse !== undefined &&
     use.openResponses === 0 &&
-    use.incompleteRequest === undefined &&
     socket.writableLength === 0 &&
-    socket.bytesRead === use.bytesReadAtRest
+    !isBeingRead(socket, use)
+  );
+}
+
+function isBeingRead(socket: Socket, use: ConnectionUse): boolean {
+  return (
+    use.incompleteRequest !== undefined ||
+    socket.bytesRead !== use.bytesReadAtRest
   );
 }
