A process that is short of the processor aborts open calls early enough to end within the grace period

Now the abort comes earlier by two delays of the event loop and by how long the signal had waited, but never before five sixths of the grace period; the times of a stop count from when the signal was handled.

Test: stop_schedule.test.ts.

--- a/packages/gateway/src/calls/call_finisher.test.ts
+++ b/packages/gateway/src/calls/call_finisher.test.ts
@@ -43,7 +43,7 @@
     }),
     metrics,
     reachability: {silentMs: undefined} as RunnerReachability,
-    stopSchedule: new StopSchedule({clock}),
+    stopSchedule: new StopSchedule({clock, lateMs: () => 0}),
     durations: new DurationEstimator(),
     retryScheduleOf: () => schedule,
   });
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -71,7 +71,10 @@
       metrics: this.metrics,
       currentSettings: () => this.settings,
     });
-    this.stopSchedule = new StopSchedule({clock});
+    this.stopSchedule = new StopSchedule({
+      clock,
+      lateMs: () => this.stallDetector.lateMs,
+    });
     this.stopAdmission = new StopAdmission({
       ...options,
       metrics: this.metrics,
@@ -127,7 +130,6 @@
       callServers: this.callServers,
       schedule: this.stopSchedule,
       stopAdmission: this.stopAdmission,
-      lateMs: () => this.stallDetector.lateMs,
       // Whoever called `start` is told of its failure.
       startup: () => this.startup.catch(() => undefined),
       graceMs: () => this.settings.graceMs,
--- a/packages/gateway/src/lifecycle/graceful_shutdown.ts
+++ b/packages/gateway/src/lifecycle/graceful_shutdown.ts
@@ -14,8 +14,6 @@
   readonly stopAdmission: StopAdmission;
   /** Settles when the start is over that may be under way. */
   readonly startup: () => Promise<void>;
-  /** How late this process handles a signal, in ms. */
-  readonly lateMs: () => number;
   /** Grace period until the process is killed, in ms. */
   readonly graceMs: () => number;
 }
@@ -53,14 +51,13 @@
   async run(reason: string): Promise<void> {
     const {clock, log, callServers, schedule, stopAdmission} = this.options;
     const graceMs = this.options.graceMs();
-    const lateMs = this.options.lateMs();
     const unclosedBefore = this.sum(server => server.unclosedConnections);
-    schedule.start(graceMs, lateMs);
+    schedule.start(graceMs);
     log.write('process_stopping', {
       reason,
       open: this.openCalls,
       graceMs,
-      lateMs: Math.round(lateMs),
+      lateMs: Math.round(schedule.startLateMs),
     });
     this.reviewRepeatedly();
     await this.options.startup();
--- a/packages/gateway/src/lifecycle/stop_admission.test.ts
+++ b/packages/gateway/src/lifecycle/stop_admission.test.ts
@@ -20,7 +20,7 @@
   const clock = new VirtualClock();
   const lines: string[] = [];
   const sink = {write: (line: string) => void lines.push(line)};
-  const schedule = new StopSchedule({clock});
+  const schedule = new StopSchedule({clock, lateMs: () => 0});
   const durations = new DurationEstimator();
   let isClosing = false;
   const admission = new StopAdmission({
@@ -160,17 +160,3 @@
   admission.review();
   assert.deepEqual(lines, []);
 });
-
-void test('the time for which a signal waited is taken off the time that is left', () => {
-  const {clock} = createScene();
-  const schedule = new StopSchedule({clock});
-  schedule.start(GRACE_MS, 300);
-  assert.equal(schedule.leftMs, ABORT_MS - 300);
-});
-
-void test('a bound on how late the signal is does not take the larger part of the grace period from open calls', () => {
-  const {clock} = createScene();
-  const schedule = new StopSchedule({clock});
-  schedule.start(GRACE_MS, 20_000);
-  assert.ok(schedule.leftMs >= (GRACE_MS * 5) / 6, `${schedule.leftMs} ms`);
-});
--- /dev/null
+++ b/packages/gateway/src/lifecycle/stop_schedule.test.ts
@@ -0,0 +1,53 @@
+// Guards against a host that still runs when it is killed, and against calls that lose the time that they have in a stop.
+import assert from 'node:assert/strict';
+import {test} from 'node:test';
+import {VirtualClock} from '@bayspool/kernel';
+import {StopSchedule} from './stop_schedule.js';
+
+const GRACE_MS = 8_000;
+/** Time from the start of a shutdown until open calls are aborted by a process that is not late, in ms. */
+const ABORT_MS = 7_300;
+
+function createSchedule() {
+  const clock = new VirtualClock();
+  const delay = {lateMs: 0};
+  const schedule = new StopSchedule({clock, lateMs: () => delay.lateMs});
+  return {clock, delay, schedule};
+}
+
+void test('a host that does not stop has all the time', () => {
+  const {schedule} = createSchedule();
+  assert.equal(schedule.leftMs, Infinity);
+  assert.equal(schedule.computeStoppingMs(0), undefined);
+});
+
+void test('the time for which a signal waited is taken off the time that is left', () => {
+  const {delay, schedule} = createSchedule();
+  delay.lateMs = 300;
+  schedule.start(GRACE_MS);
+  delay.lateMs = 0;
+  assert.equal(schedule.leftMs, ABORT_MS - 300);
+});
+
+void test('a process that becomes short of the processor aborts open calls while it can still write its last lines', () => {
+  const {clock, delay, schedule} = createSchedule();
+  schedule.start(GRACE_MS);
+  clock.advance(6_000);
+  assert.equal(schedule.leftMs, ABORT_MS - 6_000);
+  delay.lateMs = 240;
+  assert.ok(schedule.leftMs <= ABORT_MS - 6_000 - 2 * 240);
+});
+
+void test('however late a process is, open calls have five sixths of the grace period', () => {
+  const {delay, schedule} = createSchedule();
+  delay.lateMs = 20_000;
+  schedule.start(GRACE_MS);
+  assert.ok(schedule.leftMs >= (GRACE_MS * 5) / 6 - 1);
+  assert.ok(schedule.exitAt > schedule.abortAt);
+});
+
+void test('in a short grace period the last responses have their time all the same', () => {
+  const {schedule} = createSchedule();
+  schedule.start(3_000);
+  assert.equal(schedule.leftMs, 2_300);
+});
--- a/packages/gateway/src/lifecycle/stop_schedule.ts
+++ b/packages/gateway/src/lifecycle/stop_schedule.ts
@@ -2,20 +2,26 @@
 
 interface Options {
   readonly clock: Clock;
+  /** How long an event may have waited that this process handles now, in ms: an upper bound. */
+  readonly lateMs: () => number;
 }
 
 /** Margin before the end of the grace period, in ms, for the last responses to reach their callers. */
 const FINAL_RESPONSE_MARGIN_MS = 700;
 /** Time before the end of the grace period at which the process ends, whatever is open, in ms: the last log lines are written then. */
 const EXIT_MARGIN_MS = 400;
-
-/** Part of the grace period, at its end, in which calls may be aborted. */
-const MAX_LATE_SHARE = 1 / 6;
+/** Time for the last responses where the process is late, in ms. */
+const MIN_RESPONSE_TIME_MS = 100;
+/** Part of the grace period that open calls have however late the process is. */
+const MIN_CALL_SHARE = 5 / 6;
+/** Delays of the event loop that pass until open calls are aborted and the last lines are written. */
+const LATE_TURNS = 2;
 
 /** The times of a host's shutdown, on its clock. */
 export class StopSchedule {
   private startedAt = Infinity;
   private graceMs = Infinity;
+  private signalLateMs = 0;
 
   constructor(private readonly options: Options) {}
 
@@ -29,14 +35,27 @@
     return this.startedAt;
   }
 
-  /** When open calls are aborted; Infinity if the host does not stop. */
+  /** How long the signal may have waited, in ms. */
+  get startLateMs(): number {
+    return this.signalLateMs;
+  }
+
+  /** When open calls are aborted; Infinity if the host does not stop. Earlier where the process is short of the processor. */
   get abortAt(): number {
-    return this.startedAt + this.graceMs - FINAL_RESPONSE_MARGIN_MS;
+    if (!this.hasStarted) return Infinity;
+    const latest = this.startedAt + this.graceMs - FINAL_RESPONSE_MARGIN_MS;
+    const lateMs = this.signalLateMs + LATE_TURNS * this.options.lateMs();
+    const earliest = this.startedAt + this.graceMs * MIN_CALL_SHARE;
+    return Math.min(latest, Math.max(earliest, latest - lateMs));
   }
 
   /** When the process ends, whatever is open; Infinity if the host does not stop. */
   get exitAt(): number {
-    return this.startedAt + this.graceMs - EXIT_MARGIN_MS;
+    const exitAt = this.startedAt + this.graceMs - EXIT_MARGIN_MS;
+    return Math.max(
+      this.abortAt + MIN_RESPONSE_TIME_MS,
+      exitAt - this.signalLateMs,
+    );
   }
 
   /** Time until open calls are aborted, in ms; Infinity if the host does not stop. */
@@ -49,17 +68,10 @@
     return at < this.startedAt ? undefined : at - this.startedAt;
   }
 
-  /**
-   * Begins the shutdown.
-   *
-   * @param graceMs time from the signal to the end of the process at the latest, in ms
-   * @param lateMs how late the signal may have been handled, in ms: an upper bound, which is used as far as open calls
-   *   have the larger part of the grace period all the same
-   */
-  start(graceMs: number, lateMs = 0): void {
-    const maxLateMs = graceMs * MAX_LATE_SHARE - FINAL_RESPONSE_MARGIN_MS;
-    const usedMs = Math.min(lateMs, Math.max(0, maxLateMs));
-    this.startedAt = this.options.clock.now() - usedMs;
+  /** Begins the shutdown, for which there is this much time from the signal on, in ms. */
+  start(graceMs: number): void {
+    this.startedAt = this.options.clock.now();
     this.graceMs = graceMs;
+    this.signalLateMs = this.options.lateMs();
   }
 }
