A stream whose runners end before its head is held back by what all hosts know

Seen by callers: a request under which each runner ends before the head of its stream ended runner after runner, with all that ran there: nothing counted against it, as a stream without a head may only have waited. Cause: one host can't tell the two apart, and hosts did not tell each other which requests a runner had when it ended. Change: such an end counts if the runner is known to have ended (a broken connection only makes the host ask), and if a second later the request is the only one there, of all hosts' requests, that nobody answered since. Three such ends, known over a second or more, hold it back. A request that another host tells later takes the end back, and the hold. Digests have `present`. Ends while a host reaches no runner count only if a successor is there.

--- a/packages/decisions/src/calls/index.ts
+++ b/packages/decisions/src/calls/index.ts
@@ -45,6 +45,7 @@
 export {PartQuarantine} from './part_quarantine.js';
 export type {PartQuarantineDigest} from './part_quarantine_digest.js';
 export {Quarantine} from './quarantine.js';
+export type {PresentRequests} from './present_requests.js';
 export {ReleaseReason} from './release_reason.js';
 export type {QuarantineDigest} from './quarantine_digest.js';
 export {rankByHash} from './rank_by_hash.js';
--- a/packages/decisions/src/calls/quarantine.ts
+++ b/packages/decisions/src/calls/quarantine.ts
@@ -1,9 +1,12 @@
 import type {Clock} from '@bayspool/kernel';
 import {reweighRecurrentCrashes} from './reweigh_recurrent_crashes.js';
 import {ReleaseReason} from './release_reason.js';
+import type {PresentRequests} from './present_requests.js';
 import type {QuarantineDigest} from './quarantine_digest.js';
 import type {RunnerCrash} from './runner_crash.js';
+import {RunnerOccupants} from './runner_occupants.js';
 import {SuspectRequest} from './suspect_request.js';
+import type {UnstartedEnd} from './unstarted_end.js';
 
 /** Notified when a request is quarantined or released. */
 interface Listener {
@@ -64,6 +67,14 @@
  * released.
  */
 const MAX_QUARANTINED = 200;
+/** Weight of the end of a runner that had a stream without a head, and no other request that was not answered since. */
+const ONLY_REQUEST_WEIGHT = 1;
+/** Time over which such ends have to be known, in ms: runners that end together hit whatever ran there. */
+const MIN_UNSTARTED_SPAN_MS = 1_000;
+/** How long such an end waits for the answers of the other requests, in ms. */
+const UNSTARTED_RETENTION_MS = 60_000;
+/** Maximum number of such ends that wait. */
+const MAX_UNSTARTED = 512;
 /** Maximum number of retracted crashes that are remembered; the oldest are forgotten first. */
 const MAX_RETRACTED = 1_000;
 
@@ -80,8 +91,13 @@
   private readonly listeners: Listener[] = [];
   /** When the crash of a runner start was retracted, the oldest first: reports of it are under way for a while. */
   private readonly retracted = new Map<number, number>();
+  private readonly occupants: RunnerOccupants;
+  /** Ends of runners with streams without a head of which it is not known yet whether another request was there. */
+  private unstarted: UnstartedEnd[] = [];
 
-  constructor(private readonly options: Options) {}
+  constructor(private readonly options: Options) {
+    this.occupants = new RunnerOccupants(options);
+  }
 
   /** Registers a listener for requests that are quarantined or released from now on. */
   onChange(listener: Listener): void {
@@ -108,6 +124,28 @@
     return this.suspects.get(fingerprint)?.weight ?? 0;
   }
 
+  /** Whether a runner ended while it had a request that has not been answered since. */
+  isSuspect(fingerprint: string): boolean {
+    if (this.weightOf(fingerprint) > 0) return true;
+    return this.unstarted.some(end => end.fingerprint === fingerprint);
+  }
+
+  /** Records a request that a runner had when its connection broke or it ended, whether or not that speaks against it. */
+  recordPresence(fingerprint: string, start: number): void {
+    this.addOccupants(start, {unanswered: [fingerprint], answered: []});
+  }
+
+  /** Records that a runner ended while it had a stream without a head: it counts if no other request was there. */
+  recordUnstartedEnd(fingerprint: string, start: number): void {
+    this.recordPresence(fingerprint, start);
+    const isKnown = this.unstarted.some(
+      end => end.start === start && end.fingerprint === fingerprint,
+    );
+    if (isKnown || this.unstarted.length >= MAX_UNSTARTED) return;
+    const notedAt = this.options.clock.now();
+    this.unstarted.push({fingerprint, start, notedAt});
+  }
+
   /** Records runners that crashed while they had a request. */
   recordCrashes(fingerprint: string, crashes: readonly RunnerCrash[]): void {
     this.addCrashes(fingerprint, crashes);
@@ -128,6 +166,7 @@
 
   /** Records that a request was answered successfully. */
   recordAnswer(fingerprint: string): void {
+    this.occupants.recordAnswer(fingerprint);
     const suspect = this.suspects.get(fingerprint);
     if (!suspect || suspect.crashes.length === 0) return;
     this.answered.set(fingerprint, this.options.clock.now());
@@ -149,11 +188,14 @@
     return {
       ends: Object.fromEntries(ends),
       answered: [...this.answered.keys()],
+      present: this.occupants.createDigest(),
     };
   }
 
   /** Merges a digest from other hosts. */
-  mergeDigest({ends, answered}: QuarantineDigest): void {
+  mergeDigest({ends, answered, present = {}}: QuarantineDigest): void {
+    for (const [start, requests] of Object.entries(present))
+      this.addOccupants(Number(start), requests);
     for (const fingerprint of answered) {
       const hasCrashes = this.suspects.get(fingerprint)?.crashes.length;
       if (hasCrashes) this.release(fingerprint, ReleaseReason.ANSWERED);
@@ -162,6 +204,7 @@
       this.addCrashes(fingerprint, crashes);
     this.quarantineCertain(Object.keys(ends));
     this.quarantineRecurrent(Object.keys(ends));
+    this.countUnstarted();
   }
 
   /** Releases a request and discounts the crashes recorded for it so far. */
@@ -179,27 +222,70 @@
     this.retracted.set(start, this.options.clock.now());
     if (this.retracted.size > MAX_RETRACTED)
       this.retracted.delete([...this.retracted.keys()][0]);
-    for (const suspect of this.suspects.values()) {
-      if (!suspect.wasPresentAt(start)) continue;
-      suspect.discountCrash(start);
-      if (suspect.quarantinedAt === undefined) continue;
-      if (reachesThreshold(suspect.weight)) continue;
-      suspect.quarantinedAt = undefined;
-      for (const {onReleased} of this.listeners)
-        onReleased(suspect.fingerprint, ReleaseReason.RETRACTED);
-    }
+    this.unstarted = this.unstarted.filter(end => end.start !== start);
+    for (const suspect of this.suspects.values())
+      if (suspect.wasPresentAt(start))
+        this.discountCrash(suspect, start, ReleaseReason.RETRACTED);
   }
 
   /** Applies the rules that depend on time; to be called about once a second. */
   review(): void {
     this.expire();
+    this.countUnstarted();
     this.quarantineRecurrent([...this.suspects.keys()]);
     this.quarantineUncertain();
   }
 
+  /** Takes back one crash of a request, and releases it if the others don't suffice. */
+  private discountCrash(
+    suspect: SuspectRequest,
+    start: number,
+    reason: ReleaseReason,
+  ): void {
+    suspect.discountCrash(start);
+    if (suspect.quarantinedAt === undefined) return;
+    if (reachesThreshold(suspect.weight)) return;
+    suspect.quarantinedAt = undefined;
+    for (const {onReleased} of this.listeners)
+      onReleased(suspect.fingerprint, reason);
+  }
+
+  /** Adds requests that a runner had, and takes back what counted because they were not known. */
+  private addOccupants(start: number, requests: PresentRequests): void {
+    if (!this.occupants.add(start, requests)) return;
+    for (const suspect of this.suspects.values()) {
+      if (!suspect.hasUnstartedCrash(start)) continue;
+      if (this.occupants.isOnlyUnanswered(start, suspect.fingerprint)) continue;
+      this.discountCrash(suspect, start, ReleaseReason.SHARED);
+    }
+  }
+
+  /** Counts ends of streams without a head once all hosts have told who was there, and all others were answered. */
+  private countUnstarted(): void {
+    if (this.unstarted.length === 0) return;
+    const now = this.options.clock.now();
+    const due = this.unstarted.filter(
+      ({start, fingerprint, notedAt}) =>
+        now - notedAt >= PROPAGATION_MS &&
+        this.occupants.isOnlyUnanswered(start, fingerprint),
+    );
+    this.unstarted = this.unstarted.filter(
+      end =>
+        !due.includes(end) &&
+        !this.occupants.isAnswered(end.start, end.fingerprint) &&
+        now - end.notedAt < UNSTARTED_RETENTION_MS,
+    );
+    for (const {fingerprint, start} of due)
+      this.addCrashes(fingerprint, [
+        {start, weight: ONLY_REQUEST_WEIGHT, isUnstarted: true},
+      ]);
+    this.quarantineCertain(due.map(({fingerprint}) => fingerprint));
+  }
+
   /** Releases requests whose quarantine is over and forgets crashes past their retention. */
   private expire(): void {
     const now = this.options.clock.now();
+    this.occupants.expire();
     for (const suspect of [...this.suspects.values()]) {
       const {quarantinedAt, fingerprint} = suspect;
       if (quarantinedAt !== undefined && now - quarantinedAt >= QUARANTINE_MS)
@@ -318,6 +404,11 @@
         ({quarantinedAt, weight}) =>
           quarantinedAt === undefined && reachesThreshold(weight),
       )
+      .filter(
+        suspect =>
+          reachesThreshold(suspect.startedWeight) ||
+          suspect.spanMs >= MIN_UNSTARTED_SPAN_MS,
+      )
       .sort((a, b) => b.weight - a.weight);
     for (const suspect of heaviestFirst) {
       const explained = this.explainedCrashes();
@@ -369,7 +460,11 @@
 }
 
 function toRunnerCrashes({crashes}: SuspectRequest): RunnerCrash[] {
-  return crashes.map(({start, weight}) => ({start, weight}));
+  return crashes.map(({start, weight, isUnstarted}) => ({
+    start,
+    weight,
+    isUnstarted,
+  }));
 }
 
 function reachesThreshold(weight: number): boolean {
--- a/packages/decisions/src/calls/release_reason.ts
+++ b/packages/decisions/src/calls/release_reason.ts
@@ -4,6 +4,7 @@
   EXPIRED: 'time is over',
   REMOVED: 'removed from the store',
   RETRACTED: 'runners are back',
+  SHARED: 'another request was there',
   OVER_CAPACITY: 'too many are held back',
 } as const;
 type ReleaseReason = (typeof ReleaseReason)[keyof typeof ReleaseReason];
--- a/packages/decisions/src/calls/runner_crash.ts
+++ b/packages/decisions/src/calls/runner_crash.ts
@@ -4,4 +4,6 @@
   readonly start: number;
   /** Strength of the evidence against the request, 0 to 1; see `weighRunnerCrash`. */
   readonly weight: number;
+  /** Whether it is of a stream without a head, and counts because no other request was there; false if absent. */
+  readonly isUnstarted?: boolean;
 }
--- a/packages/decisions/src/calls/suspect_request.ts
+++ b/packages/decisions/src/calls/suspect_request.ts
@@ -35,6 +35,18 @@
     return this.weightExcluding(new Set());
   }
 
+  /** Total weight of its crashes without those of streams that had no head. */
+  get startedWeight(): number {
+    return this.crashes
+      .filter(({isUnstarted}) => !isUnstarted)
+      .reduce((sum, {weight}) => sum + weight, 0);
+  }
+
+  /** Whether a crash of this runner start counts because no other request was known there. */
+  hasUnstartedCrash(start: number): boolean {
+    return this.wasPresentAt(start) && !!this.recorded.get(start)?.isUnstarted;
+  }
+
   /** Whether the request was present at the crash of this runner start, and the crash counts. */
   wasPresentAt(start: number): boolean {
     return this.recorded.has(start) && !this.discounted.has(start);
@@ -53,6 +65,12 @@
       .length;
   }
 
+  /** Time between the first and the last of its crashes, in ms; 0 without any. */
+  get spanMs(): number {
+    const times = this.crashes.map(({notedAt}) => notedAt);
+    return times.length === 0 ? 0 : Math.max(...times) - Math.min(...times);
+  }
+
   /** Whether the request was present at every crash of another one. */
   coversCrashesOf(other: SuspectRequest): boolean {
     const starts = new Set(this.crashes.map(({start}) => start));
@@ -60,10 +78,11 @@
   }
 
   /** Adds a crash; of two reports of the same crash the heavier one counts. */
-  addCrash({start, weight}: RunnerCrash, now: number): void {
+  addCrash({start, weight, isUnstarted}: RunnerCrash, now: number): void {
     const known = this.recorded.get(start);
     if (known && known.weight >= weight) return;
-    this.recorded.set(start, {start, weight, notedAt: known?.notedAt ?? now});
+    const notedAt = known?.notedAt ?? now;
+    this.recorded.set(start, {start, weight, notedAt, isUnstarted});
     this.changedAt = now;
     if (this.recorded.size > MAX_CRASHES)
       this.forget([...this.recorded.keys()][0]);
--- a/packages/gateway/src/calls/attempt_router.ts
+++ b/packages/gateway/src/calls/attempt_router.ts
@@ -184,8 +184,7 @@
     {call, triedRunners}: CallProgress,
     runners: readonly Runner[],
   ): readonly Runner[] {
-    if (this.options.quarantine.weightOf(call.fingerprint) === 0)
-      return runners;
+    if (!this.options.quarantine.isSuspect(call.fingerprint)) return runners;
     const idle = runners.filter(
       ({entry, totalRunning, health}) =>
         totalRunning === 0 && !health.isEjected && !triedRunners.has(entry.id),
--- a/packages/gateway/src/calls/crash_attribution.ts
+++ b/packages/gateway/src/calls/crash_attribution.ts
@@ -12,6 +12,7 @@
 import {CONNECTION_REFUSED} from '../runners/connection_refused.js';
 import {getIncarnationId} from '../runners/get_incarnation_id.js';
 import {RunnerEndEvidence} from '../runners/runner_end_evidence.js';
+import {isEndBySuccessor} from '../runners/is_end_by_successor.js';
 import {AbortReason} from './abort_reason.js';
 import type {Attempt} from './attempt.js';
 import {OutcomeKind} from './outcome_kind.js';
@@ -36,6 +37,8 @@
 
 /** Time from the head of a response within which a part of its prompt may have crashed the runner, in ms. */
 const JUST_BEGUN_MS = 500;
+/** Time that the end of an unstarted stream's runner may wait for other traffic, in ms: long enough for a runner's successor to be there, so that a probe in between finds one. */
+const UNSTARTED_DELAY_MS = 500;
 /** Most parts of a prompt in a log line. */
 const MAX_LOGGED_PARTS = 8;
 
@@ -81,11 +84,14 @@
   ): void {
     if (outcome.kind === OutcomeKind.ANSWERED) {
       this.recordAnswer(call);
+    } else if (outcome.isTruncated && isUnstarted(call, attempt)) {
+      this.noteUnstarted(call, runner, attempt);
     } else if (outcome.isTruncated) {
       const {hasHead, sinceHeadMs, firstOutputAt, isAlone} = attempt;
       const evidence = {
         knownBy: RunnerEndEvidence.BROKEN,
         knownAfterMs: 0,
+        wasListening: false,
         hasHead,
         hasBodyBytes: firstOutputAt !== undefined,
         sinceHeadMs,
@@ -95,7 +101,9 @@
     } else if (outcome.reason === CONNECTION_REFUSED) {
       this.options.silentRunners.noteRefused(runner);
     } else if (attempt.isAdmitted && attempt.wasEndedByHost) {
-      this.keepUnsettled(call, runner, attempt, outcome);
+      // The runner may have ended before this host ended the run, without a sign.
+      if (outcome.reason !== AbortReason.HOST_SHUTDOWN)
+        this.keepUnsettled(call, runner, attempt);
     }
   }
 
@@ -111,14 +119,23 @@
     if (hasUnsettledRuns) silentRunners.recordAnswer(fingerprint, parts);
   }
 
-  /** Keeps a run that this host ended: its runner may have ended before, without a sign. */
+  /** A stream without a head may only have waited: it counts if its runner has ended, and not only the connection. */
+  private noteUnstarted(
+    call: IncomingCall,
+    runner: Runner,
+    attempt: Attempt,
+  ): void {
+    const {fingerprint} = call;
+    this.options.quarantine.recordPresence(fingerprint, startOf(runner));
+    this.keepUnsettled(call, runner, attempt);
+  }
+
+  /** Keeps a run until it is known whether its runner has ended. */
   private keepUnsettled(
     call: IncomingCall,
     runner: Runner,
     attempt: Attempt,
-    {reason}: AttemptOutcome,
   ): void {
-    if (reason === AbortReason.HOST_SHUTDOWN) return;
     if (attempt.wasUnread || this.answeredCalls.has(call)) return;
     if (this.settledAttempts.has(attempt)) return;
     const {id, fingerprint, route} = call;
@@ -132,6 +149,7 @@
       sentAt: requestSentAt,
       lastSignAt,
       endedAt: this.options.clock.now(),
+      isBroken: !attempt.wasEndedByHost,
       onRunnerEnded: (end, parts) =>
         this.recordEvidence(
           attributed,
@@ -165,7 +183,11 @@
     evidence: CrashEvidence,
     parts: readonly string[],
   ): void {
-    this.recordCrash(call, runner, evidence);
+    const {fingerprint} = call;
+    this.options.quarantine.recordPresence(fingerprint, startOf(runner));
+    if (isUnstarted(call, evidence))
+      this.recordUnstartedEnd(call, runner, evidence);
+    else this.recordCrash(call, runner, evidence);
     this.recordPartCrash(call, runner, evidence, parts);
   }
 
@@ -181,8 +203,7 @@
     if (isStreamed(route.kind) && !hasHead) return;
     if (sinceHeadMs >= JUST_BEGUN_MS) return;
     reachability.whenConfirmed(runner, () => {
-      const incarnationId = getIncarnationId(runner.entry);
-      partQuarantine.recordCrash(parts, hashToUint32(incarnationId));
+      partQuarantine.recordCrash(parts, startOf(runner));
       log.write('part_end_counted', {
         request,
         runner: runner.entry.id,
@@ -197,6 +218,31 @@
     });
   }
 
+  /** Counts the end of a runner against a stream without a head, unless this host's links were lost or the runner outlived the run. */
+  private recordUnstartedEnd(
+    {fingerprint, id: request}: AttributedCall,
+    runner: Runner,
+    {knownBy, knownAfterMs, wasListening}: CrashEvidence,
+  ): void {
+    const {clock, log, quarantine, reachability} = this.options;
+    if (wasListening) return;
+    const signAt = clock.now() - knownAfterMs;
+    const apply = () => {
+      if (!isEndBySuccessor(knownBy) && reachability.wasCutOffSince(signAt))
+        return;
+      quarantine.recordUnstartedEnd(fingerprint, startOf(runner));
+      log.write('unstarted_end_noted', {
+        request,
+        fingerprint,
+        runner: runner.entry.id,
+        knownBy,
+        knownAfterMs: Math.round(knownAfterMs),
+      });
+    };
+    const probeAfterMs = UNSTARTED_DELAY_MS;
+    reachability.whenConfirmed(runner, apply, {probeAfterMs});
+  }
+
   private recordCrash(
     {fingerprint, id: request, route}: AttributedCall,
     runner: Runner,
@@ -210,10 +256,7 @@
     });
     if (weight === 0) return;
     reachability.whenConfirmed(runner, () => {
-      const incarnationId = getIncarnationId(runner.entry);
-      quarantine.recordCrashes(fingerprint, [
-        {start: hashToUint32(incarnationId), weight},
-      ]);
+      quarantine.recordCrashes(fingerprint, [{start: startOf(runner), weight}]);
       log.write('runner_end_counted', {
         request,
         fingerprint,
@@ -234,6 +277,19 @@
   return fingerprintPromptParts(prompt, workspace);
 }
 
+/** Identifies the start of a runner in what hosts tell each other. */
+function startOf({entry}: Runner): number {
+  return hashToUint32(getIncarnationId(entry));
+}
+
+/** Whether a run is of a stream whose head has not arrived. */
+function isUnstarted(
+  {route}: Pick<IncomingCall, 'route'>,
+  {hasHead}: Pick<Attempt, 'hasHead'>,
+): boolean {
+  return isStreamed(route.kind) && !hasHead;
+}
+
 function toSilentEvidence(attempt: Attempt) {
   return {
     hasHead: attempt.hasHead,
@@ -251,6 +307,7 @@
   return {
     knownBy: evidence,
     knownAfterMs,
+    wasListening,
     isAlone: wasAlone && !wasListening,
   };
 }
--- a/packages/gateway/src/calls/crash_evidence.ts
+++ b/packages/gateway/src/calls/crash_evidence.ts
@@ -5,6 +5,8 @@
   readonly knownBy: RunnerEndEvidence;
   /** Time from the last sign of the runner until its end was known, in ms. */
   readonly knownAfterMs: number;
+  /** Whether the runner may have lived on after the last sign of it. */
+  readonly wasListening: boolean;
   readonly hasHead: boolean;
   readonly hasBodyBytes: boolean;
   readonly sinceHeadMs: number;
--- a/packages/gateway/src/calls/silent_runner_monitor.ts
+++ b/packages/gateway/src/calls/silent_runner_monitor.ts
@@ -5,6 +5,7 @@
 import type {GatewayMetrics} from '../observability/gateway_metrics.js';
 import {getIncarnationId} from '../runners/get_incarnation_id.js';
 import {ListenerState} from '../runners/listener_state.js';
+import {isEndBySuccessor} from '../runners/is_end_by_successor.js';
 import type {Runner} from '../runners/runner.js';
 import {RunnerEndEvidence} from '../runners/runner_end_evidence.js';
 import type {RunnerEnd} from './runner_end.js';
@@ -259,7 +260,7 @@
     const silentMs = this.silentMsOf(watched);
     if (silentMs < MIN_SILENT_MS) return false;
     if (isSuspected || watched.isQuiet) return true;
-    if (watched.removedAt !== undefined) return true;
+    if (watched.removedAt !== undefined || watched.hasBrokenRun) return true;
     const {unheardSince} = watched;
     if (unheardSince === undefined) return false;
     const delayMs = Math.min(MAX_CONNECT_DELAY_MS, runner.toleratedSilenceMs);
@@ -406,11 +407,3 @@
     });
   }
 }
-
-/** Whether the end is known from a later runner, under the id or at the address of the one that ended. */
-function isEndBySuccessor(evidence: RunnerEndEvidence): boolean {
-  return (
-    evidence === RunnerEndEvidence.RESTARTED ||
-    evidence === RunnerEndEvidence.REPLACED
-  );
-}
--- a/packages/gateway/src/calls/unsettled_run.ts
+++ b/packages/gateway/src/calls/unsettled_run.ts
@@ -13,6 +13,8 @@
   readonly lastSignAt: number;
   /** When the run ended. */
   readonly endedAt: number;
+  /** Whether its connection broke, so that the runner is asked at once; false if absent. */
+  readonly isBroken?: boolean;
   /** Called when the runner is known to have ended since, with those parts that were not answered meanwhile. */
   readonly onRunnerEnded: (end: RunnerEnd, parts: readonly string[]) => void;
 }
--- a/packages/gateway/src/calls/watched_runner.ts
+++ b/packages/gateway/src/calls/watched_runner.ts
@@ -69,6 +69,13 @@
     return signs.length === 0 ? undefined : Math.min(...signs);
   }
 
+  /** Whether a connection broke under one of these runs, and nothing was heard of the runner since. */
+  get hasBrokenRun(): boolean {
+    return this.ended.some(
+      ({run}) => run.isBroken === true && run.lastSignAt >= this.heardAt,
+    );
+  }
+
   /** Whether the runner ends as planned, so that its end says nothing of its runs. */
   get isLeaving(): boolean {
     const {entry, availability} = this.runner;
--- a/packages/gateway/src/observability/event_fields.ts
+++ b/packages/gateway/src/observability/event_fields.ts
@@ -239,6 +239,14 @@
     knownBy: string;
     knownAfterMs: number;
   };
+  /** A runner ended that had a stream without a head: it counts if no other request was there that was not answered since. */
+  unstarted_end_noted: {
+    request: string;
+    fingerprint: string;
+    runner: string;
+    knownBy: string;
+    knownAfterMs: number;
+  };
   /** A run ended while nothing was heard of its runner: whether that counts depends on what is learned of the runner. */
   run_unsettled: {request: string; runner: string; silentMs: number};
   /** What was learned of the runner of such a run, see RunSettlement; `ageMs` is the time since the last sign of it. */
--- a/packages/gateway/src/quarantine/merge_quarantine_digests.ts
+++ b/packages/gateway/src/quarantine/merge_quarantine_digests.ts
@@ -1,10 +1,16 @@
-import type {QuarantineDigest, RunnerCrash} from '@bayspool/decisions/calls';
+import type {
+  PresentRequests,
+  QuarantineDigest,
+  RunnerCrash,
+} from '@bayspool/decisions/calls';
 
 /**
  * Most requests in a merged digest: 30 KB with three crashes each, as part of what one host of a place answers
  * another.
  */
 const MAX_FINGERPRINTS = 256;
+/** Most runners that ended in a merged digest. */
+const MAX_RUNNERS = 128;
 
 /**
  * Merges the quarantine digests of several hosts. The crashes of a request are a set, so each of them counts once,
@@ -25,6 +31,36 @@
       [...ends].map(([fingerprint, list]) => [fingerprint, [...list.values()]]),
     ),
     answered: [...answered].slice(0, MAX_FINGERPRINTS),
+    present: mergePresence(digests),
+  };
+}
+
+/** A request counts as answered if any host knows that. */
+function mergePresence(
+  digests: readonly QuarantineDigest[],
+): Record<string, PresentRequests> {
+  const merged = new Map<string, Map<string, boolean>>();
+  for (const {present = {}} of digests)
+    for (const [start, {unanswered, answered}] of Object.entries(present)) {
+      if (!merged.has(start) && merged.size >= MAX_RUNNERS) continue;
+      const requests = merged.get(start) ?? new Map<string, boolean>();
+      merged.set(start, requests);
+      for (const fingerprint of unanswered)
+        if (!requests.has(fingerprint)) requests.set(fingerprint, false);
+      for (const fingerprint of answered) requests.set(fingerprint, true);
+    }
+  return Object.fromEntries(
+    [...merged].map(([start, requests]) => [start, splitAnswered(requests)]),
+  );
+}
+
+function splitAnswered(
+  requests: ReadonlyMap<string, boolean>,
+): PresentRequests {
+  const all = [...requests.keys()];
+  return {
+    unanswered: all.filter(fingerprint => !requests.get(fingerprint)),
+    answered: all.filter(fingerprint => requests.get(fingerprint)),
   };
 }
 
--- a/packages/gateway/src/runners/runner_reachability.ts
+++ b/packages/gateway/src/runners/runner_reachability.ts
@@ -16,6 +16,11 @@
   readonly probe: (runner: Runner) => Promise<boolean>;
 }
 
+interface ConfirmationOptions {
+  /** Time that the evidence may wait for other traffic, in ms, before a probe is sent. */
+  readonly probeAfterMs?: number;
+}
+
 /** A runner's end that says something of a request only if this host's own links work. */
 interface PendingEvidence {
   readonly runnerId: string;
@@ -59,6 +64,8 @@
   /** When this host was last asked whether it can serve others' calls. */
   private lastConfirmAt = -Infinity;
   private cutOffAt = 0;
+  /** When the host was last found to be connected again. */
+  private returnedAt = -Infinity;
   private pending: PendingEvidence[] = [];
   private isStopped = false;
   /** Number of probes since the last suspicion. */
@@ -105,6 +112,11 @@
     return this.options.clock.now() - this.cutOffAt;
   }
 
+  /** Whether no runner was reached at any time since a moment of this host's clock. */
+  wasCutOffSince(time: number): boolean {
+    return this.state === State.CUT_OFF || this.returnedAt >= time;
+  }
+
   /** Records that bytes arrived from a runner. */
   recordHeard(runnerId: string): void {
     this.lastHeardAt = this.options.clock.now();
@@ -121,10 +133,14 @@
   }
 
   /** Applies evidence from the end of a runner's connection once another runner is heard of. */
-  whenConfirmed(runner: Runner, apply: () => void): void {
+  whenConfirmed(
+    runner: Runner,
+    apply: () => void,
+    {probeAfterMs = EVIDENCE_DELAY_MS}: ConfirmationOptions = {},
+  ): void {
     const item = {runnerId: runner.id, apply};
     this.pending.push(item);
-    this.options.clock.after(EVIDENCE_DELAY_MS, () => {
+    this.options.clock.after(probeAfterMs, () => {
       if (this.pending.includes(item)) void this.verify();
     });
   }
@@ -264,6 +280,7 @@
       probed: this.probeCount,
     });
     this.state = State.REACHABLE;
+    this.returnedAt = this.options.clock.now();
     this.forgetFailures();
   }
 
--- a/packages/gateway/src/testing/crashing_runners.ts
+++ b/packages/gateway/src/testing/crashing_runners.ts
@@ -14,6 +14,8 @@
   readonly fatalBody: string;
   /** Whether responses are streams, whose headers show that the request has started to run. */
   readonly isStreamed: boolean;
+  /** Whether a runner crashes before the head of a fatal stream. */
+  readonly crashesBeforeHead?: boolean;
   /** Whether a fatal stream sends an event before the crash, beside its head. */
   readonly sendsEvent?: boolean;
   /** Whether sound responses have neither a length nor chunks, and end with their connection. */
@@ -39,6 +41,10 @@
   readonly crashBodies: string[] = [];
   /** Bodies of all requests received, by current and former runners. */
   readonly receivedBodies: string[] = [];
+  /** When these were received, on the clock of `performance`. */
+  private readonly receivedTimes: number[] = [];
+  /** When the crashes were, in order, on the clock of `performance`. */
+  private readonly crashTimes: number[] = [];
   /** Bodies of requests that runners do not answer until they crash. */
   readonly unansweredBodies = new Set<string>();
   private readonly running = new Set<ScriptedRunner>();
@@ -51,6 +57,17 @@
     for (let i = 0; i < this.options.count; i++) await this.add();
   }
 
+  /** Number of requests with this body that were received later than some time after the third crash under it. */
+  countLate(body: string, graceMs: number): number {
+    const crashes = this.crashTimes.filter(
+      (_, i) => this.crashBodies[i] === body,
+    );
+    const thirdAt = crashes[2] ?? Infinity;
+    return this.receivedTimes.filter(
+      (at, i) => this.receivedBodies[i] === body && at > thirdAt + graceMs,
+    ).length;
+  }
+
   private async add(): Promise<void> {
     const {fixture, service} = this.options;
     const id = `runner-${++this.started}`;
@@ -69,10 +86,12 @@
     response: ServerResponse,
   ): void {
     const {fatalBody, isStreamed, sendsEvent, closesConnections} = this.options;
+    const sendsHead = isStreamed && !this.options.crashesBeforeHead;
     this.receivedBodies.push(body);
+    this.receivedTimes.push(performance.now());
     const head = {[names.requestId]: id, [names.signature]: runner.entry.id};
     if (body.startsWith(fatalBody)) {
-      if (isStreamed) response.writeHead(200, head).flushHeaders();
+      if (sendsHead) response.writeHead(200, head).flushHeaders();
       if (sendsEvent) response.write(STREAMED_BODY);
       setTimeout(() => void this.crash(runner, body), CRASH_DELAY_MS);
       return;
@@ -88,6 +107,7 @@
     if (!this.running.delete(runner)) return;
     this.crashCount += 1;
     this.crashBodies.push(body);
+    this.crashTimes.push(performance.now());
     const {id} = runner.entry;
     if (this.options.isSilent) runner.endSilently();
     else runner.stop();
