Tests of waiting streams hear of other runners, and of runners that ended together

The test of streams that wait beside other hosts' fatal requests passed without what hosts tell each other: with no other runner, hosts took themselves for cut off and noted no end. Both hosts call another service beside it now, and the test asks that both note each end.

--- a/packages/gateway/src/calls/unstarted_streams.test.ts
+++ b/packages/gateway/src/calls/unstarted_streams.test.ts
@@ -25,6 +25,7 @@
 const REPEATS = 36;
 const REPEAT_INTERVAL_MS = 250;
 const RESTART_MS = 500;
+const NOTICE_DELAY_MS = 3_600;
 const OK = 200;
 const UNAVAILABLE = 503;
 const QUARANTINED = 'request_quarantined';
@@ -152,9 +153,18 @@
     ['one', 'two', 'three', 'four', 'five', 'six'],
   ])
     void test(`a stream that only waits at runners which other hosts' requests end is served: ${kind}, ${names.length} requests`, async () => {
-      configure(kind, 1);
+      const asideRoute = {name: 'aside', pathPrefix: '/y/'};
+      const targets = [{service: 'llm', weight: 1}];
+      const route = {kind, attempts: 1, timeLimitMs: TIME_LIMIT_MS, targets};
+      fixture.configure([route, asideRoute]);
+      await fixture.addRunner(new ScriptedRunner({id: 'aside'}));
       const runners = await startCrashing({count: 1});
       await startHosts(2);
+      // A host that hears of no runner at all can't tell that one has ended.
+      const others = setInterval(() => {
+        for (const host of [0, 1])
+          void fixture.call({path: '/y/1', host}).catch(() => undefined);
+      }, 100);
       runners.unansweredBodies.add(INNOCENT);
       const fatals = Array.from({length: 6}, (_, i) => names[i % names.length]);
       for (const name of fatals) {
@@ -170,9 +180,13 @@
           const seen = fixture.events('runner_seen');
           return seen.filter(e => e.runner === id).length === 2;
         });
+        await sleep(REPEAT_INTERVAL_MS);
       }
       // Until what hosts tell each other of the ends has been evaluated.
       await sleep(2_500);
+      clearInterval(others);
+      const noted = fixture.events('unstarted_end_noted');
+      assert.equal(noted.length, 2 * fatals.length, 'of both hosts');
       runners.unansweredBodies.clear();
       for (const host of [0, 1])
         assert.equal((await send(INNOCENT, host))?.status, OK);
@@ -258,6 +272,48 @@
     assert.equal((await send(INNOCENT, host))?.status, OK);
 });
 
+for (const isSilent of [true, false])
+  void test(`streams that reach runners which ended together before, and come again, are not held back: connections ${isSilent ? 'fall silent' : 'are reset'}`, async t => {
+    configure(CallKind.RESUMABLE);
+    const runners = await startRunners(12, () => undefined);
+    await startHosts();
+    // Each host has connections to most runners.
+    for (let round = 0; round < 3; round++)
+      await Promise.all(
+        Array.from({length: 120}, (_, i) => send(POPULAR, i % HOSTS)),
+      );
+    const connected = runners.slice(0, 10).map(({connections}) => connections);
+    for (const runner of runners.slice(0, 10))
+      if (isSilent) runner.endSilently();
+      else runner.stop();
+    for (let i = 1; i <= 10; i++)
+      setTimeout(
+        () => fixture.store.put(Topic.RUNNERS, `runner-${i}`),
+        NOTICE_DELAY_MS,
+      );
+    const all: Array<Promise<number>> = [];
+    const sendUntilServed = async (body: string, first: number) => {
+      for (let i = 0; i < 30; i++) {
+        const result = await send(body, (first + i) % HOSTS);
+        if (result?.status === OK) return i;
+        await sleep(200);
+      }
+      return Infinity;
+    };
+    for (let i = 0; i < 30; i++) {
+      all.push(sendUntilServed(`request ${i}`, i));
+      await sleep(30);
+    }
+    const repeats = await Promise.all(all);
+    await sleep(2_500);
+    const ends = fixture.events('unstarted_end_noted').length;
+    t.diagnostic(
+      `repeats ${repeats.join()}, ${ends} ends noted, ${connected.join()} connections`,
+    );
+    assert.deepEqual(listQuarantined(), []);
+    assert.ok(Math.max(...repeats) < Infinity);
+  });
+
 for (const fault of [LinkFault.RESET, LinkFault.SILENT])
   void test(`a popular stream is held back by no host because one host loses its links to all runners: ${fault}`, async () => {
     fixture = new GatewayFixture({hasFaultyLinks: true});
