A stream is not held back for ends that its host noted while it lost its links: test

The host that alone has the stream loses its links eight times, and serves nothing elsewhere meanwhile. The split of answered requests stands once.

--- a/packages/decisions/src/calls/index.ts
+++ b/packages/decisions/src/calls/index.ts
@@ -46,6 +46,7 @@
 export type {PartQuarantineDigest} from './part_quarantine_digest.js';
 export {Quarantine} from './quarantine.js';
 export type {PresentRequests} from './present_requests.js';
+export {toPresentRequests} from './to_present_requests.js';
 export {ReleaseReason} from './release_reason.js';
 export type {QuarantineDigest} from './quarantine_digest.js';
 export {rankByHash} from './rank_by_hash.js';
--- a/packages/decisions/src/calls/runner_occupants.ts
+++ b/packages/decisions/src/calls/runner_occupants.ts
@@ -1,5 +1,6 @@
 import type {Clock} from '@bayspool/kernel';
 import type {PresentRequests} from './present_requests.js';
+import {toPresentRequests} from './to_present_requests.js';
 
 interface Options {
   readonly clock: Clock;
@@ -64,7 +65,7 @@
   isOnlyUnanswered(start: number, fingerprint: string): boolean {
     const runner = this.runners.get(start);
     if (!runner || runner.requests.size > MAX_REQUESTS) return false;
-    const {unanswered} = toPresentRequests(runner);
+    const {unanswered} = toPresentRequests(runner.requests);
     return unanswered.length === 1 && unanswered[0] === fingerprint;
   }
 
@@ -82,7 +83,7 @@
     return Object.fromEntries(
       recent
         .slice(-MAX_DIGEST_RUNNERS)
-        .map(([start, runner]) => [start, toPresentRequests(runner)]),
+        .map(([start, runner]) => [start, toPresentRequests(runner.requests)]),
     );
   }
 
@@ -102,11 +103,3 @@
       this.runners.delete([...this.runners.keys()][0]);
   }
 }
-
-function toPresentRequests({requests}: EndedRunner): PresentRequests {
-  const all = [...requests.keys()];
-  return {
-    unanswered: all.filter(fingerprint => !requests.get(fingerprint)),
-    answered: all.filter(fingerprint => requests.get(fingerprint)),
-  };
-}
--- a/packages/gateway/src/calls/unstarted_streams.test.ts
+++ b/packages/gateway/src/calls/unstarted_streams.test.ts
@@ -349,3 +349,45 @@
     assert.deepEqual(failed, []);
     assert.deepEqual(listQuarantined(), []);
   });
+
+void test('a stream is not held back because the only host that has it loses its links again and again', async () => {
+  fixture = new GatewayFixture({hasFaultyLinks: true});
+  configure(CallKind.STREAM);
+  let isAnswered = false;
+  for (let i = 1; i <= 4; i++)
+    await fixture.addRunner(
+      new ScriptedRunner({
+        id: `runner-${i}`,
+        service: 'llm',
+        bornAt: Date.now(),
+        script: ({id, body}, response) => {
+          if (body === INNOCENT && !isAnswered) return;
+          writeStreamHead(id, response);
+          response.end(EVENT);
+        },
+      }),
+    );
+  await startHosts();
+  const [{dialer}] = fixture.hosts;
+  for (let i = 0; i < 8; i++) {
+    const waiting = send(INNOCENT);
+    await sleep(100);
+    dialer.setFault(LinkFault.RESET);
+    await waiting;
+    await sleep(800);
+    dialer.setFault(LinkFault.NONE);
+    // A call that another host serves meanwhile would drop the evidence as well.
+    await fixture.waitFor(() => {
+      const lost = fixture.events('runners_unreachable').length;
+      return fixture.events('runners_reachable').length === lost;
+    });
+    assert.equal((await send(POPULAR))?.status, OK);
+    await sleep(REPEAT_INTERVAL_MS);
+  }
+  await sleep(1_500);
+  assert.ok(fixture.events('runners_unreachable').length >= 3);
+  assert.deepEqual(listQuarantined(), []);
+  isAnswered = true;
+  for (let host = 0; host < HOSTS; host++)
+    assert.equal((await send(INNOCENT, host))?.status, OK);
+});
--- a/packages/gateway/src/quarantine/merge_quarantine_digests.ts
+++ b/packages/gateway/src/quarantine/merge_quarantine_digests.ts
@@ -1,3 +1,4 @@
+import {toPresentRequests} from '@bayspool/decisions/calls';
 import type {
   PresentRequests,
   QuarantineDigest,
@@ -50,20 +51,13 @@
       for (const fingerprint of answered) requests.set(fingerprint, true);
     }
   return Object.fromEntries(
-    [...merged].map(([start, requests]) => [start, splitAnswered(requests)]),
+    [...merged].map(([start, requests]) => [
+      start,
+      toPresentRequests(requests),
+    ]),
   );
 }
 
-function splitAnswered(
-  requests: ReadonlyMap<string, boolean>,
-): PresentRequests {
-  const all = [...requests.keys()];
-  return {
-    unanswered: all.filter(fingerprint => !requests.get(fingerprint)),
-    answered: all.filter(fingerprint => requests.get(fingerprint)),
-  };
-}
-
 function mergeCrashes(
   ends: Map<string, Map<number, RunnerCrash>>,
   fingerprint: string,
