A stopping host lets calls that were all alike take half as long again

What callers saw: streams of a route whose calls had all taken 1.5 s were begun by a stopping host just in time, and cut, as the runners had become slower.

Cause: the estimate is two standard deviations above the mean, and the deviation of calls that are all alike goes to 0, so that no time is left for anything.

Evidence: the test failed before.

Why it works: a deviation is assumed at least that makes the estimate 1.5 times the mean. Routes whose durations differ more are estimated as before.

--- a/packages/decisions/src/capacity/duration_estimator.test.ts
+++ b/packages/decisions/src/capacity/duration_estimator.test.ts
@@ -83,3 +83,10 @@
     estimator.record({route: 'r', durationMs: 100});
   assert.ok(estimator.estimateMs({route: 'r'})! < 200);
 });
+
+void test('calls that have all taken the same time may take half as long again, as runners fill up', () => {
+  const estimator = new DurationEstimator();
+  for (let call = 0; call < CALLS; call++)
+    estimator.record({route: 'r', durationMs: 1_000});
+  assert.ok(estimator.estimateMs({route: 'r'})! >= 1_499);
+});
--- a/packages/decisions/src/capacity/duration_estimator.ts
+++ b/packages/decisions/src/capacity/duration_estimator.ts
@@ -27,6 +27,8 @@
 
 /** Standard deviations above the mean: of durations alike, one in 40 exceeds the estimate. */
 const DEVIATIONS = 2;
+/** Standard deviation that is assumed at least: calls that were all alike may take half as long again as runners fill up. */
+const MIN_DEVIATION = Math.log(1.5) / DEVIATIONS;
 /** Routes that are kept; the configuration has fewer, those beyond are of earlier versions of it. */
 const MAX_ROUTES = 500;
 
@@ -80,6 +82,6 @@
   statistics,
   longest,
 }: Durations): number | undefined {
-  const bound = statistics.estimateUpperBound(DEVIATIONS);
+  const bound = statistics.estimateUpperBound(DEVIATIONS, MIN_DEVIATION);
   return bound && Math.max(bound, longest.value);
 }
--- a/packages/decisions/src/capacity/log_statistics.ts
+++ b/packages/decisions/src/capacity/log_statistics.ts
@@ -26,9 +26,17 @@
         weight * (error * error * (1 - weight) - this.currentVariance);
   }
 
-  /** Value that lies a number of standard deviations above the geometric mean; undefined without samples. */
-  estimateUpperBound(deviations: number): number | undefined {
+  /**
+   * Value that lies a number of standard deviations above the geometric mean; undefined without samples.
+   *
+   * @param minDeviation least standard deviation of the logarithm that is assumed
+   */
+  estimateUpperBound(
+    deviations: number,
+    minDeviation: number,
+  ): number | undefined {
     if (this.samples === 0) return undefined;
-    return Math.exp(this.mean + deviations * Math.sqrt(this.currentVariance));
+    const deviation = Math.max(minDeviation, Math.sqrt(this.currentVariance));
+    return Math.exp(this.mean + deviations * deviation);
   }
 }
