Late in a stop, a call of unknown length is begun only if it has to end in time

What callers saw: a host that was told to stop before any call of a route had ended began streams of 3.6 s with a time limit of 8 s up to 2 s before it aborts open calls, and cut them.

Cause: such a call was taken to need a quarter of its time limit all along. That suits the time in which callers turn elsewhere, not the rest of the stop.

Evidence: the test failed before (a call with 8 s left was begun 4.2 s before the end).

Why it works: from 3 s after the signal on, such a call is begun only if its time limit ends before open calls are aborted. Before, a quarter is taken as it was.

The test of a call of unknown length said that a short limit suffices to the last second. It is replaced by two: one for the first 3 s, with the bound on either side, and one for the time after, which says that the whole limit counts.

--- a/packages/gateway/src/lifecycle/stop_admission.test.ts
+++ b/packages/gateway/src/lifecycle/stop_admission.test.ts
@@ -84,14 +84,22 @@
   assert.equal(find(createCall(ABORT_MS - 1)), undefined);
 });
 
-void test('a call of unknown length is begun if a part of its time limit is left, so that short ones are not all refused', () => {
+void test('a call of unknown length is begun at first if a part of its time limit is left, so that short ones are not all refused', () => {
   const {clock, start, find, createCall} = createScene();
   start();
-  clock.advance(ABORT_MS - 1_000);
-  assert.equal(find(createCall(1_500)), undefined);
+  clock.advance(2_900);
+  assert.equal(find(createCall(16_000)), undefined);
   assert.ok(find(createCall(25_000)));
 });
 
+void test('a call of unknown length is begun late only if it ends in time whatever it takes', () => {
+  const {clock, start, find, createCall} = createScene();
+  start();
+  clock.advance(3_100);
+  assert.ok(find(createCall(8_000)));
+  assert.equal(find(createCall(ABORT_MS - 3_100)), undefined);
+});
+
 void test('a call that waits is refused once, as soon as it would no longer end', () => {
   const {clock, admission, start, learn, createCall} = createScene();
   learn(1_000);
--- a/packages/gateway/src/lifecycle/stop_admission.ts
+++ b/packages/gateway/src/lifecycle/stop_admission.ts
@@ -25,8 +25,10 @@
 
 /** Why a call is refused that the stop would abort. */
 const REASON = 'host is stopping before the response could end';
-/** Part of its time limit that a call is taken to need until one of its route has ended. */
+/** Part of its time limit that a call is taken to need until one of its route has ended, early in a shutdown. */
 const UNKNOWN_NEED_SHARE = 0.25;
+/** Time from the start of a shutdown in which calls of unknown length are begun that may not end, in ms: callers turn elsewhere in it. */
+const UNKNOWN_BEGUN_MS = 3_000;
 /** Maximum of the random time after which a caller should turn to another host, in ms: it spreads their connections. */
 const MAX_RETRY_AFTER_MS = 50;
 
@@ -92,7 +94,14 @@
   private estimateNeedMs(call: CallHead): number {
     const limitMs = call.deadlineAt - this.options.clock.now();
     const expectedMs = this.estimateDurationMs(call);
-    return Math.min(limitMs, expectedMs ?? limitMs * UNKNOWN_NEED_SHARE);
+    return Math.min(limitMs, expectedMs ?? limitMs * this.unknownNeedShare);
+  }
+
+  /** Part of its time limit that a call of a route of which none has ended is taken to need. */
+  private get unknownNeedShare(): number {
+    const {clock, schedule} = this.options;
+    const isEarly = clock.now() - schedule.startAt <= UNKNOWN_BEGUN_MS;
+    return isEarly ? UNKNOWN_NEED_SHARE : 1;
   }
 
   private estimateDurationMs({route, prompt}: CallHead): number | undefined {
