A server of the daemon that stops tells callers that come again to close their connections

Cause: since a connection is closed unannounced only once it is quiet for a second, one on which a peer calls more often was never closed, and the server waited for it for ever: its responses did not announce the close, as those of the gateway do.

--- a/packages/daemon/src/http_server.test.ts
+++ b/packages/daemon/src/http_server.test.ts
@@ -13,6 +13,10 @@
 /** Time from the stop of the server until the caller reads on, in ms. */
 const PAUSE_MS = 300;
 const CONNECTIONS = 10;
+/** Pause between two requests of a caller that comes again and again, in ms. */
+const CALL_PAUSE_MS = 100;
+/** Time within which a server ends whose callers come again, in ms. */
+const END_WITHIN_MS = 3_000;
 const OK_LINE = 'HTTP/1.1 200 OK';
 
 function createServer(listener: RequestListener): HttpServer {
@@ -68,3 +72,22 @@
   );
   await stopped;
 });
+
+void test('a server that stops ends although a caller comes again and again on its connection', async context => {
+  const server = createServer((_request, response) => void response.end('ok'));
+  context.after(() => server.destroy());
+  const address = await server.start();
+  const agent = new Agent({keepAlive: true, maxSockets: 1});
+  context.after(() => agent.destroy());
+  const timer = setInterval(() => {
+    get(`http://${address}/`, {agent}, response => response.resume()).on(
+      'error',
+      () => undefined,
+    );
+  }, CALL_PAUSE_MS);
+  context.after(() => clearInterval(timer));
+  await sleep(PAUSE_MS);
+  const stopped = server.stop().then(() => 'ended');
+  const timeout = sleep(END_WITHIN_MS, 'still open', {ref: false});
+  assert.equal(await Promise.race([stopped, timeout]), 'ended');
+});
--- a/packages/daemon/src/http_server.ts
+++ b/packages/daemon/src/http_server.ts
@@ -35,6 +35,7 @@
   private readonly server: Server;
   private readonly connections: ServerConnections;
   private readonly clock: Clock;
+  private isStopping = false;
 
   constructor(private readonly options: Options) {
     const {clock = new SystemClock()} = options;
@@ -51,6 +52,10 @@
     );
     this.server.maxConnections = options.maxConnections;
     this.connections = new ServerConnections({clock, server: this.server});
+    this.server.prependListener('request', (_request, response) => {
+      // Callers that come again and again would keep a server that stops from ending.
+      if (this.isStopping) response.setHeader('connection', 'close');
+    });
   }
 
   /** Sets the handler for requests that could not be parsed. */
@@ -96,6 +101,7 @@
    */
   async stop(): Promise<void> {
     const {clock, connections} = this;
+    this.isStopping = true;
     await connections.acceptBacklog(clock.now() + MAX_BACKLOG_MS);
     const closed = new Promise<void>(resolve =>
       connections.stopListening(resolve),
