Several requests that crash runners at once are each held back, and tried one copy at a time

Callers saw: of four requests under which runners end, each sent every 30 to 90 ms, some went on to reach runners for as long as they were sent; runners came back and ended again, with all that they had. Cause: an end counted for one request only. An end at which a request was that is held back counted against no other, requests at the same ends held each other up, and ends counted only once another runner was heard of: copies that had waited met the runners that were back before anything was counted. Change: a request that was at three ends, explained or not, in two episodes (or at three certain ones) is on probation until a whole answer: held back for 2 s after its last end, three times as long after each further one, then sent one copy at a time by the host whose turn it is. An end that is not confirmed yet counts for this at its own host. The hold is checked again right before a request is sent. Lines request_on_probation and request_tried, gauge requests_on_probation.

--- /dev/null
+++ b/packages/decisions/src/calls/count_episodes.ts
@@ -0,0 +1,13 @@
+/**
+ * Pause between runner crashes, in ms, within which a request that was merely retried along with the others has been
+ * answered, if a runner was left.
+ */
+const EPISODE_GAP_MS = 1_000;
+
+/** Number of groups of crashes that are separated by a pause, by the times at which they were noted, in ms. */
+export function countEpisodes(times: readonly number[]): number {
+  const sorted = [...times].sort((a, b) => a - b);
+  return sorted.filter(
+    (at, i) => i === 0 || at - sorted[i - 1] >= EPISODE_GAP_MS,
+  ).length;
+}
--- a/packages/decisions/src/calls/quarantine.ts
+++ b/packages/decisions/src/calls/quarantine.ts
@@ -1,21 +1,27 @@
 import type {Clock} from '@bayspool/kernel';
+import {computeHoldEnd} from './compute_hold_end.js';
 import {reweighRecurrentCrashes} from './reweigh_recurrent_crashes.js';
 import {ReleaseReason} from './release_reason.js';
 import type {QuarantineDigest} from './quarantine_digest.js';
 import type {RunnerCrash} from './runner_crash.js';
 import {SuspectRequest} from './suspect_request.js';
 
-/** Notified when a request is quarantined or released. */
+/** Notified when a request is quarantined, released, on probation or tried. */
 interface Listener {
   readonly onQuarantined: (
     fingerprint: string,
     crashes: readonly RunnerCrash[],
   ) => void;
   readonly onReleased: (fingerprint: string, reason: ReleaseReason) => void;
+  readonly onProbation?: (fingerprint: string, crashes: number) => void;
+  /** A copy of a request on probation is sent to a runner. */
+  readonly onTrial?: (fingerprint: string, crashes: number) => void;
 }
 
 interface Options {
   readonly clock: Clock;
+  /** Position of this host in the order in which hosts may try a request on probation, from 0; 0 if absent. */
+  readonly rankOf?: (fingerprint: string) => number;
 }
 
 /**
@@ -64,6 +70,10 @@
  * released.
  */
 const MAX_QUARANTINED = 200;
+/** Time for which the hosts whose turn it is alone may try a request on probation, in ms: the others hear of its crash meanwhile. */
+const TURN_MS = 1_500;
+/** Time for which a crash counts that is not confirmed, in ms. */
+const UNCONFIRMED_MS = 10_000;
 /** Maximum number of retracted crashes that are remembered; the oldest are forgotten first. */
 const MAX_RETRACTED = 1_000;
 
@@ -73,6 +83,10 @@
  * report them do not matter. A successful response clears a request, since a request that crashes
  * every runner never gets one. Each crash is attributed to one request only: if a quarantined
  * request was present, the crash does not count against any other.
+ *
+ * Several such requests hide behind each other. So a request that was present at crashes again and
+ * again is on probation, whatever else explains these: it is held back for seconds, then tried
+ * again by one host at a time.
  */
 export class Quarantine {
   private readonly suspects = new Map<string, SuspectRequest>();
@@ -98,6 +112,43 @@
     );
   }
 
+  /**
+   * Asks to send a copy of a request to a runner, as far as it is on probation: then one host may try it first, and
+   * twice as many with each further turn.
+   *
+   * @returns the time until this host may, in ms; 0 if it may now
+   */
+  askForTrial(fingerprint: string): number {
+    const suspect = this.suspects.get(fingerprint);
+    const holdEnd = this.findHoldEnd(fingerprint);
+    if (!suspect || holdEnd === undefined) return 0;
+    const now = this.options.clock.now();
+    const rank = this.options.rankOf?.(fingerprint) ?? 0;
+    const turn = Math.ceil(Math.log2(rank + 1));
+    const openAt = suspect.noteAsked(now, holdEnd) + turn * TURN_MS;
+    return Math.max(0, openAt - now);
+  }
+
+  /** Whether a request is on probation, so that a copy which is sent is a trial. */
+  isOnProbation(fingerprint: string): boolean {
+    return this.findHoldEnd(fingerprint) !== undefined;
+  }
+
+  /** Notes that a copy of a request is sent to a runner. */
+  noteSent(fingerprint: string): void {
+    const suspect = this.suspects.get(fingerprint);
+    if (!suspect || !this.isOnProbation(fingerprint)) return;
+    suspect.trialAt = this.options.clock.now();
+    for (const {onTrial} of this.listeners)
+      onTrial?.(fingerprint, suspect.presenceTimes.length);
+  }
+
+  /** Number of requests on probation. */
+  get probationCount(): number {
+    return [...this.suspects.keys()].filter(key => this.isOnProbation(key))
+      .length;
+  }
+
   /** Fingerprints of the quarantined requests. */
   quarantinedFingerprints(): readonly string[] {
     return this.quarantinedSuspects().map(({fingerprint}) => fingerprint);
@@ -108,6 +159,17 @@
     return this.suspects.get(fingerprint)?.weight ?? 0;
   }
 
+  /**
+   * Notes a runner that seems to have crashed while it had a request. It counts at this host only, until it is confirmed
+   * by {@link recordCrashes}.
+   */
+  notePresence(fingerprint: string, start: number): void {
+    if (this.isRetracted(start)) return;
+    const suspect = this.touchSuspect(fingerprint);
+    suspect.notePresence(start, this.options.clock.now());
+    this.updateProbation(suspect);
+  }
+
   /** Records runners that crashed while they had a request. */
   recordCrashes(fingerprint: string, crashes: readonly RunnerCrash[]): void {
     this.addCrashes(fingerprint, crashes);
@@ -129,6 +191,7 @@
   /** Records that a request was answered successfully. */
   recordAnswer(fingerprint: string): void {
     const suspect = this.suspects.get(fingerprint);
+    suspect?.forgetUnconfirmed();
     if (!suspect || suspect.crashes.length === 0) return;
     this.answered.set(fingerprint, this.options.clock.now());
     this.release(fingerprint, ReleaseReason.ANSWERED);
@@ -204,11 +267,21 @@
       const {quarantinedAt, fingerprint} = suspect;
       if (quarantinedAt !== undefined && now - quarantinedAt >= QUARANTINE_MS)
         this.release(fingerprint, ReleaseReason.EXPIRED);
-      const isEmpty = !suspect.forgetBefore(now - CRASH_RETENTION_MS);
+      const isEmpty = !suspect.forgetBefore(
+        now - CRASH_RETENTION_MS,
+        now - UNCONFIRMED_MS,
+      );
       if (isEmpty) this.suspects.delete(fingerprint);
     }
   }
 
+  /** Until when a request on probation is held back at all hosts, on this host's clock; undefined if it is not on probation. */
+  private findHoldEnd(fingerprint: string): number | undefined {
+    const suspect = this.suspects.get(fingerprint);
+    if (!suspect || suspect.quarantinedAt !== undefined) return undefined;
+    return computeHoldEnd(suspect);
+  }
+
   private unquarantinedSuspects(): SuspectRequest[] {
     return [...this.suspects.values()].filter(
       ({quarantinedAt}) => quarantinedAt === undefined,
@@ -237,6 +310,15 @@
     const suspect = this.touchSuspect(fingerprint);
     const now = this.options.clock.now();
     for (const crash of weighted) suspect.addCrash(crash, now);
+    this.updateProbation(suspect);
+  }
+
+  private updateProbation(suspect: SuspectRequest): void {
+    const {fingerprint, wasOnProbation, presenceTimes} = suspect;
+    suspect.wasOnProbation = this.isOnProbation(fingerprint);
+    if (wasOnProbation || !suspect.wasOnProbation) return;
+    for (const {onProbation} of this.listeners)
+      onProbation?.(fingerprint, presenceTimes.length);
   }
 
   /**
--- a/packages/decisions/src/calls/reweigh_recurrent_crashes.ts
+++ b/packages/decisions/src/calls/reweigh_recurrent_crashes.ts
@@ -1,3 +1,4 @@
+import {countEpisodes} from './count_episodes.js';
 import type {RunnerCrash} from './runner_crash.js';
 import type {SuspectRequest} from './suspect_request.js';
 
@@ -13,11 +14,6 @@
 
 /** Weight of a crash that no other request explains. */
 const ONLY_CAUSE_WEIGHT = 1;
-/**
- * Pause between runner crashes, in ms, within which a request that was merely retried along with
- * the others has been answered.
- */
-const EPISODE_GAP_MS = 1_000;
 /** Crash episodes that distinguish a request from those retried along with it. */
 const MIN_EPISODES = 2;
 /** Number of crashes of another request from which on it may be the cause as well. */
@@ -31,7 +27,8 @@
  */
 export function reweighRecurrentCrashes(options: Options): RunnerCrash[] {
   const {suspect, explained} = options;
-  if (suspect.countEpisodes(EPISODE_GAP_MS) < MIN_EPISODES) return [];
+  const times = suspect.crashes.map(({notedAt}) => notedAt);
+  if (countEpisodes(times) < MIN_EPISODES) return [];
   return suspect.crashes
     .filter(({start}) => !explained.has(start))
     .map(({start, weight, notedAt}) => {
--- a/packages/decisions/src/calls/suspect_request.ts
+++ b/packages/decisions/src/calls/suspect_request.ts
@@ -10,6 +10,8 @@
  * uncertain.
  */
 const MAX_CRASHES = 16;
+/** Time without being asked for a copy after which a host waits for its turn anew, in ms: longer than callers are told to wait for a turn. */
+const ASK_PAUSE_MS = 10_000;
 
 /** A request that was in flight at runners when they crashed. */
 export class SuspectRequest {
@@ -17,7 +19,16 @@
   quarantinedAt: number | undefined;
   /** When a crash was last added or reweighed; the request is gossiped for some time after that. */
   changedAt = -Infinity;
+  /** When this host last let a copy through while the request was on probation, on its clock. */
+  trialAt = -Infinity;
+  /** Whether it was on probation when a crash was last noted. */
+  wasOnProbation = false;
+  /** When this host was first asked for a copy since the hold ended or nobody had asked, and last, on its clock. */
+  private askedSince = -Infinity;
+  private askedAt = -Infinity;
   private readonly recorded = new Map<number, RecordedCrash>();
+  /** When this host first noted each crash, also if it is not confirmed yet, by the start of the runner. */
+  private readonly presentAt = new Map<number, number>();
   /** Crashes that no longer count; they are remembered because other hosts still gossip them. */
   private readonly discounted = new Set<number>();
 
@@ -40,17 +51,34 @@
     return this.recorded.has(start) && !this.discounted.has(start);
   }
 
+  /** When the crashes were noted at which the request was present, confirmed or not, on this host's clock. */
+  get presenceTimes(): readonly number[] {
+    return [...this.presentAt.values()];
+  }
+
   /**
-   * Number of groups of crashes that are separated by a pause: how often the request came back.
+   * Notes that this host is asked to send a copy.
    *
-   * @param pauseMs minimum time between two groups, in ms
+   * @param holdEnd until when the request is held back, on this host's clock
+   * @returns since when it has been asked without a pause, after the hold
    */
-  countEpisodes(pauseMs: number): number {
-    const times = this.crashes
-      .map(({notedAt}) => notedAt)
-      .sort((a, b) => a - b);
-    return times.filter((at, i) => i === 0 || at - times[i - 1] >= pauseMs)
-      .length;
+  noteAsked(now: number, holdEnd: number): number {
+    const isFirst = this.askedSince < holdEnd;
+    if (isFirst || now - this.askedAt > ASK_PAUSE_MS) this.askedSince = now;
+    this.askedAt = now;
+    return Math.max(this.askedSince, holdEnd);
+  }
+
+  /** Forgets the crashes that are not confirmed. */
+  forgetUnconfirmed(): void {
+    for (const start of [...this.presentAt.keys()])
+      if (!this.recorded.has(start)) this.presentAt.delete(start);
+  }
+
+  /** Notes a crash of a runner that had the request, before it is confirmed. */
+  notePresence(start: number, now: number): void {
+    if (this.discounted.has(start) || this.presentAt.has(start)) return;
+    this.presentAt.set(start, now);
   }
 
   /** Whether the request was present at every crash of another one. */
@@ -64,6 +92,7 @@
     const known = this.recorded.get(start);
     if (known && known.weight >= weight) return;
     this.recorded.set(start, {start, weight, notedAt: known?.notedAt ?? now});
+    this.notePresence(start, now);
     this.changedAt = now;
     if (this.recorded.size > MAX_CRASHES)
       this.forget([...this.recorded.keys()][0]);
@@ -84,27 +113,33 @@
   /** Discounts the crash of one runner start. */
   discountCrash(start: number): void {
     this.discounted.add(start);
+    this.presentAt.delete(start);
   }
 
   /** Discounts all crashes recorded so far and ends the quarantine. */
   discountCrashes(): void {
     for (const start of this.recorded.keys()) this.discounted.add(start);
+    this.presentAt.clear();
     this.quarantinedAt = undefined;
   }
 
   /**
-   * Forgets crashes noted before a time.
+   * Forgets crashes noted before a time, and those that were not confirmed though they were noted before another one.
    *
    * @returns whether any crash is left
    */
-  forgetBefore(time: number): boolean {
+  forgetBefore(time: number, unconfirmedTime = time): boolean {
     for (const {start, notedAt} of [...this.recorded.values()])
       if (notedAt < time) this.forget(start);
-    return this.recorded.size > 0;
+    for (const [start, at] of [...this.presentAt])
+      if (at < unconfirmedTime && !this.recorded.has(start))
+        this.presentAt.delete(start);
+    return this.recorded.size > 0 || this.presentAt.size > 0;
   }
 
   private forget(start: number): void {
     this.recorded.delete(start);
     this.discounted.delete(start);
+    this.presentAt.delete(start);
   }
 }
--- a/packages/gateway/src/calls/attempt_runner.ts
+++ b/packages/gateway/src/calls/attempt_runner.ts
@@ -1,5 +1,7 @@
 import type {
+  PartQuarantine,
   PriorityAdmission,
+  Quarantine,
   RetryReservation,
 } from '@bayspool/decisions/calls';
 import type {OverloadControl} from '@bayspool/decisions/admission';
@@ -22,6 +24,7 @@
 import type {HeaderNames} from './header_names.js';
 import type {RequestHeaders} from './request_headers.js';
 import type {RetryPolicy} from './retry_policy.js';
+import {findHold} from '../quarantine/find_hold.js';
 import {SuccessorRefusal} from './successor_refusal.js';
 import type {WorkShare} from './work_share.js';
 
@@ -40,6 +43,8 @@
   readonly gate: RunnerGate;
   readonly reachability: RunnerReachability;
   readonly retryPolicy: RetryPolicy;
+  readonly quarantine: Quarantine;
+  readonly partQuarantine: PartQuarantine;
   /** Admits calls of a service by priority when its runners accept fewer than are requested. */
   readonly priorityAdmissionOf: (service: string) => PriorityAdmission;
   /** Admission control of a service. */
@@ -253,7 +258,8 @@
   }
 
   /**
-   * Checks the time until this host stops, rate limit and retry budget right before a request is sent.
+   * Checks whether the request is held back, the time until this host stops, rate limit and retry budget right before a
+   * request is sent: it may have waited for its runner.
    *
    * @returns why it must not be sent; undefined if it may, in which case it is counted as sent
    */
@@ -266,11 +272,13 @@
       this.options;
     const {call, workMs} = progress;
     const {service, priority} = call;
+    if (findHold(call, this.options)) return SuccessorRefusal.QUARANTINED;
     if (!retryPolicy.canEnd(progress)) return SuccessorRefusal.HOST_STOPPING;
     const rejection =
       gate.admit(runner) ?? retryPolicy.spendReservation(reservation);
     if (rejection !== undefined) return rejection;
     progress.recordAdmitted();
+    this.options.quarantine.noteSent(call.fingerprint);
     priorityAdmissionOf(service).recordSent(priority);
     overloadControlOf(service).recordSent(workMs);
     return undefined;
--- a/packages/gateway/src/calls/call_forwarder.ts
+++ b/packages/gateway/src/calls/call_forwarder.ts
@@ -208,6 +208,7 @@
     caller: CallerResponse,
     signal: AbortSignal,
   ): Promise<void> {
+    const {call} = progress;
     for (;;) {
       const unfinishable = this.findStopRejection(progress, caller);
       if (unfinishable)
@@ -257,6 +258,11 @@
           String(signal.reason),
         );
       if (!(await this.awaitRetry(progress, outcome, caller, signal))) {
+        const held = progress.mayHaveRun
+          ? undefined
+          : findHold(call, this.options);
+        if (held)
+          return this.finisher.rejectQuarantined(progress, caller, held);
         const stopping = progress.mayHaveRun
           ? undefined
           : this.findStopRejection(progress, caller);
--- a/packages/gateway/src/calls/crash_attribution.ts
+++ b/packages/gateway/src/calls/crash_attribution.ts
@@ -209,11 +209,10 @@
       isStreamed: isStreamed(route.kind),
     });
     if (weight === 0) return;
+    const start = hashToUint32(getIncarnationId(runner.entry));
+    quarantine.notePresence(fingerprint, start);
     reachability.whenConfirmed(runner, () => {
-      const incarnationId = getIncarnationId(runner.entry);
-      quarantine.recordCrashes(fingerprint, [
-        {start: hashToUint32(incarnationId), weight},
-      ]);
+      quarantine.recordCrashes(fingerprint, [{start, weight}]);
       log.write('runner_end_counted', {
         request,
         fingerprint,
--- a/packages/gateway/src/calls/fatal_request.test.ts
+++ b/packages/gateway/src/calls/fatal_request.test.ts
@@ -153,10 +153,10 @@
   fatal: string,
   host: number,
 ): Promise<void> {
-  const {receivedBodies, crashCount} = runners;
-  const before = receivedBodies.length;
+  const {crashCount} = runners;
+  const before = runners.arrivals.length;
   const waiting = send(BYSTANDER, host);
-  await fixture.waitFor(() => receivedBodies.length > before);
+  await fixture.waitFor(() => runners.arrivals.length > before);
   await send(fatal, host);
   await waiting;
   assert.equal(runners.crashCount, crashCount + 1);
--- a/packages/gateway/src/host/host_state.ts
+++ b/packages/gateway/src/host/host_state.ts
@@ -2,6 +2,7 @@
   PartQuarantine,
   Quarantine,
   SessionVersions,
+  rankByHash,
 } from '@bayspool/decisions/calls';
 import type {RunnerRateLimit, RunnerEntry} from '@bayspool/decisions/calls';
 import {SilentRunnerMonitor} from '../calls/silent_runner_monitor.js';
@@ -262,7 +263,10 @@
         return {share, calls};
       },
     });
-    this.quarantine = new Quarantine({clock});
+    this.quarantine = new Quarantine({
+      clock,
+      rankOf: fingerprint => this.rankHost(fingerprint),
+    });
     this.partQuarantine = new PartQuarantine({clock});
     this.partQuarantine.onChange({
       onQuarantined: (part, ends) =>
@@ -318,6 +322,13 @@
     });
   }
 
+  /** Position of this host in an order of the live hosts that all of them derive from a key, from 0. */
+  private rankHost(key: string): number {
+    const names = this.hostDirectory.listLive().map(({name}) => name);
+    const rank = rankByHash(key, names).indexOf(this.options.settings.host);
+    return rank < 0 ? names.length : rank;
+  }
+
   private createReachability(): RunnerReachability {
     const {clock, log, random} = this.options;
     const {dialer} = this;
--- a/packages/gateway/src/observability/event_fields.ts
+++ b/packages/gateway/src/observability/event_fields.ts
@@ -302,6 +302,10 @@
   part_held_back: {request: string; part: string};
   part_quarantined: {part: string; ends: number};
   part_released: {part: string; reason: string};
+  /** A request is held back for seconds and then tried: `ends` runners ended while they had it. */
+  request_on_probation: {fingerprint: string; ends: number};
+  /** A copy of a request on probation is sent to a runner: `ends` runners ended while they had the request. */
+  request_tried: {fingerprint: string; ends: number};
   request_quarantined: {fingerprint: string; ends: number; weight: number};
   request_released: {fingerprint: string; reason: string};
   quarantine_written: {fingerprint: string; isHeld: boolean};
--- a/packages/gateway/src/observability/register_gauges.ts
+++ b/packages/gateway/src/observability/register_gauges.ts
@@ -146,6 +146,11 @@
     'Requests that are held back, as runners ended under them',
     () => quarantine.quarantinedFingerprints().length,
   );
+  metrics.registerGauge(
+    'requests_on_probation',
+    'Requests that are held back for seconds and then tried, as runners ended again and again while they had them',
+    () => quarantine.probationCount,
+  );
   metrics.registerGauge(
     'quarantined_prompt_parts',
     'Parts of prompts that are held back, as runners ended on them',
--- a/packages/gateway/src/quarantine/find_hold.ts
+++ b/packages/gateway/src/quarantine/find_hold.ts
@@ -16,6 +16,13 @@
   const remainingMs = quarantine.remainingMs(fingerprint);
   if (remainingMs > 0)
     return {reason: 'held back: runners end under this request', remainingMs};
+  const probationMs = quarantine.askForTrial(fingerprint);
+  if (probationMs > 0)
+    return {
+      reason:
+        'held back for seconds: runners ended while they had this request',
+      remainingMs: probationMs,
+    };
   if (partQuarantine.isEmpty) return undefined;
   for (const part of fingerprintPromptParts(prompt, workspace)) {
     const partRemainingMs = partQuarantine.remainingMs(part);
--- a/packages/gateway/src/quarantine/quarantine_synchronizer.ts
+++ b/packages/gateway/src/quarantine/quarantine_synchronizer.ts
@@ -40,13 +40,17 @@
   private isStopped = false;
 
   constructor(private readonly options: Options) {
-    const {mirror, quarantine} = options;
+    const {mirror, quarantine, log} = options;
     mirror.onUpdate(update => this.applyUpdate(update));
     quarantine.onChange({
       onQuarantined: (fingerprint, ends) =>
         this.recordQuarantined(fingerprint, ends),
       onReleased: (fingerprint, reason) =>
         this.recordReleased(fingerprint, reason),
+      onProbation: (fingerprint, crashes) =>
+        log.write('request_on_probation', {fingerprint, ends: crashes}),
+      onTrial: (fingerprint, crashes) =>
+        log.write('request_tried', {fingerprint, ends: crashes}),
     });
   }
 
--- a/packages/gateway/src/testing/crashing_runners.ts
+++ b/packages/gateway/src/testing/crashing_runners.ts
@@ -6,6 +6,12 @@
 
 type ReceivedRequest = ScriptedRunner['received'][number];
 
+/** The body of a request, and a time on the clock of `performance`, in ms. */
+interface ReceivedBody {
+  readonly body: string;
+  readonly at: number;
+}
+
 interface Options {
   readonly fixture: GatewayFixture;
   readonly count: number;
@@ -20,6 +26,8 @@
   readonly closesConnections?: boolean;
   /** Whether a crash closes no connection: open ones fall silent, and new ones are refused. */
   readonly isSilent?: boolean;
+  /** Time that a sound response takes, in ms. */
+  readonly responseDelayMs?: number;
   /** Time from a crash until another runner comes, in ms. */
   readonly restartDelayMs?: number;
   /** Time from a crash until the entry of the runner goes, in ms. */
@@ -35,10 +43,10 @@
 export class CrashingRunners {
   /** Number of crashes so far. */
   crashCount = 0;
-  /** Bodies of the requests that crashed a runner, in order. */
-  readonly crashBodies: string[] = [];
-  /** Bodies of all requests received, by current and former runners. */
-  readonly receivedBodies: string[] = [];
+  /** Requests that crashed a runner, in order. */
+  readonly crashes: ReceivedBody[] = [];
+  /** All requests received, by current and former runners. */
+  readonly arrivals: ReceivedBody[] = [];
   /** Bodies of requests that runners do not answer until they crash. */
   readonly unansweredBodies = new Set<string>();
   private readonly running = new Set<ScriptedRunner>();
@@ -46,6 +54,16 @@
 
   constructor(private readonly options: Options) {}
 
+  /** Bodies of the requests that crashed a runner, in order. */
+  get crashBodies(): readonly string[] {
+    return this.crashes.map(({body}) => body);
+  }
+
+  /** Bodies of all requests received, by current and former runners. */
+  get receivedBodies(): readonly string[] {
+    return this.arrivals.map(({body}) => body);
+  }
+
   /** Starts all runners. */
   async start(): Promise<void> {
     for (let i = 0; i < this.options.count; i++) await this.add();
@@ -69,7 +87,7 @@
     response: ServerResponse,
   ): void {
     const {fatalBody, isStreamed, sendsEvent, closesConnections} = this.options;
-    this.receivedBodies.push(body);
+    this.arrivals.push({body, at: performance.now()});
     const head = {[names.requestId]: id, [names.signature]: runner.entry.id};
     if (body.startsWith(fatalBody)) {
       if (isStreamed) response.writeHead(200, head).flushHeaders();
@@ -80,14 +98,19 @@
     if (this.unansweredBodies.has(body)) return;
     response.useChunkedEncodingByDefault = !closesConnections;
     response.shouldKeepAlive = !closesConnections;
-    response.writeHead(200, head);
-    response.end(isStreamed ? STREAMED_BODY : WHOLE_BODY);
+    const finish = () => {
+      response.writeHead(200, head);
+      response.end(isStreamed ? STREAMED_BODY : WHOLE_BODY);
+    };
+    const {responseDelayMs = 0} = this.options;
+    if (responseDelayMs === 0) finish();
+    else setTimeout(finish, responseDelayMs);
   }
 
   private async crash(runner: ScriptedRunner, body: string): Promise<void> {
     if (!this.running.delete(runner)) return;
     this.crashCount += 1;
-    this.crashBodies.push(body);
+    this.crashes.push({body, at: performance.now()});
     const {id} = runner.entry;
     if (this.options.isSilent) runner.endSilently();
     else runner.stop();
