Requests that come back with the runners they crashed are tried by one host first

Callers saw: after all runners had ended under a request, each host sent it on as soon as runners were back, and these ended too: up to seven late arrivals within 0.6 s. Cause: ends count once another runner is heard of. With all runners gone that is when they are back, and each host learns of the others' ends later still; what was learned late looked like a further episode. Change: ends that are not confirmed count for probation at their host, and at others that reach no runner either; one confirmed over a second late counts for probation only. Digests tell how old an end is. A request that was at three ends of one moment and comes back is sent by the hosts in turn, its calls wait for that; turns are counted while runners are reached.

--- a/packages/decisions/src/calls/count_episodes.ts
+++ b/packages/decisions/src/calls/count_episodes.ts
@@ -1,8 +1,4 @@
-/**
- * Pause between runner crashes, in ms, within which a request that was merely retried along with the others has been
- * answered, if a runner was left.
- */
-const EPISODE_GAP_MS = 1_000;
+import {EPISODE_GAP_MS} from './episode_gap_ms.js';
 
 /** Number of groups of crashes that are separated by a pause, by the times at which they were noted, in ms. */
 export function countEpisodes(times: readonly number[]): number {
--- a/packages/decisions/src/calls/quarantine.ts
+++ b/packages/decisions/src/calls/quarantine.ts
@@ -1,10 +1,14 @@
 import type {Clock} from '@bayspool/kernel';
-import {computeHoldEnd} from './compute_hold_end.js';
+import {EPISODE_GAP_MS} from './episode_gap_ms.js';
+import {CrashSource} from './crash_source.js';
+import {findProbation} from './find_probation.js';
+import type {Probation} from './probation.js';
 import {reweighRecurrentCrashes} from './reweigh_recurrent_crashes.js';
 import {ReleaseReason} from './release_reason.js';
 import type {QuarantineDigest} from './quarantine_digest.js';
 import type {RunnerCrash} from './runner_crash.js';
 import {SuspectRequest} from './suspect_request.js';
+import type {TrialWait} from './trial_wait.js';
 
 /** Notified when a request is quarantined, released, on probation or tried. */
 interface Listener {
@@ -20,6 +24,8 @@
 
 interface Options {
   readonly clock: Clock;
+  /** Whether this host could not confirm crashes of its own now; it counts what others could not confirm only then. False if absent. */
+  readonly isDoubtful?: () => boolean;
   /** Position of this host in the order in which hosts may try a request on probation, from 0; 0 if absent. */
   readonly rankOf?: (fingerprint: string) => number;
 }
@@ -70,8 +76,6 @@
  * released.
  */
 const MAX_QUARANTINED = 200;
-/** Time for which the hosts whose turn it is alone may try a request on probation, in ms: the others hear of its crash meanwhile. */
-const TURN_MS = 1_500;
 /** Time for which a crash counts that is not confirmed, in ms. */
 const UNCONFIRMED_MS = 10_000;
 /** Maximum number of retracted crashes that are remembered; the oldest are forgotten first. */
@@ -116,22 +120,26 @@
    * Asks to send a copy of a request to a runner, as far as it is on probation: then one host may try it first, and
    * twice as many with each further turn.
    *
-   * @returns the time until this host may, in ms; 0 if it may now
+   * @returns the time until this host may; undefined if the request is not on probation
    */
-  askForTrial(fingerprint: string): number {
+  askForTrial(fingerprint: string): TrialWait | undefined {
     const suspect = this.suspects.get(fingerprint);
-    const holdEnd = this.findHoldEnd(fingerprint);
-    if (!suspect || holdEnd === undefined) return 0;
+    const probation = this.findProbation(fingerprint);
+    if (!suspect || !probation) return undefined;
+    const {holdEnd, turnMs, isBrief} = probation;
     const now = this.options.clock.now();
     const rank = this.options.rankOf?.(fingerprint) ?? 0;
     const turn = Math.ceil(Math.log2(rank + 1));
-    const openAt = suspect.noteAsked(now, holdEnd) + turn * TURN_MS;
-    return Math.max(0, openAt - now);
+    // While no runner is heard of, no host can take its turn.
+    const isTurnOpen = !this.options.isDoubtful?.();
+    const askedSince = isTurnOpen ? suspect.noteAsked(now, holdEnd) : now;
+    const openAt = Math.max(holdEnd, askedSince) + turn * turnMs;
+    return {ms: Math.max(0, openAt - now), isBrief: isBrief && isTurnOpen};
   }
 
   /** Whether a request is on probation, so that a copy which is sent is a trial. */
   isOnProbation(fingerprint: string): boolean {
-    return this.findHoldEnd(fingerprint) !== undefined;
+    return this.findProbation(fingerprint) !== undefined;
   }
 
   /** Notes that a copy of a request is sent to a runner. */
@@ -140,7 +148,7 @@
     if (!suspect || !this.isOnProbation(fingerprint)) return;
     suspect.trialAt = this.options.clock.now();
     for (const {onTrial} of this.listeners)
-      onTrial?.(fingerprint, suspect.presenceTimes.length);
+      onTrial?.(fingerprint, suspect.presence.times.length);
   }
 
   /** Number of requests on probation. */
@@ -160,19 +168,27 @@
   }
 
   /**
-   * Notes a runner that seems to have crashed while it had a request. It counts at this host only, until it is confirmed
-   * by {@link recordCrashes}.
+   * Notes a runner that seems to have crashed while it had a request. Until it is confirmed by {@link recordCrashes}, it
+   * counts at this host, and at others that cannot confirm crashes either.
    */
   notePresence(fingerprint: string, start: number): void {
     if (this.isRetracted(start)) return;
-    const suspect = this.touchSuspect(fingerprint);
-    suspect.notePresence(start, this.options.clock.now());
-    this.updateProbation(suspect);
+    this.noteCrash(fingerprint, {start}, CrashSource.OWN);
   }
 
-  /** Records runners that crashed while they had a request. */
+  /**
+   * Records runners that crashed while they had a request. A crash that is confirmed late counts as presence only: until
+   * then no runner was left that could have answered the request, if it is innocent.
+   */
   recordCrashes(fingerprint: string, crashes: readonly RunnerCrash[]): void {
-    this.addCrashes(fingerprint, crashes);
+    const presence = this.suspects.get(fingerprint)?.presence;
+    const lateBefore = this.options.clock.now() - EPISODE_GAP_MS;
+    const isLate = ({start}: RunnerCrash) =>
+      (presence?.timeOf(start) ?? Infinity) <= lateBefore;
+    this.addCrashes(
+      fingerprint,
+      crashes.map(crash => (isLate(crash) ? {...crash, weight: 0} : crash)),
+    );
     this.quarantineCertain([fingerprint]);
     this.quarantineRecurrent([fingerprint]);
   }
@@ -191,8 +207,7 @@
   /** Records that a request was answered successfully. */
   recordAnswer(fingerprint: string): void {
     const suspect = this.suspects.get(fingerprint);
-    suspect?.forgetUnconfirmed();
-    if (!suspect || suspect.crashes.length === 0) return;
+    if (!suspect || !suspect.hasCrashes) return;
     this.answered.set(fingerprint, this.options.clock.now());
     this.release(fingerprint, ReleaseReason.ANSWERED);
   }
@@ -208,21 +223,48 @@
     const suspects = [...this.quarantinedSuspects(), ...recent.reverse()];
     const ends = suspects
       .slice(0, MAX_DIGEST_REQUESTS)
-      .map(suspect => [suspect.fingerprint, toRunnerCrashes(suspect)] as const);
+      .map(suspect => [suspect.fingerprint, toReports(suspect, now)] as const);
+    const unconfirmed = this.collectUnconfirmed();
     return {
       ends: Object.fromEntries(ends),
+      ...(unconfirmed.length > 0 && {
+        unconfirmed: Object.fromEntries(unconfirmed),
+      }),
       answered: [...this.answered.keys()],
     };
   }
 
+  private collectUnconfirmed(): ReadonlyArray<
+    [string, readonly RunnerCrash[]]
+  > {
+    const now = this.options.clock.now();
+    const told: Array<[string, readonly RunnerCrash[]]> = [];
+    for (const {fingerprint, presence} of this.unquarantinedSuspects()) {
+      const crashes = presence.reportUnconfirmed(now);
+      if (crashes.length > 0) told.push([fingerprint, crashes]);
+    }
+    return told.slice(-MAX_DIGEST_REQUESTS);
+  }
+
+  private mergeUnconfirmed(
+    unconfirmed: Readonly<Record<string, readonly RunnerCrash[]>>,
+  ): void {
+    for (const [fingerprint, crashes] of Object.entries(unconfirmed))
+      for (const crash of crashes)
+        if (!this.isRetracted(crash.start))
+          this.noteCrash(fingerprint, crash, CrashSource.TOLD);
+  }
+
   /** Merges a digest from other hosts. */
-  mergeDigest({ends, answered}: QuarantineDigest): void {
+  mergeDigest({ends, unconfirmed, answered}: QuarantineDigest): void {
     for (const fingerprint of answered) {
-      const hasCrashes = this.suspects.get(fingerprint)?.crashes.length;
-      if (hasCrashes) this.release(fingerprint, ReleaseReason.ANSWERED);
+      if (this.suspects.get(fingerprint)?.hasCrashes)
+        this.release(fingerprint, ReleaseReason.ANSWERED);
     }
     for (const [fingerprint, crashes] of Object.entries(ends))
       this.addCrashes(fingerprint, crashes);
+    if (unconfirmed && this.options.isDoubtful?.())
+      this.mergeUnconfirmed(unconfirmed);
     this.quarantineCertain(Object.keys(ends));
     this.quarantineRecurrent(Object.keys(ends));
   }
@@ -243,7 +285,8 @@
     if (this.retracted.size > MAX_RETRACTED)
       this.retracted.delete([...this.retracted.keys()][0]);
     for (const suspect of this.suspects.values()) {
-      if (!suspect.wasPresentAt(start)) continue;
+      if (!suspect.wasPresentAt(start) && !suspect.presence.has(start))
+        continue;
       suspect.discountCrash(start);
       if (suspect.quarantinedAt === undefined) continue;
       if (reachesThreshold(suspect.weight)) continue;
@@ -275,11 +318,10 @@
     }
   }
 
-  /** Until when a request on probation is held back at all hosts, on this host's clock; undefined if it is not on probation. */
-  private findHoldEnd(fingerprint: string): number | undefined {
+  private findProbation(fingerprint: string): Probation | undefined {
     const suspect = this.suspects.get(fingerprint);
     if (!suspect || suspect.quarantinedAt !== undefined) return undefined;
-    return computeHoldEnd(suspect);
+    return findProbation({suspect, now: this.options.clock.now()});
   }
 
   private unquarantinedSuspects(): SuspectRequest[] {
@@ -303,22 +345,34 @@
     fingerprint: string,
     crashes: readonly RunnerCrash[],
   ): void {
-    const weighted = crashes.filter(
-      ({start, weight}) => weight > 0 && !this.isRetracted(start),
+    const valid = crashes.filter(
+      ({start, weight}) => weight >= 0 && !this.isRetracted(start),
     );
-    if (weighted.length === 0) return;
+    if (valid.length === 0) return;
     const suspect = this.touchSuspect(fingerprint);
     const now = this.options.clock.now();
-    for (const crash of weighted) suspect.addCrash(crash, now);
+    for (const crash of valid)
+      if (crash.weight > 0) suspect.addCrash(crash, now);
+      else suspect.notePresence(crash, now, CrashSource.CONFIRMED);
+    this.updateProbation(suspect);
+  }
+
+  private noteCrash(
+    fingerprint: string,
+    crash: Omit<RunnerCrash, 'weight'>,
+    source: CrashSource,
+  ): void {
+    const suspect = this.touchSuspect(fingerprint);
+    suspect.notePresence(crash, this.options.clock.now(), source);
     this.updateProbation(suspect);
   }
 
   private updateProbation(suspect: SuspectRequest): void {
-    const {fingerprint, wasOnProbation, presenceTimes} = suspect;
+    const {fingerprint, wasOnProbation, presence} = suspect;
     suspect.wasOnProbation = this.isOnProbation(fingerprint);
     if (wasOnProbation || !suspect.wasOnProbation) return;
     for (const {onProbation} of this.listeners)
-      onProbation?.(fingerprint, presenceTimes.length);
+      onProbation?.(fingerprint, presence.times.length);
   }
 
   /**
@@ -454,6 +508,21 @@
   return crashes.map(({start, weight}) => ({start, weight}));
 }
 
+/** What other hosts are told: the crashes that count against a request, and with weight 0 those at which it was present. */
+function toReports(suspect: SuspectRequest, now: number): RunnerCrash[] {
+  const weights = new Map(
+    suspect.crashes.map(({start, weight}) => [start, weight]),
+  );
+  const reports = suspect.presence
+    .reportConfirmed(now)
+    .map(crash => ({...crash, weight: weights.get(crash.start) ?? 0}));
+  const reported = new Set(reports.map(({start}) => start));
+  const others = toRunnerCrashes(suspect).filter(
+    ({start}) => !reported.has(start),
+  );
+  return [...reports, ...others];
+}
+
 function reachesThreshold(weight: number): boolean {
   return weight >= QUARANTINE_WEIGHT - WEIGHT_EPSILON;
 }
--- a/packages/decisions/src/calls/suspect_request.ts
+++ b/packages/decisions/src/calls/suspect_request.ts
@@ -1,3 +1,5 @@
+import {CrashPresence} from './crash_presence.js';
+import {CrashSource} from './crash_source.js';
 import type {RunnerCrash} from './runner_crash.js';
 
 interface RecordedCrash extends RunnerCrash {
@@ -21,14 +23,14 @@
   changedAt = -Infinity;
   /** When this host last let a copy through while the request was on probation, on its clock. */
   trialAt = -Infinity;
+  /** The crashes of runners that had the request: those that count against it, and those that only show that it was there. */
+  readonly presence = new CrashPresence();
   /** Whether it was on probation when a crash was last noted. */
   wasOnProbation = false;
   /** When this host was first asked for a copy since the hold ended or nobody had asked, and last, on its clock. */
   private askedSince = -Infinity;
   private askedAt = -Infinity;
   private readonly recorded = new Map<number, RecordedCrash>();
-  /** When this host first noted each crash, also if it is not confirmed yet, by the start of the runner. */
-  private readonly presentAt = new Map<number, number>();
   /** Crashes that no longer count; they are remembered because other hosts still gossip them. */
   private readonly discounted = new Set<number>();
 
@@ -46,39 +48,37 @@
     return this.weightExcluding(new Set());
   }
 
+  /** Whether crashes count of runners that had the request. */
+  get hasCrashes(): boolean {
+    return this.crashes.length > 0 || this.presence.times.length > 0;
+  }
+
   /** Whether the request was present at the crash of this runner start, and the crash counts. */
   wasPresentAt(start: number): boolean {
     return this.recorded.has(start) && !this.discounted.has(start);
   }
 
-  /** When the crashes were noted at which the request was present, confirmed or not, on this host's clock. */
-  get presenceTimes(): readonly number[] {
-    return [...this.presentAt.values()];
-  }
-
   /**
    * Notes that this host is asked to send a copy.
    *
    * @param holdEnd until when the request is held back, on this host's clock
-   * @returns since when it has been asked without a pause, after the hold
+   * @returns since when it has been asked without a pause
    */
   noteAsked(now: number, holdEnd: number): number {
     const isFirst = this.askedSince < holdEnd;
     if (isFirst || now - this.askedAt > ASK_PAUSE_MS) this.askedSince = now;
     this.askedAt = now;
-    return Math.max(this.askedSince, holdEnd);
-  }
-
-  /** Forgets the crashes that are not confirmed. */
-  forgetUnconfirmed(): void {
-    for (const start of [...this.presentAt.keys()])
-      if (!this.recorded.has(start)) this.presentAt.delete(start);
+    return this.askedSince;
   }
 
-  /** Notes a crash of a runner that had the request, before it is confirmed. */
-  notePresence(start: number, now: number): void {
-    if (this.discounted.has(start) || this.presentAt.has(start)) return;
-    this.presentAt.set(start, now);
+  /** Notes a crash of a runner that had the request, which does not count against it. */
+  notePresence(
+    {start, ageMs = 0}: Omit<RunnerCrash, 'weight'>,
+    now: number,
+    source: CrashSource,
+  ): void {
+    const isNews = this.presence.note(start, now - ageMs, source);
+    if (isNews) this.changedAt = now;
   }
 
   /** Whether the request was present at every crash of another one. */
@@ -88,11 +88,11 @@
   }
 
   /** Adds a crash; of two reports of the same crash the heavier one counts. */
-  addCrash({start, weight}: RunnerCrash, now: number): void {
+  addCrash({start, weight, ageMs = 0}: RunnerCrash, now: number): void {
+    this.presence.note(start, now - ageMs, CrashSource.CONFIRMED);
     const known = this.recorded.get(start);
     if (known && known.weight >= weight) return;
     this.recorded.set(start, {start, weight, notedAt: known?.notedAt ?? now});
-    this.notePresence(start, now);
     this.changedAt = now;
     if (this.recorded.size > MAX_CRASHES)
       this.forget([...this.recorded.keys()][0]);
@@ -113,13 +113,13 @@
   /** Discounts the crash of one runner start. */
   discountCrash(start: number): void {
     this.discounted.add(start);
-    this.presentAt.delete(start);
+    this.presence.discount(start);
   }
 
   /** Discounts all crashes recorded so far and ends the quarantine. */
   discountCrashes(): void {
     for (const start of this.recorded.keys()) this.discounted.add(start);
-    this.presentAt.clear();
+    this.presence.discountAll();
     this.quarantinedAt = undefined;
   }
 
@@ -131,15 +131,12 @@
   forgetBefore(time: number, unconfirmedTime = time): boolean {
     for (const {start, notedAt} of [...this.recorded.values()])
       if (notedAt < time) this.forget(start);
-    for (const [start, at] of [...this.presentAt])
-      if (at < unconfirmedTime && !this.recorded.has(start))
-        this.presentAt.delete(start);
-    return this.recorded.size > 0 || this.presentAt.size > 0;
+    this.presence.forgetBefore(time, unconfirmedTime);
+    return this.recorded.size > 0 || !this.presence.isEmpty;
   }
 
   private forget(start: number): void {
     this.recorded.delete(start);
     this.discounted.delete(start);
-    this.presentAt.delete(start);
   }
 }
--- a/packages/gateway/src/calls/attempt_router.ts
+++ b/packages/gateway/src/calls/attempt_router.ts
@@ -184,8 +184,12 @@
     {call, triedRunners}: CallProgress,
     runners: readonly Runner[],
   ): readonly Runner[] {
-    if (this.options.quarantine.weightOf(call.fingerprint) === 0)
-      return runners;
+    const {quarantine} = this.options;
+    const {fingerprint} = call;
+    const isSuspect =
+      quarantine.weightOf(fingerprint) > 0 ||
+      quarantine.isOnProbation(fingerprint);
+    if (!isSuspect) return runners;
     const idle = runners.filter(
       ({entry, totalRunning, health}) =>
         totalRunning === 0 && !health.isEjected && !triedRunners.has(entry.id),
--- a/packages/gateway/src/calls/call_forwarder.ts
+++ b/packages/gateway/src/calls/call_forwarder.ts
@@ -12,6 +12,7 @@
   DurationEstimator,
   WorkEstimator,
 } from '@bayspool/decisions/capacity';
+import {sleep} from '@bayspool/kernel';
 import type {Clock, ConnectionReads, RandomSource} from '@bayspool/kernel';
 import type {RunnerDirectory} from '../discovery/runner_directory.js';
 import type {MembershipView} from '../peers/membership_view.js';
@@ -49,6 +50,7 @@
 import {RetryPolicy} from './retry_policy.js';
 import {CrashAttribution} from './crash_attribution.js';
 import {findHold} from '../quarantine/find_hold.js';
+import type {QuarantineHold} from '../quarantine/quarantine_hold.js';
 import {RunSuccession} from './run_succession.js';
 import {StartedResponseWait} from './started_response_wait.js';
 import {SuccessorPolicy} from './successor_policy.js';
@@ -108,6 +110,9 @@
   readonly nextPriorityOf: (service: string, priority: number) => number;
 }
 
+/** Longest time for which a call waits that is held back for a moment, and the time between two checks, in ms. */
+const MAX_BRIEF_HOLD_MS = 3_500;
+const HOLD_CHECK_MS = 50;
 /** Why a call is rejected that no runner has the memory for. */
 const TOO_LARGE = 'larger than the memory of any runner';
 
@@ -189,7 +194,8 @@
       route.models.length > 0 ? cascade.chooseFirstModel(route) : call.model;
     const progress = new CallProgress({call, model});
     const hold = findHold(call, this.options);
-    if (hold) return this.finisher.rejectQuarantined(progress, caller, hold);
+    if (hold && !hold.isBrief)
+      return this.finisher.rejectQuarantined(progress, caller, hold);
     if (this.workEstimator.exceedsMemory(call, model))
       return this.finisher.reject(progress, caller, {reason: TOO_LARGE});
     const {finisher} = this;
@@ -209,6 +215,9 @@
     signal: AbortSignal,
   ): Promise<void> {
     const {call} = progress;
+    const hold = await this.awaitBriefHold(call, signal);
+    if (hold && !signal.aborted)
+      return this.finisher.rejectQuarantined(progress, caller, hold);
     for (;;) {
       const unfinishable = this.findStopRejection(progress, caller);
       if (unfinishable)
@@ -279,6 +288,21 @@
     }
   }
 
+  /** Waits while a call is held back for a moment only. @returns why it is held back for longer, if it is */
+  private async awaitBriefHold(
+    call: IncomingCall,
+    signal: AbortSignal,
+  ): Promise<QuarantineHold | undefined> {
+    const {clock} = this.options;
+    const until = clock.now() + MAX_BRIEF_HOLD_MS;
+    let hold = findHold(call, this.options);
+    while (hold?.isBrief && !signal.aborted && clock.now() < until) {
+      await sleep(clock, HOLD_CHECK_MS, signal);
+      hold = findHold(call, this.options);
+    }
+    return hold;
+  }
+
   /**
    * Decides whether a call is sent once more. A started response that only the retry budget keeps from it waits until
    * calls have earned a retry.
--- a/packages/gateway/src/calls/several_fatal_requests.test.ts
+++ b/packages/gateway/src/calls/several_fatal_requests.test.ts
@@ -11,7 +11,6 @@
 const FATAL = 'fatal';
 const HOSTS = 7;
 const RUNNERS = 8;
-const FATALS = 4;
 /** Crashes under a request after which hosts have to know it, the time in which they may learn of them, in ms, and arrivals after that. */
 const CRASHES_TO_KNOW = 3;
 const LEARN_MS = 3_000;
@@ -24,12 +23,23 @@
 const RESTART_DELAY_MS = 3_000;
 const SOUND_PAUSE_MS = 20;
 /** Time that a sound response takes, in ms. */
-const RESPONSE_MS = 80;
+const RESPONSE_MS = 30;
 /** Time after the last fatal request within which a popular sound one is served at each host, in ms. */
 const SERVED_WITHIN_MS = 10_000;
 const OK = 200;
 
-async function start(context: TestContext, kind: CallKind) {
+interface Variant {
+  readonly kind: CallKind;
+  /** Number of requests that crash runners. */
+  readonly fatals: number;
+}
+
+const variants: Readonly<Record<string, Variant>> = {
+  'whole responses': {kind: CallKind.SAFE, fatals: 4},
+  streams: {kind: CallKind.RESUMABLE, fatals: 4},
+};
+
+async function start(context: TestContext, {kind}: Variant) {
   const fixture = new GatewayFixture();
   context.after(() => fixture.stop());
   const targets = [{service: 'llm', weight: 1}];
@@ -102,13 +112,16 @@
   return false;
 }
 
-void describe('several requests that crash runners', {concurrency: 2}, () => {
-  for (const kind of [CallKind.SAFE, CallKind.RESUMABLE])
+void describe('requests that crash runners', {concurrency: 2}, () => {
+  for (const [name, variant] of Object.entries(variants))
     for (const seed of [1, 2])
-      void test(`each reach few of them, and a popular sound one is served: ${kind}, seed ${seed}`, async context => {
-        const {fixture, runners} = await start(context, kind);
+      void test(`each reach few of them, and a popular sound one is served: ${name}, seed ${seed}`, async context => {
+        const {fixture, runners} = await start(context, variant);
         const random = new SeededRandom(seed);
-        const bodies = Array.from({length: FATALS}, (_, i) => `${FATAL} ${i}`);
+        const bodies = Array.from(
+          {length: variant.fatals},
+          (_, i) => `${FATAL} ${i}`,
+        );
         await Promise.all([
           ...bodies.map(body => sendCopies(fixture, body, random)),
           sendSound(fixture, random),
--- a/packages/gateway/src/host/host_state.ts
+++ b/packages/gateway/src/host/host_state.ts
@@ -266,6 +266,7 @@
     this.quarantine = new Quarantine({
       clock,
       rankOf: fingerprint => this.rankHost(fingerprint),
+      isDoubtful: () => this.reachability.isInDoubt,
     });
     this.partQuarantine = new PartQuarantine({clock});
     this.partQuarantine.onChange({
--- a/packages/gateway/src/quarantine/find_hold.ts
+++ b/packages/gateway/src/quarantine/find_hold.ts
@@ -16,12 +16,13 @@
   const remainingMs = quarantine.remainingMs(fingerprint);
   if (remainingMs > 0)
     return {reason: 'held back: runners end under this request', remainingMs};
-  const probationMs = quarantine.askForTrial(fingerprint);
-  if (probationMs > 0)
+  const trialWait = quarantine.askForTrial(fingerprint);
+  if (trialWait && trialWait.ms > 0)
     return {
       reason:
         'held back for seconds: runners ended while they had this request',
-      remainingMs: probationMs,
+      remainingMs: trialWait.ms,
+      isBrief: trialWait.isBrief,
     };
   if (partQuarantine.isEmpty) return undefined;
   for (const part of fingerprintPromptParts(prompt, workspace)) {
--- a/packages/gateway/src/quarantine/merge_quarantine_digests.ts
+++ b/packages/gateway/src/quarantine/merge_quarantine_digests.ts
@@ -15,19 +15,29 @@
 ): QuarantineDigest | undefined {
   const digests = all.filter(digest => digest !== undefined);
   if (digests.length === 0) return undefined;
-  const ends = new Map<string, Map<number, RunnerCrash>>();
-  for (const digest of digests)
-    for (const [fingerprint, list] of Object.entries(digest.ends))
-      mergeCrashes(ends, fingerprint, list);
   const answered = new Set(digests.flatMap(digest => digest.answered));
+  const unconfirmed = mergeAllCrashes(
+    digests.map(digest => digest.unconfirmed),
+  );
   return {
-    ends: Object.fromEntries(
-      [...ends].map(([fingerprint, list]) => [fingerprint, [...list.values()]]),
-    ),
+    ends: mergeAllCrashes(digests.map(({ends}) => ends)),
+    ...(Object.keys(unconfirmed).length > 0 && {unconfirmed}),
     answered: [...answered].slice(0, MAX_FINGERPRINTS),
   };
 }
 
+function mergeAllCrashes(
+  all: ReadonlyArray<QuarantineDigest['ends'] | undefined>,
+): Record<string, readonly RunnerCrash[]> {
+  const merged = new Map<string, Map<number, RunnerCrash>>();
+  for (const crashes of all)
+    for (const [fingerprint, list] of Object.entries(crashes ?? {}))
+      mergeCrashes(merged, fingerprint, list);
+  return Object.fromEntries(
+    [...merged].map(([fingerprint, list]) => [fingerprint, [...list.values()]]),
+  );
+}
+
 function mergeCrashes(
   ends: Map<string, Map<number, RunnerCrash>>,
   fingerprint: string,
--- a/packages/gateway/src/runners/runner_reachability.ts
+++ b/packages/gateway/src/runners/runner_reachability.ts
@@ -115,6 +115,11 @@
     for (const {apply} of confirmed) apply();
   }
 
+  /** Whether it is not known now if any runner is reached, so that the ends of runners cannot be confirmed. */
+  get isInDoubt(): boolean {
+    return this.state !== State.REACHABLE || this.pending.length > 0;
+  }
+
   /** Records that another host served a call: if this one is cut off, the runners did not end, and evidence of that is dropped. */
   recordServedElsewhere(): void {
     if (this.state === State.CUT_OFF) this.pending = [];
