Streams whose runner ends before their head count for probation

Callers saw: a stream under which runners end before they have sent a head reached runner after runner for as long as it was sent (42 late arrivals in 22 s; four such streams 10 to 13 each), and most other callers got 503. Cause: such an end had weight 0 and was not recorded at all, as a stream without a head may also only have waited. Change: it is recorded as presence, with weight 0: it never holds a stream back for ten minutes by itself, but puts it on probation, where a single copy shows which of the two it is.

--- a/packages/gateway/src/calls/crash_attribution.ts
+++ b/packages/gateway/src/calls/crash_attribution.ts
@@ -203,12 +203,13 @@
     evidence: CrashEvidence,
   ): void {
     const {log, quarantine, reachability} = this.options;
-    const {isAlone, sinceHeadMs, knownBy, knownAfterMs} = evidence;
+    const {isAlone, sinceHeadMs, knownBy, knownAfterMs, hasHead} = evidence;
     const weight = weighRunnerCrash({
       ...evidence,
       isStreamed: isStreamed(route.kind),
     });
-    if (weight === 0) return;
+    // Without a head it may have run or waited: its presence is recorded, which weighs nothing.
+    if (weight === 0 && hasHead) return;
     const start = hashToUint32(getIncarnationId(runner.entry));
     quarantine.notePresence(fingerprint, start);
     reachability.whenConfirmed(runner, () => {
--- a/packages/gateway/src/calls/several_fatal_requests.test.ts
+++ b/packages/gateway/src/calls/several_fatal_requests.test.ts
@@ -32,14 +32,25 @@
   readonly kind: CallKind;
   /** Number of requests that crash runners. */
   readonly fatals: number;
+  readonly sendsNoHead?: boolean;
 }
 
 const variants: Readonly<Record<string, Variant>> = {
   'whole responses': {kind: CallKind.SAFE, fatals: 4},
   streams: {kind: CallKind.RESUMABLE, fatals: 4},
+  'a stream without a head': {
+    kind: CallKind.RESUMABLE,
+    fatals: 1,
+    sendsNoHead: true,
+  },
+  'streams without a head': {
+    kind: CallKind.RESUMABLE,
+    fatals: 4,
+    sendsNoHead: true,
+  },
 };
 
-async function start(context: TestContext, {kind}: Variant) {
+async function start(context: TestContext, {kind, sendsNoHead}: Variant) {
   const fixture = new GatewayFixture();
   context.after(() => fixture.stop());
   const targets = [{service: 'llm', weight: 1}];
@@ -51,6 +62,7 @@
     fatalBody: FATAL,
     isStreamed: kind !== CallKind.SAFE,
     responseDelayMs: RESPONSE_MS,
+    sendsNoHead,
     restartDelayMs: RESTART_DELAY_MS,
     noticeDelayMs: NOTICE_DELAY_MS,
   });
--- a/packages/gateway/src/testing/crashing_runners.ts
+++ b/packages/gateway/src/testing/crashing_runners.ts
@@ -20,6 +20,8 @@
   readonly fatalBody: string;
   /** Whether responses are streams, whose headers show that the request has started to run. */
   readonly isStreamed: boolean;
+  /** Whether a fatal stream sends no head before the crash. */
+  readonly sendsNoHead?: boolean;
   /** Whether a fatal stream sends an event before the crash, beside its head. */
   readonly sendsEvent?: boolean;
   /** Whether sound responses have neither a length nor chunks, and end with their connection. */
@@ -86,11 +88,13 @@
     {id, body}: ReceivedRequest,
     response: ServerResponse,
   ): void {
-    const {fatalBody, isStreamed, sendsEvent, closesConnections} = this.options;
+    const {fatalBody, isStreamed, sendsNoHead, sendsEvent, closesConnections} =
+      this.options;
     this.arrivals.push({body, at: performance.now()});
     const head = {[names.requestId]: id, [names.signature]: runner.entry.id};
     if (body.startsWith(fatalBody)) {
-      if (isStreamed) response.writeHead(200, head).flushHeaders();
+      if (isStreamed && !sendsNoHead)
+        response.writeHead(200, head).flushHeaders();
       if (sendsEvent) response.write(STREAMED_BODY);
       setTimeout(() => void this.crash(runner, body), CRASH_DELAY_MS);
       return;
