--- a/scripts/test.mjs
+++ b/scripts/test.mjs
@@ -1,5 +1,7 @@
 // Runs every test of the built packages with the node:test runner; arguments are path parts to choose among them.
+// Files named `.solo.test` run last, one at a time.
 // Failures of the tests that KNOWN-RED.txt lists are printed and passed over, all others fail the run.
+import {once} from 'node:events';
 import {readdirSync} from 'node:fs';
 import {join, relative} from 'node:path';
 import {run} from 'node:test';
@@ -37,21 +39,33 @@
 const knownRed = readKnownRed();
 const failures = [];
 const seen = [];
-const stream = run({files, concurrency: CONCURRENCY, timeout: TIMEOUT_MS});
-stream.on('test:fail', ({name, file, todo, details}) => {
-  if (todo || isFailureOfItsTests(details)) return;
-  const source = sourceOf(file ?? name);
-  const known = knownRed.find(red => red.file === source && red.test === name);
-  if (known) seen.push(known);
-  else failures.push(`${source} :: ${name}`);
-});
+const isSolo = file => file.endsWith('.solo.test.js');
+const rounds = [
+  {files: files.filter(file => !isSolo(file)), concurrency: CONCURRENCY},
+  {files: files.filter(isSolo), concurrency: 1},
+].filter(round => round.files.length > 0);
 let hasEnded = false;
-stream.once('end', () => {
-  hasEnded = true;
-});
-stream.compose(spec).pipe(process.stdout);
 // At the exit, so that the sums come behind the reporter's, and also if the run breaks off.
 process.once('exit', report);
+for (const round of rounds) await runRound(round);
+hasEnded = true;
+
+/** Runs some files, and resolves when the last of them has ended. */
+async function runRound(round) {
+  const stream = run({...round, timeout: TIMEOUT_MS});
+  stream.on('test:fail', ({name, file, todo, details}) => {
+    if (todo || isFailureOfItsTests(details)) return;
+    const source = sourceOf(file ?? name);
+    const known = knownRed.find(
+      red => red.file === source && red.test === name,
+    );
+    if (known) seen.push(known);
+    else failures.push(`${source} :: ${name}`);
+  });
+  const ended = once(stream, 'end');
+  stream.compose(spec).pipe(process.stdout, {end: false});
+  await ended;
+}
 
 function report() {
   for (const red of knownRed) {
