A body that was read keeps nothing of its request in memory

Callers saw: a host that ends at its heap limit, with all their requests, after some thousands of requests whose bodies were not read at once with their heads. Cause: reading a body listened to the signal of its call for good. The signal is made of others, and Node keeps such a signal, with its listeners and all that they refer to, until they are removed. Change: the listener is removed once the body was read or given up. Result: the new test of read_body.test.ts fails without it (one listener left).

--- a/packages/gateway/src/calls/read_body.ts
+++ b/packages/gateway/src/calls/read_body.ts
@@ -27,6 +27,11 @@
 }: Options): Promise<Buffer | BodyFailure> {
   return new Promise(resolve => {
     const body = new ByteCollector();
+    // A signal that is made of others keeps its listeners, and what they refer to, until they are removed.
+    const settle = (result: Buffer | BodyFailure) => {
+      signal.removeEventListener('abort', abort);
+      resolve(result);
+    };
     const collect = (chunk: Buffer) => {
       if (body.length + chunk.length > maxBytes) return fail('too-large');
       body.add(chunk);
@@ -37,15 +42,15 @@
     // What still arrives of a body that is given up is not collected.
     const fail = (failure: BodyFailure) => {
       request.removeListener('data', collect);
-      resolve(failure);
+      settle(failure);
     };
     request.on('data', collect);
     request.once('end', () => {
       held.stopGrowing();
-      resolve(body.take());
+      settle(body.take());
     });
-    request.once('close', () => resolve('broken'));
-    request.once('error', () => resolve('broken'));
+    request.once('close', () => settle('broken'));
+    request.once('error', () => settle('broken'));
     const abort = () => {
       const hasLeft = signal.reason === AbortReason.CALLER_DISCONNECTED;
       fail(hasLeft ? 'broken' : 'late');
