--- a/packages/gateway/src/observability/line_writer.ts
+++ b/packages/gateway/src/observability/line_writer.ts
@@ -33,6 +33,8 @@
   private flushTimer: NodeJS.Timeout | undefined;
   private droppedCount = 0;
   private isStopped = false;
+  /** Whether the last lines are being written, so that none is added. */
+  private isDraining = false;
 
   constructor(private readonly options: Options = {}) {}
 
@@ -44,7 +46,7 @@
   /** Queues a line without its line break for the next batch, or drops and counts it. */
   write(line: string): void {
     const {maxPendingBytes = MAX_PENDING_BYTES} = this.options;
-    if (this.pendingBytes + line.length > maxPendingBytes) {
+    if (this.isDraining || this.pendingBytes + line.length > maxPendingBytes) {
       this.droppedCount += 1;
       return;
     }
@@ -53,8 +55,9 @@
     if (!this.isWriting) this.scheduleFlush();
   }
 
-  /** Writes the pending lines before the process exits; gives up on a reader that does not read. */
+  /** Writes the pending lines before the process exits, and takes no further ones; gives up on a reader that does not read. */
   async drain(): Promise<void> {
+    this.isDraining = true;
     const until = performance.now() + DRAIN_TIMEOUT_MS;
     clearTimeout(this.flushTimer);
     this.flush();
