Refusals are at most 200 lines a second in the log

Callers saw: nothing; on-call saw the log of a host drop what it needs. Cause: each refused request is a line, and clients can cause millions of them. Change: lines of refused, ignored and unread requests beyond 200 a second are dropped and counted by lines_dropped, as lines of each request are.

--- a/packages/gateway/src/observability/event_log.ts
+++ b/packages/gateway/src/observability/event_log.ts
@@ -7,7 +7,7 @@
   readonly clock: Clock;
   readonly host: string;
   readonly sink: EventSink;
-  /** Sampled lines written per second; further ones are dropped. Failures are always written. */
+  /** Sampled lines written per second; further ones are dropped. */
   readonly maxSampledPerSecond?: number;
 }
 
@@ -29,6 +29,14 @@
   'stop_begun',
   'stop_refused',
 ]);
+/** Failures that clients can cause without end; above a rate limit of their own their lines are dropped. */
+const LIMITED_FAILURES: ReadonlySet<EventName> = new Set<EventName>([
+  'request_refused',
+  'request_ignored',
+  'response_unread',
+]);
+/** Lines of these per second: more than a host in ordinary use refuses. */
+const MAX_FAILURES_PER_SECOND = 200;
 /**
  * Default limit of sampled lines per second: four a request at 100 requests a second, which is about eight times the
  * load of one host in a fleet of the design size.
@@ -36,10 +44,11 @@
 const MAX_SAMPLED_PER_SECOND = 400;
 const SECOND_MS = 1_000;
 
-/** Writes one JSON line per event; drops sampled lines above a rate limit and logs how many were dropped. */
+/** Writes one JSON line per event; drops lines above a rate limit that come without end, and logs how many were dropped. */
 export class EventLog {
   private currentSecond = 0;
   private sampledThisSecond = 0;
+  private failuresThisSecond = 0;
   private droppedThisSecond = 0;
   private totalSampledOut = 0;
 
@@ -53,6 +62,7 @@
   /** Writes an event with the time and this host's name. */
   write<N extends EventName>(event: N, fields: EventFields[N]): void {
     if (SAMPLED_EVENTS.has(event) && !this.admitSampledLine()) return;
+    if (LIMITED_FAILURES.has(event) && !this.admitFailure()) return;
     this.writeLine(event, fields);
   }
 
@@ -64,20 +74,37 @@
   }
 
   private admitSampledLine(): boolean {
-    const {clock, maxSampledPerSecond = MAX_SAMPLED_PER_SECOND} = this.options;
-    const second = Math.floor(clock.now() / SECOND_MS);
-    if (second !== this.currentSecond) this.startSecond(second);
+    const {maxSampledPerSecond = MAX_SAMPLED_PER_SECOND} = this.options;
+    this.updateSecond();
     this.sampledThisSecond += 1;
-    if (this.sampledThisSecond <= maxSampledPerSecond) return true;
+    return this.sampledThisSecond <= maxSampledPerSecond || this.dropLine();
+  }
+
+  private admitFailure(): boolean {
+    this.updateSecond();
+    this.failuresThisSecond += 1;
+    return (
+      this.failuresThisSecond <= MAX_FAILURES_PER_SECOND || this.dropLine()
+    );
+  }
+
+  /** @returns false */
+  private dropLine(): boolean {
     this.droppedThisSecond += 1;
     this.totalSampledOut += 1;
     return false;
   }
 
+  private updateSecond(): void {
+    const second = Math.floor(this.options.clock.now() / SECOND_MS);
+    if (second !== this.currentSecond) this.startSecond(second);
+  }
+
   private startSecond(second: number): void {
     const count = this.droppedThisSecond;
     this.currentSecond = second;
     this.sampledThisSecond = 0;
+    this.failuresThisSecond = 0;
     this.droppedThisSecond = 0;
     if (count > 0) this.writeLine('lines_dropped', {count});
   }
