Clients that send ahead and read nothing do not end a process

Callers saw: a host that ends at its heap limit, with all their requests, a second after some clients had sent requests ahead without reading a response: any request, refused ones included, at each address of the process. Cause: Node's server parses all that a read brought before a response is taken, and pauses a connection by the bytes of responses that wait. A read holds thousands of requests, each an object with its headers, a response and a call. Change: all servers of the gateway and of the daemon are PacedServers: a connection's bytes go to its parser one head at a time, 16 open requests a connection at most (1 where nobody sends ahead), with bounds on the memory of requests and on unparsed bytes of all connections, in turns. The bounds follow from the heap limit and memory-mb. Header lines are bounded by their size as they were sent, not by their number. Metrics that are asked for without end are rendered once in 200 ms. Lines connection_paused and connection_shed, two counters.

--- a/packages/daemon/src/callers/caller_server.ts
+++ b/packages/daemon/src/callers/caller_server.ts
@@ -9,6 +9,7 @@
   type Clock,
   type Logger,
   type Metrics,
+  type RequestPacer,
   type Service,
   type Tracing,
 } from '@bayspool/kernel';
@@ -37,6 +38,7 @@
   /** The largest accepted body, in bytes. */
   readonly maxBodyBytes: number;
   readonly maxHeaderBytes: number;
+  readonly pacer: RequestPacer;
   readonly maxConnections: number;
   readonly headersTimeoutMs: number;
   readonly requestTimeoutMs: number;
--- a/packages/daemon/src/callers/callers_plugin.ts
+++ b/packages/daemon/src/callers/callers_plugin.ts
@@ -229,6 +229,7 @@
       .bind(daemonTokens.admissionController)
       .toConstantValue(admissionController);
     const server = new CallerServer({
+      pacer: container.get(daemonTokens.requestPacer),
       admissionController,
       clock,
       logger,
--- a/packages/daemon/src/callers/departed_callers.test.ts
+++ b/packages/daemon/src/callers/departed_callers.test.ts
@@ -5,7 +5,7 @@
 import {test} from 'node:test';
 import type {TestContext} from 'node:test';
 import {setTimeout as sleep} from 'node:timers/promises';
-import {Metrics, SystemClock, Tracing} from '@bayspool/kernel';
+import {Metrics, SystemClock, Tracing, RequestPacer} from '@bayspool/kernel';
 import type {ConfigurationStore} from '../configuration/configuration_store.js';
 import type {LeavingState} from '../leaving/leaving_state.js';
 import type {AdmissionController} from './admission_controller.js';
@@ -37,6 +37,7 @@
     },
   } as unknown as AdmissionController;
   const server = new CallerServer({
+    pacer: new RequestPacer(),
     admissionController,
     endpoint: '127.0.0.1:0',
     clock: new SystemClock(),
--- a/packages/daemon/src/daemon_tokens.ts
+++ b/packages/daemon/src/daemon_tokens.ts
@@ -8,6 +8,7 @@
   WeightStore,
 } from '@bayspool/decisions';
 import {token} from '@bayspool/kernel';
+import type {RequestPacer} from '@bayspool/kernel';
 import type {AdmissionController} from './callers/admission_controller.js';
 import type {IntentPlanner} from './operators/intent_planner.js';
 import type {BillRecorder} from './billing/bill_recorder.js';
@@ -33,6 +34,8 @@
 /** Injection tokens of what the daemon's plugins provide to each other. */
 export const daemonTokens = {
   hostIdentity: token<HostIdentity>('HostIdentity'),
+  /** Bounds what connections to all servers make this process hold. */
+  requestPacer: token<RequestPacer>('request pacer'),
   sealers: token<ClusterSealers>('ClusterSealers'),
   log: token<Log>('Log'),
   ratingService: token<RatingService>('RatingService'),
--- a/packages/daemon/src/host/host_plugin.ts
+++ b/packages/daemon/src/host/host_plugin.ts
@@ -3,6 +3,7 @@
 import {z} from 'zod';
 import {daemonTokens} from '../daemon_tokens.js';
 import {ClusterSealers} from './cluster_sealers.js';
+import {createRequestPacer} from './create_request_pacer.js';
 
 const sections = {
   host: {
@@ -40,6 +41,12 @@
   install(container, settings) {
     const host = settings.one(sections.host);
     const clock = container.get(tokens.clock);
+    const pacer = createRequestPacer({
+      clock: container.get(tokens.clock),
+      logger: container.get(tokens.logger),
+      metrics: container.get(tokens.metrics),
+    });
+    container.bind(daemonTokens.requestPacer).toConstantValue(pacer);
     container.bind(daemonTokens.hostIdentity).toConstantValue({
       id: host.id,
       place: host.place,
--- a/packages/daemon/src/http_server.ts
+++ b/packages/daemon/src/http_server.ts
@@ -1,9 +1,10 @@
-import {createServer, type Server} from 'node:http';
+import type {RequestListener, Server} from 'node:http';
 import type {AddressInfo, Socket} from 'node:net';
-import type {RequestListener} from 'node:http';
 import {
+  PacedServer,
   Problem,
   ProblemKind,
+  RequestPacer,
   ServerConnections,
   SystemClock,
 } from '@bayspool/kernel';
@@ -13,6 +14,8 @@
   /** The clock of this process if absent. */
   readonly clock?: Clock;
   readonly listener: RequestListener;
+  /** Shared by all servers of the process; a pacer of its own if absent. */
+  readonly pacer?: RequestPacer;
   /** Such as `127.0.0.1:8080`. */
   readonly endpoint: string;
   /** Name of the setting that holds the endpoint, for error messages. */
@@ -25,6 +28,8 @@
 }
 
 const KEEP_ALIVE_MS = 30_000;
+/** Largest number of open requests of a connection; those that a client sends ahead beyond it wait unread. */
+const MAX_OPEN_PER_CONNECTION = 16;
 /** Interval between two checks for idle connections while the server stops, in ms. */
 const IDLE_CHECK_INTERVAL_MS = 50;
 /** Longest time for which a server that stops accepts the connections that wait for it, in ms. */
@@ -40,18 +45,25 @@
   constructor(private readonly options: Options) {
     const {clock = new SystemClock()} = options;
     this.clock = clock;
-    this.server = createServer(
-      {
+    const paced = new PacedServer({
+      pacer: options.pacer ?? new RequestPacer(),
+      maxOpenPerConnection: MAX_OPEN_PER_CONNECTION,
+      listener: options.listener,
+      server: {
         headersTimeout: options.headersTimeoutMs,
         requestTimeout: options.requestTimeoutMs,
         keepAliveTimeout: KEEP_ALIVE_MS,
         maxHeaderSize: options.maxHeaderBytes,
         connectionsCheckingInterval: Math.min(1_000, options.headersTimeoutMs),
       },
-      options.listener,
-    );
+    });
+    this.server = paced.server;
     this.server.maxConnections = options.maxConnections;
-    this.connections = new ServerConnections({clock, server: this.server});
+    this.connections = new ServerConnections({
+      clock,
+      server: this.server,
+      unparsedBytesOf: socket => paced.unparsedBytesOf(socket),
+    });
     this.server.prependListener('request', (_request, response) => {
       // Callers that come again and again would keep a server that stops from ending.
       if (this.isStopping) response.setHeader('connection', 'close');
--- a/packages/daemon/src/operators/operator_server.ts
+++ b/packages/daemon/src/operators/operator_server.ts
@@ -5,6 +5,7 @@
   ProblemKind,
   type Logger,
   type Metrics,
+  type RequestPacer,
   type Service,
 } from '@bayspool/kernel';
 import express, {
@@ -29,6 +30,7 @@
 
 interface Options {
   readonly endpoint: string;
+  readonly pacer: RequestPacer;
   readonly logger: Logger;
   readonly metrics: Metrics;
   readonly identity: HostIdentity;
@@ -54,6 +56,7 @@
   constructor(private readonly options: Options) {
     this.server = new HttpServer({
       listener: this.createApp(),
+      pacer: options.pacer,
       endpoint: options.endpoint,
       setting: '[operators] listen',
       maxConnections: MAX_CONNECTIONS,
--- a/packages/daemon/src/operators/operators_plugin.ts
+++ b/packages/daemon/src/operators/operators_plugin.ts
@@ -50,6 +50,7 @@
     container.bind(daemonTokens.intentPlanner).toConstantValue(planner);
     container.bind(tokens.service).toConstantValue(
       new OperatorServer({
+        pacer: container.get(daemonTokens.requestPacer),
         endpoint: section.listen,
         keys,
         planner,
--- a/packages/daemon/src/peers/peer_server.ts
+++ b/packages/daemon/src/peers/peer_server.ts
@@ -1,4 +1,4 @@
-import type {Logger, Service} from '@bayspool/kernel';
+import type {Logger, RequestPacer, Service} from '@bayspool/kernel';
 import express, {type Express, type Request, type Response} from 'express';
 import {HttpServer} from '../http_server.js';
 import {peerHeaders} from './peer_headers.js';
@@ -6,6 +6,7 @@
 
 interface Options {
   readonly endpoint: string;
+  readonly pacer: RequestPacer;
   readonly messageHandler: PeerMessageHandler;
   readonly logger: Logger;
   /** Longer messages are refused without being read. */
@@ -24,6 +25,7 @@
   constructor(private readonly options: Options) {
     this.server = new HttpServer({
       listener: this.createApp(),
+      pacer: options.pacer,
       endpoint: options.endpoint,
       setting: '[host] peer-address',
       maxConnections: MAX_CONNECTIONS,
--- a/packages/daemon/src/peers/peers_plugin.ts
+++ b/packages/daemon/src/peers/peers_plugin.ts
@@ -89,6 +89,7 @@
     container.bind(daemonTokens.membership).toConstantValue(membership);
     container.bind(tokens.service).toConstantValue(
       new PeerServer({
+        pacer: container.get(daemonTokens.requestPacer),
         endpoint: identity.peerListen,
         messageHandler,
         logger,
--- a/packages/gateway/src/calls/call_server.ts
+++ b/packages/gateway/src/calls/call_server.ts
@@ -1,4 +1,3 @@
-import {createServer} from 'node:http';
 import type {IncomingMessage, Server, ServerResponse} from 'node:http';
 import type {Socket} from 'node:net';
 import {MAX_HEADER_BYTES} from '@bayspool/decisions/calls';
@@ -6,12 +5,14 @@
 import {
   afterReads,
   CallerDepartures,
+  PacedServer,
   ServerConnections,
 } from '@bayspool/kernel';
 import type {
   Clock,
   ConnectionReads,
   RandomSource,
+  RequestPacer,
   Timer,
 } from '@bayspool/kernel';
 import type {ActiveConfiguration} from '../discovery/active_configuration.js';
@@ -51,6 +52,8 @@
   readonly forwarder: CallForwarder;
   readonly stopAdmission: StopAdmission;
   readonly heldBytes: HeldBytes;
+  /** Bounds what connections make this host hold before their requests are handled. */
+  readonly pacer: RequestPacer;
   /** How old this host's knowledge of its connections is. */
   readonly connectionReads: ConnectionReads;
   readonly ip: string;
@@ -73,6 +76,9 @@
 /** Largest body accepted before a configuration is known, in bytes. */
 const DEFAULT_MAX_BODY_BYTES = 1_048_576;
 
+/** Largest number of open requests of a connection; those that a caller sends ahead beyond it wait unread. */
+const MAX_OPEN_PER_CONNECTION = 16;
+
 /** HTTP server for callers: validates a request, resolves its route and hands it to the forwarder. */
 export class CallServer {
   private readonly server: Server;
@@ -86,16 +92,27 @@
   private readonly closingConnections = new WeakSet<Socket>();
 
   constructor(private readonly options: Options) {
-    this.validator = new RequestValidator(options);
+    const paced = new PacedServer({
+      pacer: options.pacer,
+      maxOpenPerConnection: MAX_OPEN_PER_CONNECTION,
+      readsBehindEnd: true,
+      server: {maxHeaderSize: MAX_HEADER_BYTES, noDelay: true},
+      listener: (request, response) => this.accept(request, response),
+    });
+    this.validator = new RequestValidator({
+      ...options,
+      headerBytesOf: request => paced.headerBytesOf(request),
+    });
     const recorder = new RequestRecorder(options);
     this.recorder = recorder;
     this.rejecter = new RequestRejecter({...options, recorder});
-    this.server = createServer(
-      {maxHeaderSize: MAX_HEADER_BYTES, noDelay: true},
-      (request, response) => this.accept(request, response),
-    );
+    this.server = paced.server;
     const {clock} = options;
-    this.connections = new ServerConnections({clock, server: this.server});
+    this.connections = new ServerConnections({
+      clock,
+      server: this.server,
+      unparsedBytesOf: socket => paced.unparsedBytesOf(socket),
+    });
     this.server.requestTimeout = 0;
     this.server.on('clientError', (error, socket) =>
       this.rejectMalformed(error, socket as Socket),
--- a/packages/gateway/src/calls/request_validator.ts
+++ b/packages/gateway/src/calls/request_validator.ts
@@ -19,6 +19,8 @@
   readonly maxKeyAgeMs: () => number;
   /** Maximum age of the configuration at which an unknown route or key is rejected for good, in ms. */
   readonly maxDenialAgeMs: () => number;
+  /** Size of the header lines of a request as they were sent, in bytes; undefined if it is not known. */
+  readonly headerBytesOf: (request: IncomingMessage) => number | undefined;
   /** Whether a request that is read now may have been sent before the current configuration was. */
   readonly mayPredateConfiguration: () => boolean;
 }
@@ -64,7 +66,9 @@
     request: IncomingMessage,
     {limits}: CallConfiguration,
   ): LocalResponse | undefined {
-    if (countHeaderBytes(request) > limits.headerBytes)
+    const {headerBytesOf} = this.options;
+    const headerBytes = headerBytesOf(request) ?? countHeaderBytes(request);
+    if (headerBytes > limits.headerBytes)
       return {status: STATUS.HEADERS_TOO_LARGE, reason: 'headers too large'};
     const id = request.headers[this.options.headerNames.requestId];
     if (typeof id !== 'string' || id.includes(','))
--- a/packages/gateway/src/calls/retry_policy.test.ts
+++ b/packages/gateway/src/calls/retry_policy.test.ts
@@ -58,7 +58,7 @@
         written.push({event, ...fields}),
     },
     metrics: new GatewayMetrics(),
-    quarantine: {remainingMs: () => 0},
+    quarantine: {remainingMs: () => 0, askForTrial: () => undefined},
     partQuarantine: {isEmpty: true},
     retryBudgetOf: () => budget,
     membership: {},
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -1,7 +1,7 @@
 import {isDeepStrictEqual} from 'node:util';
 import {ModelCascade} from '@bayspool/decisions/calls';
 import {DurationEstimator} from '@bayspool/decisions/capacity';
-import {ConnectionReads} from '@bayspool/kernel';
+import {ConnectionReads, RequestPacer} from '@bayspool/kernel';
 import type {Timer} from '@bayspool/kernel';
 import {CallServer} from './calls/call_server.js';
 import type {CallForwarder} from './calls/call_forwarder.js';
@@ -21,6 +21,7 @@
 import type {GatewayOptions} from './host/gateway_options.js';
 import {HostRegistration} from './host/host_registration.js';
 import {HostState} from './host/host_state.js';
+import {PacingRecorder} from './observability/pacing_recorder.js';
 import {registerGauges} from './observability/register_gauges.js';
 import {Topic} from './records/topic.js';
 import {ServingPeers} from './peers/serving_peers.js';
@@ -58,6 +59,8 @@
   /** How long calls take to the end of their responses. */
   private readonly durations = new DurationEstimator();
   private readonly cascade = new ModelCascade();
+  /** Bounds what connections make this host hold before their requests are handled. */
+  private readonly pacer: RequestPacer;
   /** Whether other hosts take new callers. */
   private readonly servingPeers: ServingPeers;
   private readonly stopAdmission: StopAdmission;
@@ -73,6 +76,9 @@
     const {settings, clock, log, store} = options;
     this.settings = settings;
     this.metrics = options.metrics ?? new GatewayMetrics();
+    const {maxRequestBytes, maxUnparsedBytes} = settings;
+    this.pacer = new RequestPacer({maxRequestBytes, maxUnparsedBytes});
+    new PacingRecorder({clock, log, metrics: this.metrics, pacer: this.pacer});
     this.state = new HostState({
       ...options,
       metrics: this.metrics,
@@ -117,7 +123,12 @@
     });
     const {durations} = this;
     this.stateSynchronizer = new StateSynchronizer(
-      {...options, durations, servingPeers: this.servingPeers},
+      {
+        ...options,
+        durations,
+        servingPeers: this.servingPeers,
+        pacer: this.pacer,
+      },
       this.state,
     );
     const {hostDirectory} = this.state;
@@ -162,12 +173,15 @@
       graceMs: () => this.settings.graceMs,
     });
     this.readinessServer = new ReadinessServer({
+      pacer: this.pacer,
       ip: settings.ip,
       port: settings.readinessPort,
       path: settings.readinessPath,
       isReady: () => this.isReady(),
     });
     this.metricsServer = new MetricsServer({
+      clock,
+      pacer: this.pacer,
       ip: settings.ip,
       port: settings.metricsPort,
       path: settings.metricsPath,
@@ -370,6 +384,7 @@
     const {clock, random, log, headerNames, settings} = this.options;
     const {configuration} = this.state;
     return new CallServer({
+      pacer: this.pacer,
       clock,
       random,
       log,
--- a/packages/gateway/src/gateway_settings.ts
+++ b/packages/gateway/src/gateway_settings.ts
@@ -48,4 +48,8 @@
   readonly limitWindowMs: number;
   /** Maximum of the request and response bytes that the host holds for slow readers. */
   readonly maxHeldBytes: number;
+  /** Maximum of the memory of open requests that callers send ahead or whose heads are of unusual size, in bytes. */
+  readonly maxRequestBytes?: number;
+  /** Maximum of the bytes of all connections that were read and not parsed. */
+  readonly maxUnparsedBytes?: number;
 }
--- a/packages/gateway/src/host/state_synchronizer.ts
+++ b/packages/gateway/src/host/state_synchronizer.ts
@@ -1,3 +1,4 @@
+import type {RequestPacer} from '@bayspool/kernel';
 import type {DurationEstimator} from '@bayspool/decisions/capacity';
 import {LimitBroadcaster} from '../peers/limit_broadcaster.js';
 import {LoadDigestRegistry} from '../peers/load_digest_registry.js';
@@ -21,6 +22,8 @@
   /** How long calls take to the end of their responses. */
   readonly durations: DurationEstimator;
   readonly servingPeers: ServingPeers;
+  /** Bounds what connections make this host hold before their requests are handled. */
+  readonly pacer: RequestPacer;
 }
 
 /** Long-poll timeout for the operator's topic, in ms: its mirror is this old at most in normal operation. */
@@ -57,6 +60,7 @@
     this.syncProtocol = this.createSyncProtocol();
     this.peerClient = new PeerClient({clock});
     this.peerServer = new PeerServer({
+      pacer: options.pacer,
       ip: settings.ip,
       port: settings.peerPort,
       protocol: this.syncProtocol,
--- a/packages/gateway/src/lifecycle/endless_checks.test.ts
+++ b/packages/gateway/src/lifecycle/endless_checks.test.ts
@@ -2,6 +2,7 @@
 import assert from 'node:assert/strict';
 import {test} from 'node:test';
 import {setTimeout as sleep} from 'node:timers/promises';
+import {RequestPacer, SystemClock} from '@bayspool/kernel';
 import {FloodingPeer} from '@bayspool/kernel/testing';
 import {Registry} from 'prom-client';
 import {findPorts} from '../testing/find_ports.js';
@@ -27,11 +28,16 @@
   for (const body of BODIES)
     void test(`a request body without end at the ${name} port is closed: ${body.head.split('\r\n')[2]}`, async context => {
       const [port] = await findPorts(1);
-      const options = {ip: LOCALHOST, port, path: '/path'};
+      const pacer = new RequestPacer();
+      const options = {ip: LOCALHOST, port, path: '/path', pacer};
       const server =
         name === 'readiness'
           ? new ReadinessServer({...options, isReady: () => true})
-          : new MetricsServer({...options, registry: new Registry()});
+          : new MetricsServer({
+              ...options,
+              clock: new SystemClock(),
+              registry: new Registry(),
+            });
       await server.start();
       context.after(() => server.stop());
       const closed = FloodingPeer.floodPort(port, body).then(() => 'closed');
--- a/packages/gateway/src/observability/event_fields.ts
+++ b/packages/gateway/src/observability/event_fields.ts
@@ -302,6 +302,22 @@
   part_held_back: {request: string; part: string};
   part_quarantined: {part: string; ends: number};
   part_released: {part: string; reason: string};
+  /** A connection is read no further for now; further lines within a second are left out and counted. */
+  connection_paused: {
+    reason: string;
+    /** Bytes of all connections that were read and not parsed. */
+    heldUnparsedBytes: number;
+    /** Estimated memory of open requests that share the bound, in bytes. */
+    sharedRequestBytes: number;
+    omittedLines: number;
+  };
+  /** A connection was closed, as it held most of too many bytes that were read and not parsed. */
+  connection_shed: {
+    unparsedBytes: number;
+    heldUnparsedBytes: number;
+    sharedRequestBytes: number;
+    omittedLines: number;
+  };
   /** A request is held back for seconds and then tried: `ends` runners ended while they had it. */
   request_on_probation: {fingerprint: string; ends: number};
   /** A copy of a request on probation is sent to a runner: `ends` runners ended while they had the request. */
--- a/packages/gateway/src/observability/gateway_metrics.ts
+++ b/packages/gateway/src/observability/gateway_metrics.ts
@@ -98,6 +98,16 @@
     'Responses given up because their callers took nothing of them for too long',
     [],
   );
+  readonly pausedConnections = this.counter(
+    'paused_connections_total',
+    'Connections that were read no further for a time, as their clients send more than this host can hold, by reason',
+    ['reason'],
+  );
+  readonly shedConnections = this.counter(
+    'shed_connections_total',
+    'Connections that were closed, as they held most of too many bytes that were read and not parsed',
+    [],
+  );
   readonly pacedResponses = this.counter(
     'paced_responses_total',
     'Responses that had to wait because of the number of their small parts',
--- a/packages/gateway/src/peers/endless_requests.test.ts
+++ b/packages/gateway/src/peers/endless_requests.test.ts
@@ -1,6 +1,7 @@
 // Guards against requests without end at the port for other hosts, which used up the memory of the host.
 import assert from 'node:assert/strict';
 import {test} from 'node:test';
+import {RequestPacer} from '@bayspool/kernel';
 import {FloodingPeer, MemoryPeak} from '@bayspool/kernel/testing';
 import type {RoomExchange} from '../host/room_exchange.js';
 import {createSilentLog} from '../testing/create_silent_log.js';
@@ -41,6 +42,7 @@
   void test(`a request of a host without end is closed within bounded memory: ${name}`, async context => {
     const [port] = await findPorts(1);
     const server = new PeerServer({
+      pacer: new RequestPacer(),
       ip: LOCALHOST,
       port,
       // No request is complete, so that none of these is used.
--- a/packages/gateway/src/peers/peer_server.ts
+++ b/packages/gateway/src/peers/peer_server.ts
@@ -1,6 +1,6 @@
-import {createServer} from 'node:http';
 import type {IncomingMessage, Server, ServerResponse} from 'node:http';
-import {BoundedBuffer} from '@bayspool/kernel';
+import {BoundedBuffer, PacedServer} from '@bayspool/kernel';
+import type {RequestPacer} from '@bayspool/kernel';
 import {JSONRPCServer} from 'json-rpc-2.0';
 import type {EventLog} from '../observability/event_log.js';
 import type {RoomExchange} from '../host/room_exchange.js';
@@ -11,6 +11,7 @@
 import {listenOn} from '../lifecycle/listen_on.js';
 
 interface Options {
+  readonly pacer: RequestPacer;
   readonly ip: string;
   readonly port: number;
   readonly protocol: SyncProtocol;
@@ -35,15 +36,19 @@
     this.rpc.addMethod('rooms', params =>
       options.rooms.applyPeerObservations(params as readonly RoomObservation[]),
     );
-    this.server = createServer((request, response) => {
-      this.handle(request, response).catch(error => {
-        options.log.write('unexpected', {
-          where: 'peer request',
-          message: String(error),
+    const {pacer, log} = options;
+    this.server = new PacedServer({
+      pacer,
+      listener: (request, response) => {
+        this.handle(request, response).catch(error => {
+          log.write('unexpected', {
+            where: 'peer request',
+            message: String(error),
+          });
+          response.destroy();
         });
-        response.destroy();
-      });
-    });
+      },
+    }).server;
     this.server.keepAliveTimeout = KEEP_ALIVE_MS;
   }
 
--- a/packages/kernel/src/net/server_connections.ts
+++ b/packages/kernel/src/net/server_connections.ts
@@ -9,6 +9,8 @@
 interface Options {
   readonly clock: Clock;
   readonly server: Server;
+  /** Bytes that were read from a connection and not parsed; 0 if absent. */
+  readonly unparsedBytesOf?: (socket: Socket) => number;
   /** Time without a byte in or out after which an idle connection is closed, in ms. */
   readonly quietMs?: number;
 }
@@ -174,7 +176,7 @@
     this.noteBytesRead();
     if (this.isBehind) return 0;
     const quiet = [...this.uses].filter(
-      ([socket, use]) => isIdle(socket, use) && !this.isActive(use),
+      ([socket, use]) => this.isIdle(socket, use) && !this.isActive(use),
     );
     for (const [socket] of quiet) socket.destroy();
     return quiet.length;
@@ -194,8 +196,9 @@
 
   /** Number of connections of which a part of a request was read, and not the rest. */
   get incompleteCount(): number {
-    return [...this.uses].filter(([socket, use]) => isBeingRead(socket, use))
-      .length;
+    return [...this.uses].filter(([socket, use]) =>
+      this.isBeingRead(socket, use),
+    ).length;
   }
 
   /** Closes a connection whose idle timeout has passed, unless bytes of its next request had arrived by then. */
@@ -269,6 +272,24 @@
     });
   }
 
+  private isIdle(socket: Socket, use: ConnectionUse): boolean {
+    return (
+      use.lastResponse !== undefined &&
+      use.openResponses === 0 &&
+      socket.writableLength === 0 &&
+      !this.isBeingRead(socket, use)
+    );
+  }
+
+  private isBeingRead(socket: Socket, use: ConnectionUse): boolean {
+    const {unparsedBytesOf} = this.options;
+    return (
+      use.incompleteRequest !== undefined ||
+      socket.bytesRead !== use.bytesReadAtRest ||
+      (unparsedBytesOf?.(socket) ?? 0) > 0
+    );
+  }
+
   private noteRequestBehindEnd(socket: Socket, use: ConnectionUse): void {
     use.requestsBehindEnd += 1;
     if (use.requestsBehindEnd > MAX_REQUESTS_BEHIND_END) socket.destroy();
@@ -289,19 +310,3 @@
     });
   });
 }
-
-function isIdle(socket: Socket, use: ConnectionUse): boolean {
-  return (
-    use.lastResponse !== undefined &&
-    use.openResponses === 0 &&
-    socket.writableLength === 0 &&
-    !isBeingRead(socket, use)
-  );
-}
-
-function isBeingRead(socket: Socket, use: ConnectionUse): boolean {
-  return (
-    use.incompleteRequest !== undefined ||
-    socket.bytesRead !== use.bytesReadAtRest
-  );
-}
