--- a/packages/gateway/src/runners/send_request.ts
+++ b/packages/gateway/src/runners/send_request.ts
@@ -73,7 +73,10 @@
     setHost: false,
     setDefaultHeaders: false,
   };
-  return startRequest(options);
+  const outgoing = startRequest(options);
+  // Header lines are bounded by their size; Node would leave out those beyond a number.
+  outgoing.maxHeadersCount = 0;
+  return outgoing;
 }
 
 function isInvalid(code: string): boolean {
