Paced connections: a whole message is handed on without copies, and turns are scheduled under load only

Cause: each read scheduled a turn of the event loop, reported its bytes twice and took views of a buffer that was handed on as a whole. Change: bytes are reported once a read, a whole read is handed on as it is, and a turn is scheduled once half of its work is done. The check of a body that is held up is a method, as it pauses the connection.

--- a/packages/kernel/src/net/paced_connection.ts
+++ b/packages/kernel/src/net/paced_connection.ts
@@ -74,6 +74,9 @@
   /** The request that is being read, or was read last. */
   private latest: OpenRequest | undefined;
   private isPaused = false;
+  private isReceiving = false;
+  /** Unparsed bytes that the pacer knows of. */
+  private reportedBytes = 0;
   /** Whether the parser was given the first byte of a head that has not arrived as a whole, so that its timeout runs. */
   private hasBegunHead = false;
 
@@ -94,12 +97,17 @@
     const {pacer} = this.options;
     if (this.isOver) return this.discard();
     this.unparsed.append(chunk);
-    pacer.updateUnparsed(this, chunk.length);
-    while (this.unparsed.length > 0 && pacer.mayProceed(this)) {
-      const work = this.proceed();
-      if (work === 0) break;
-      pacer.noteWork(work);
+    this.isReceiving = true;
+    try {
+      while (this.unparsed.length > 0 && pacer.mayProceed(this)) {
+        const work = this.proceed();
+        if (work === 0) break;
+        pacer.noteWork(work);
+      }
+    } finally {
+      this.isReceiving = false;
     }
+    this.reportUnparsed();
     this.updateReading();
   }
 
@@ -120,7 +128,11 @@
       return 0;
     }
     const work = this.unparsed.length === 0 ? 0 : this.handOn();
-    this.updateReading();
+    // Within a read it is reported once, behind all that could be handed on.
+    if (!this.isReceiving) {
+      this.reportUnparsed();
+      this.updateReading();
+    }
     return work;
   }
 
@@ -202,7 +214,7 @@
       (view[count] === LINE_FEED || view[count] === CARRIAGE_RETURN)
     )
       count += 1;
-    if (count > 0) this.take(count);
+    if (count > 0) this.unparsed.take(count);
   }
 
   /** The head is not complete: it is kept here, where it takes the least memory. */
@@ -230,7 +242,7 @@
   }
 
   private handOnSizedBody(): number {
-    if (this.isBodyHeldUp) return 0;
+    if (this.holdUpBody()) return 0;
     const count = Math.min(this.bodyLeft, this.unparsed.length);
     this.bodyLeft -= count;
     if (this.bodyLeft === 0) this.section = Section.HEAD;
@@ -239,7 +251,7 @@
   }
 
   private handOnChunks(): number {
-    if (this.isBodyHeldUp) return 0;
+    if (this.holdUpBody()) return 0;
     const {end, chunkCount, isLast} = this.chunks.scan(
       this.unparsed.view,
       MAX_CHUNKS,
@@ -273,8 +285,8 @@
     return true;
   }
 
-  /** Whether the handler of the request has not taken what it has of the body. */
-  private get isBodyHeldUp(): boolean {
+  /** Pauses the connection if the handler of the request has not taken what it has of the body. @returns whether it has not */
+  private holdUpBody(): boolean {
     const request = this.latest?.request;
     if (!request || request.destroyed) return false;
     const isHeldUp = request.readableLength >= request.readableHighWaterMark;
@@ -312,20 +324,20 @@
   }
 
   private parse(count: number): void {
-    this.options.parse(this.take(count));
-  }
-
-  private take(count: number): Buffer {
-    const taken = this.unparsed.take(count);
-    this.options.pacer.updateUnparsed(this, -taken.length);
-    return taken;
+    this.options.parse(this.unparsed.take(count));
   }
 
   private discard(): void {
-    const {length} = this.unparsed;
     this.unparsed.clear();
     this.heads.reset();
-    if (length > 0) this.options.pacer.updateUnparsed(this, -length);
+    this.reportUnparsed();
+  }
+
+  private reportUnparsed(): void {
+    const change = this.unparsed.length - this.reportedBytes;
+    if (change === 0) return;
+    this.reportedBytes = this.unparsed.length;
+    this.options.pacer.updateUnparsed(this, change);
   }
 
   /** Reads on as long as little is unparsed, so that the end of the connection is noticed. */
@@ -337,7 +349,7 @@
       if (!this.isPaused) pacer.notePaused(PauseReason.UNPARSED_BYTES);
       return this.pause();
     }
-    if (!this.isPaused || this.isBodyHeldUp) return;
+    if (!this.isPaused || this.holdUpBody()) return;
     this.isPaused = false;
     this.options.socket.resume();
   }
--- a/packages/kernel/src/net/request_pacer.ts
+++ b/packages/kernel/src/net/request_pacer.ts
@@ -103,7 +103,8 @@
   /** Notes work that was done outside of a turn of the connection. */
   noteWork(work: number): void {
     this.workLeft -= work;
-    this.scheduleTurn();
+    // Not for each request: a turn costs as much as a small part of one.
+    if (this.workLeft < WORK_PER_TURN / 2) this.scheduleTurn();
   }
 
   /** Reserves memory for a request that shares the bound. @returns whether there was room */
--- a/packages/kernel/src/net/unparsed_bytes.ts
+++ b/packages/kernel/src/net/unparsed_bytes.ts
@@ -14,7 +14,7 @@
 
   /** The bytes, valid until the next change. */
   get view(): Buffer {
-    return this.buffer.subarray(this.start, this.end);
+    return this.slice(this.start, this.end);
   }
 
   append(chunk: Buffer): void {
@@ -28,7 +28,7 @@
 
   /** Removes bytes from the begin. @returns these */
   take(count: number): Buffer {
-    const taken = this.buffer.subarray(this.start, this.start + count);
+    const taken = this.slice(this.start, this.start + count);
     this.start += count;
     if (this.length === 0) this.clear();
     return taken;
@@ -38,6 +38,13 @@
     this.replace(EMPTY);
   }
 
+  /** Most reads are a whole message: that is returned as it is. */
+  private slice(start: number, end: number): Buffer {
+    const {buffer} = this;
+    const isWhole = start === 0 && end === buffer.length;
+    return isWhole ? buffer : buffer.subarray(start, end);
+  }
+
   private replace(buffer: Buffer): void {
     this.buffer = buffer;
     this.start = 0;
